Thin whole path: caller, router, target, platform

A request goes from express through authentication, placement and dispatch to a target over undici, and its stream ends explicitly. Configuration is published to the platform by conditional update and watched by each router. Stand-ins for the platform, engines and plain services carry their faults as methods; tests drive them on a manual clock, the demo over HTTP on loopback.

--- /dev/null
+++ b/packages/core/refusal.ts
@@ -0,0 +1,84 @@
+/** The closed list of reasons for which a request is refused or fails, and what the caller is told. */
+
+/** What is known about whether the request ran. */
+export type RunState = 'not_run' | 'unknown' | 'ran';
+
+type RefusalRule = Readonly<{
+	/** HTTP status code. */
+	status: number;
+	/** What is said when the refusal does not state another run state. */
+	ran: RunState;
+	message: string;
+}>;
+
+/** Every reason, with its HTTP status, run state and message. */
+export const refusalRules = {
+	bad_request: {status: 400, ran: 'not_run', message: 'The request is malformed.'},
+	body_too_large: {status: 413, ran: 'not_run', message: 'The request body is larger than this instance accepts.'},
+	unauthenticated: {status: 401, ran: 'not_run', message: 'The bearer key is missing or unknown.'},
+	route_not_allowed: {status: 403, ran: 'not_run', message: 'The customer may not call this route.'},
+	route_unknown: {status: 404, ran: 'not_run', message: 'No route has this name.'},
+	idempotency_key_missing: {status: 400, ran: 'not_run', message: 'This call may not be repeated and needs an Idempotency-Key header.'},
+	idempotency_key_reused: {status: 422, ran: 'not_run', message: 'The Idempotency-Key was used with a different request.'},
+	outcome_unknown: {status: 409, ran: 'unknown', message: 'An earlier request with this Idempotency-Key may have run; its outcome is not known.'},
+	claim_in_progress: {status: 409, ran: 'unknown', message: 'A request with this Idempotency-Key is still running.'},
+	claims_unavailable: {status: 503, ran: 'not_run', message: 'The platform that records calls that run at most once is unavailable.'},
+	rate_limited: {status: 429, ran: 'not_run', message: 'The customer is over its request rate.'},
+	concurrency_limited: {status: 429, ran: 'not_run', message: 'The customer has too many requests in progress.'},
+	promise_unreachable: {status: 503, ran: 'not_run', message: 'The promised time cannot be kept at the present load.'},
+	queue_full: {status: 503, ran: 'not_run', message: 'The queue of the target pool is full.'},
+	deadline_exceeded: {status: 504, ran: 'unknown', message: 'No complete answer came within the route\'s time.'},
+	no_target: {status: 503, ran: 'not_run', message: 'The target pool has no target that can take the request.'},
+	retry_budget_spent: {status: 503, ran: 'unknown', message: 'The target pool\'s retry budget is spent.'},
+	target_refused: {status: 503, ran: 'not_run', message: 'Every target refused the request before running it.'},
+	target_failed: {status: 502, ran: 'ran', message: 'The target failed while running the request.'},
+	target_lost: {status: 502, ran: 'unknown', message: 'The connection to the target was lost; the request may have run.'},
+	quarantined: {status: 422, ran: 'unknown', message: 'Targets crashed while running this request; it is not sent to another.'},
+	stale_weights: {status: 503, ran: 'unknown', message: 'No target serves the configured weights version.'},
+	answer_too_long: {status: 502, ran: 'ran', message: 'The target\'s answer is longer than this instance accepts.'},
+	not_configured: {status: 503, ran: 'not_run', message: 'This instance has no configuration yet.'},
+	stopping: {status: 503, ran: 'not_run', message: 'This instance is stopping.'},
+} as const satisfies Readonly<Record<string, RefusalRule>>;
+
+/** Code of a refusal; stable, and the label of its counter. */
+export type RefusalReason = keyof typeof refusalRules;
+
+/** What a caller is told in place of an answer. */
+export type Refusal = Readonly<{
+	reason: RefusalReason;
+	status: number;
+	ran: RunState;
+	message: string;
+	/** When to come back, in milliseconds from now. */
+	retryAfterMs?: number;
+}>;
+
+/** Options of {@link makeRefusal}. */
+export type RefusalOptions = Readonly<{
+	/** Replaces the run state of the reason's rule. */
+	ran?: RunState;
+	/** Added to the rule's message. */
+	detail?: string;
+	/** When to come back, in milliseconds. Default: not stated. */
+	retryAfterMs?: number;
+}>;
+
+/**
+ * Builds a refusal from its reason's rule.
+ *
+ * @param reason code from the closed list
+ * @example
+ * ```ts
+ * makeRefusal('rate_limited', {retryAfterMs: 500});
+ * ```
+ */
+export function makeRefusal(reason: RefusalReason, options: RefusalOptions = {}): Refusal {
+	const rule: RefusalRule = refusalRules[reason];
+	return {
+		reason,
+		status: rule.status,
+		ran: options.ran ?? rule.ran,
+		message: options.detail ? `${rule.message} ${options.detail}` : rule.message,
+		...(options.retryAfterMs === undefined ? {} : {retryAfterMs: options.retryAfterMs}),
+	};
+}
--- /dev/null
+++ b/packages/core/request.ts
@@ -0,0 +1,64 @@
+/** A caller's request after parsing and authentication, and the events of its answer. */
+import type {Customer, Route, TargetPool} from './topology.ts';
+import type {Refusal} from './refusal.ts';
+import type {ToolCall} from './target.ts';
+
+/** One message of a chat. */
+export type ChatMessage = Readonly<{
+	role: string;
+	content: string;
+}>;
+
+/** Work for a model engine. */
+export type ChatWork = Readonly<{
+	kind: 'chat';
+	messages: readonly ChatMessage[];
+	maxTokens: number;
+	/** Further fields of the caller's body, passed on as they are. */
+	extra: Readonly<Record<string, unknown>>;
+}>;
+
+/** Work for a plain service. */
+export type ServiceWork = Readonly<{
+	kind: 'call';
+	method: string;
+	/** Path with the query, starting with a slash. */
+	path: string;
+	contentType?: string;
+	body: Uint8Array;
+}>;
+
+/** What a request asks for. */
+export type Work = ChatWork | ServiceWork;
+
+/** A request that is ready to be placed. */
+export type RoutedRequest = Readonly<{
+	id: string;
+	customer: Customer;
+	route: Route;
+	pool: TargetPool;
+	work: Work;
+	repeatable: boolean;
+	/** The caller's `Idempotency-Key`. */
+	idempotencyKey?: string;
+	/** Monotonic time at which it arrived, in milliseconds. */
+	arrivedMs: number;
+	/** Monotonic time after which the caller no longer waits, in milliseconds. */
+	deadlineMs: number;
+}>;
+
+/** Token counts of an answer. */
+export type Usage = Readonly<{
+	promptTokens: number;
+	completionTokens: number;
+	cachedTokens: number;
+}>;
+
+/** What a caller is sent, in order. A complete answer closes with `end`; any other close is a failure. */
+export type AnswerEvent
+	= | Readonly<{kind: 'head'; target: string; status: number; contentType?: string; cachedTokens: number; replayed: boolean}>
+		| Readonly<{kind: 'data'; bytes: Uint8Array}>
+		| Readonly<{kind: 'tool'; call: ToolCall}>
+		| Readonly<{kind: 'usage'; usage: Usage}>
+		| Readonly<{kind: 'end'; finish: string}>
+		| Readonly<{kind: 'refused'; refusal: Refusal}>;
--- /dev/null
+++ b/packages/core/target.ts
@@ -0,0 +1,149 @@
+/**
+ * The interface to targets: what the router sends them and what comes back.
+ * Each wire format is one adapter that implements {@link TargetConnector}.
+ */
+import type {AttemptOutcome} from './outcome.ts';
+import type {Result} from './result.ts';
+import type {Usage, Work} from './request.ts';
+import type {Target, TargetPool} from './topology.ts';
+
+/** One attempt to run a request on a target. */
+export type TargetCall = Readonly<{
+	/** Unique per attempt; the answer must echo it. */
+	attemptId: string;
+	requestId: string;
+	customer: string;
+	work: Work;
+	/** Model and weights version that the answer must state; absent for plain services. */
+	model?: string;
+	weights?: string;
+	/** Incarnation that the router assumes; a target with another one may answer, and says so. */
+	incarnation?: string;
+	/** Piece keys of the prompt, outermost first. */
+	chain: readonly string[];
+	/** Tokens of each piece of `chain`. */
+	pieceTokens: readonly number[];
+	/** Larger goes first. */
+	priority: number;
+	/** Time that the caller still waits, in milliseconds. */
+	remainingMs: number;
+	/** Bytes of answer text that were already delivered; the target continues after them. */
+	resumeOffset: number;
+	/** Text already delivered by another target, to continue from; empty for a first attempt. */
+	deliveredText: string;
+	/** Whether the connection must be new, so that a failed connect proves that nothing was sent. */
+	freshConnection: boolean;
+	/** Piece keys to import from the kept store before prefill. */
+	importKeys: readonly string[];
+}>;
+
+/** A tool call of an answer; whole, and numbered within the answer. */
+export type ToolCall = Readonly<{
+	index: number;
+	id: string;
+	name: string;
+	arguments: string;
+}>;
+
+/** What a target sends, in order. Closes with `end` or `fault`; iteration itself never throws. */
+export type TargetFrame
+	= | Readonly<{
+		kind: 'head';
+		attemptId: string;
+		/** HTTP status of a plain service; 200 for engines. */
+		status: number;
+		contentType?: string;
+		/** Changes each time the target process starts. */
+		incarnation: string;
+		weights?: string;
+		promptTokens: number;
+		cachedTokens: number;
+	}>
+	/** Answer bytes from `offset`, counted from the start of the answer's text. */
+	| Readonly<{kind: 'data'; attemptId: string; offset: number; bytes: Uint8Array}>
+	| Readonly<{kind: 'tool'; attemptId: string; call: ToolCall}>
+	| Readonly<{kind: 'usage'; attemptId: string; usage: Usage}>
+	| Readonly<{kind: 'end'; attemptId: string; finish: string}>
+	| Readonly<{kind: 'fault'; outcome: Exclude<AttemptOutcome, 'answered'>; detail: string; retryAfterMs?: number}>;
+
+/** Why a report, event read or order did not succeed. */
+export type TargetFailure = Readonly<{
+	outcome: Exclude<AttemptOutcome, 'answered'>;
+	detail: string;
+}>;
+
+/** A target's load, as it was some time ago. */
+export type LoadReport = Readonly<{
+	incarnation: string;
+	/** Weights version served, if the target is an engine with weights loaded. */
+	weights?: string;
+	model?: string;
+	/** Requests that run and wait. */
+	running: number;
+	queued: number;
+	/** Tokens of queued prompts that are not cached. */
+	queuedTokens: number;
+	/** Measured prefill speed, in tokens per millisecond. */
+	prefillTokensPerMs: number;
+	/** Measured time between tokens at the present batch, in milliseconds. */
+	tokenGapMs: number;
+	/** Age of the figures when the report was sent, in milliseconds. */
+	ageMs: number;
+	/** Whether the target has begun to leave. */
+	leaving: boolean;
+	/** Sequence number of the newest cache event. */
+	cacheSequence: number;
+	/** Load of weights in progress. */
+	loading: boolean;
+}>;
+
+/** A change of a target's prefix cache. */
+export type CacheEvent = Readonly<{
+	sequence: number;
+	kind: 'stored' | 'evicted' | 'cleared';
+	/** Piece keys; empty for `cleared`. */
+	keys: readonly string[];
+}>;
+
+/** Cache events after a sequence number. */
+export type CacheEventBatch = Readonly<{
+	incarnation: string;
+	events: readonly CacheEvent[];
+	/** Sequence number of the newest event that the target has published. */
+	sequence: number;
+}>;
+
+/** An order to an engine. */
+export type EngineOrder = Readonly<{
+	kind: 'load' | 'unload' | 'drain' | 'role' | 'adapter';
+	model: string;
+	/** Weights version, role or adapter, by kind. */
+	value: string;
+	/** Larger numbers supersede smaller ones. */
+	fencing: number;
+	/** Recognises the order when its answer was lost. */
+	orderId: string;
+}>;
+
+/** A target's answer to an order. */
+export type OrderReceipt = Readonly<{
+	accepted: boolean;
+	/** Newest fencing number that the target has seen; 0 where it checks none. */
+	fencing: number;
+	/** Identifier of the newest order that took effect. */
+	lastOrderId: string;
+}>;
+
+/** A handle to one target. Opening it does no input or output. */
+export type TargetLink = Readonly<{
+	run(call: TargetCall, signal: AbortSignal): AsyncIterable<TargetFrame>;
+	readReport(signal: AbortSignal): Promise<Result<LoadReport, TargetFailure>>;
+	readCacheEvents(after: number, signal: AbortSignal): Promise<Result<CacheEventBatch, TargetFailure>>;
+	sendOrder(order: EngineOrder, signal: AbortSignal): Promise<Result<OrderReceipt, TargetFailure>>;
+	close(): Promise<void>;
+}>;
+
+/** Opens handles to targets. */
+export type TargetConnector = Readonly<{
+	open(pool: TargetPool, target: Target): TargetLink;
+}>;
--- /dev/null
+++ b/packages/entry/_call-answer.ts
@@ -0,0 +1,48 @@
+/** Passes on the answer of a plain service. */
+import {Buffer} from 'node:buffer';
+import type {Response} from 'express';
+import {sendRefusal} from './_refusal.ts';
+import type {AnswerEvent} from '#core';
+
+/** Sends a service's answer; an incomplete one closes the connection without a clean end. */
+export async function sendCall(res: Response, events: AsyncIterable<AnswerEvent>): Promise<void> {
+	const chunks: Uint8Array[] = [];
+	for await (const event of events) {
+		switch (event.kind) {
+			case 'head': {
+				res.status(event.status).set('x-target', event.target);
+				if (event.contentType) {
+					res.set('content-type', event.contentType);
+				}
+
+				if (event.replayed) {
+					res.set('x-replayed', '1');
+				}
+
+				break;
+			}
+
+			case 'data': {
+				chunks.push(event.bytes);
+				break;
+			}
+
+			case 'refused': {
+				sendRefusal(res, event.refusal);
+				return;
+			}
+
+			case 'end': {
+				res.end(Buffer.concat(chunks));
+				return;
+			}
+
+			case 'tool':
+			case 'usage': {
+				break;
+			}
+		}
+	}
+
+	res.destroy();
+}
--- /dev/null
+++ b/packages/entry/caller-request.ts
@@ -0,0 +1,48 @@
+/** What the entry hands to the node: a caller's request, parsed but not yet authenticated. */
+import {z} from 'zod';
+import {
+	fail, makeRefusal, succeed, type Refusal, type Result, type Work,
+} from '#core';
+
+/** A caller's request before authentication. */
+export type CallerRequest = Readonly<{
+	route: string;
+	authorization?: string;
+	idempotencyKey?: string;
+	work: Work;
+}>;
+
+const maxMessages = 4096;
+const maxTokensDefault = 256;
+
+const contentSchema = z.union([
+	z.string(),
+	z.array(z.looseObject({type: z.literal('text'), text: z.string()})).transform(parts => parts.map(part => part.text).join('')),
+]);
+
+const chatSchema = z.looseObject({
+	model: z.string().min(1).max(200),
+	messages: z.array(z.looseObject({role: z.string().min(1).max(64), content: contentSchema})).min(1).max(maxMessages),
+	stream: z.boolean().default(false),
+	max_tokens: z.number().int().min(1).max(1_000_000).default(maxTokensDefault),
+});
+
+/** A chat body that was checked. */
+export type ChatBody = Readonly<{route: string; stream: boolean; work: Work}>;
+
+/** Checks the body of a chat completion request. */
+export function parseChatBody(body: unknown): Result<ChatBody, Refusal> {
+	const parsed = chatSchema.safeParse(body);
+	if (!parsed.success) {
+		const issue = parsed.error.issues[0]!;
+		return fail(makeRefusal('bad_request', {detail: `Field "${issue.path.join('.')}": ${issue.message}.`}));
+	}
+
+	const {model, messages, stream, max_tokens: maxTokens, ...extra} = parsed.data;
+	return succeed({
+		route: model, stream,
+		work: {
+			kind: 'chat', messages: messages.map(({role, content}) => ({role, content})), maxTokens, extra,
+		},
+	});
+}
--- /dev/null
+++ b/packages/http/server.ts
@@ -0,0 +1,53 @@
+/** Starts and stops an HTTP server on a numeric address. */
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+
+/** Handles requests, such as an express application; what it returns is not used. */
+export type HttpListener = (req: IncomingMessage, res: ServerResponse) => unknown;
+
+/** A server that listens. */
+export type HttpServer = Readonly<{
+	/** `host:port` that it is bound to. */
+	address: string;
+	/** Stops accepting, and resolves when the running requests have ended. */
+	close(): Promise<void>;
+	/** Stops accepting, and cuts the connections that are still open. */
+	destroy(): Promise<void>;
+}>;
+
+/**
+ * Binds a server.
+ *
+ * @param listener handles the requests
+ * @param address `host:port`; port 0 takes a free one
+ * @throws {Error} when the address cannot be bound
+ */
+export async function startHttpServer(listener: HttpListener, address: string): Promise<HttpServer> {
+	const [host, port] = address.split(':');
+	const server = createServer((req, res) => {
+		listener(req, res);
+	});
+	server.listen(Number(port), host);
+	await once(server, 'listening');
+	const bound = server.address();
+	if (bound === null || typeof bound === 'string') {
+		throw new Error(`the server on ${address} has no port`);
+	}
+
+	const close = async () => {
+		const closed = once(server, 'close');
+		server.close();
+		server.closeIdleConnections();
+		await closed;
+	};
+
+	return {
+		address: `${bound.address}:${bound.port}`,
+		close,
+		async destroy() {
+			const closed = close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/_poll-targets.ts
@@ -0,0 +1,84 @@
+/** Reads load reports and cache events of all configured targets, one task per target. */
+import type {Clock} from '#clock';
+import type {ConfigurationStore} from '#configuration';
+import type {Target, TargetPool} from '#core';
+import type {TargetLinks} from '#dispatch';
+import type {TargetViews} from '#placement';
+
+/** What the readers work with. */
+export type PollDeps = Readonly<{
+	configuration: ConfigurationStore;
+	views: TargetViews;
+	links: TargetLinks;
+	clock: Clock;
+	/** Time between reads of one target, in milliseconds. */
+	pollMs: number;
+}>;
+
+const readTimeoutMs = 1000;
+
+/** Runs until `signal` aborts, starting and ending readers as the configuration changes. */
+export async function pollTargets(deps: PollDeps, signal: AbortSignal): Promise<void> {
+	const readers = new Map<string, AbortController>();
+	const follow = () => {
+		const wanted = new Map<string, readonly [TargetPool, Target]>();
+		for (const pool of deps.configuration.current?.pools.values() ?? []) {
+			for (const target of pool.targets) {
+				wanted.set(`${target.name}@${target.address}`, [pool, target]);
+			}
+		}
+
+		for (const [key, controller] of readers) {
+			if (!wanted.has(key)) {
+				controller.abort();
+				readers.delete(key);
+			}
+		}
+
+		for (const [key, [pool, target]] of wanted) {
+			if (!readers.has(key)) {
+				const controller = new AbortController();
+				readers.set(key, controller);
+				void readTarget(deps, pool, target, controller.signal);
+			}
+		}
+	};
+
+	const unsubscribe = deps.configuration.events.on('changed', follow);
+	follow();
+	await new Promise<void>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
+	unsubscribe();
+	for (const controller of readers.values()) {
+		controller.abort();
+	}
+}
+
+async function readTarget(deps: PollDeps, pool: TargetPool, target: Target, signal: AbortSignal): Promise<void> {
+	const {views, links, clock, pollMs} = deps;
+	const link = links.get(pool, target);
+	while (!signal.aborted) {
+		const limit = new AbortController();
+		const cancel = clock.after(readTimeoutMs, () => {
+			limit.abort();
+		});
+		const limited = AbortSignal.any([signal, limit.signal]);
+		const report = await link.readReport(limited);
+		if (report.ok) {
+			views.applyReport(target.name, report.value);
+		}
+
+		if (report.ok && pool.kind === 'engine') {
+			const batch = await link.readCacheEvents(views.getSequence(target.name), limited);
+			if (batch.ok) {
+				views.applyEvents(target.name, batch.value);
+			}
+		}
+
+		cancel();
+		await clock.sleep(pollMs, signal);
+	}
+}
--- /dev/null
+++ b/packages/node/router.ts
@@ -0,0 +1,150 @@
+/**
+ * The parts of one instance wired together, without servers: everything that
+ * touches the outside is handed in, so that tests run it on stand-ins and a
+ * manual clock.
+ */
+import {pollTargets} from './_poll-targets.ts';
+import {isRepeatable} from './_repeatable.ts';
+import {authenticate} from '#admission';
+import type {Clock} from '#clock';
+import {ConfigurationStore} from '#configuration';
+import {
+	createRandom, makeRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type RoutedRequest,
+	type Route, type TargetConnector,
+} from '#core';
+import {Dispatcher, TargetLinks} from '#dispatch';
+import type {CallerRequest} from '#entry';
+import {TargetViews} from '#placement';
+import type {Platform} from '#platform';
+import type {Telemetry} from '#telemetry';
+
+/** What a router is made of. */
+export type RouterDeps = Readonly<{
+	name: string;
+	zone: string;
+	clock: Clock;
+	/** Seed of the router's random choices. */
+	seed: number;
+	platform: Platform;
+	connector: TargetConnector;
+	telemetry: Telemetry;
+	/** Time between polls of a target's load report, in milliseconds. */
+	reportPollMs: number;
+}>;
+
+/** A running router. */
+export type Router = Readonly<{
+	configuration: ConfigurationStore;
+	views: TargetViews;
+	/** Runs a caller's request. */
+	handle(request: CallerRequest, signal: AbortSignal): AsyncIterable<AnswerEvent>;
+	/** Requests in progress. */
+	countRunning(): number;
+	/** Stops all background tasks. */
+	stop(): Promise<void>;
+}>;
+
+type Routed = Readonly<{customer: Customer; route: Route; configuration: Configuration}>;
+
+/** Wires a router and starts its background tasks. */
+export function createRouter(deps: RouterDeps): Router {
+	const {clock, telemetry, platform} = deps;
+	const random = createRandom(deps.seed);
+	const configuration = new ConfigurationStore(platform, clock, telemetry);
+	const views = new TargetViews();
+	const links = new TargetLinks(deps.connector);
+	const dispatcher = new Dispatcher({
+		clock, random, telemetry, views, links, zone: deps.zone,
+	});
+	const stopping = new AbortController();
+	const tasks = [
+		configuration.run(stopping.signal),
+		pollTargets({
+			configuration, views, links, clock, pollMs: deps.reportPollMs,
+		}, stopping.signal),
+	];
+	let running = 0;
+
+	async function * handle(request: CallerRequest, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+		const routed = findRoute(configuration.current, request);
+		if (typeof routed === 'string') {
+			yield countRefused(telemetry, {kind: 'refused', refusal: makeRefusal(routed)});
+			return;
+		}
+
+		const {route, customer} = routed;
+		const repeatable = isRepeatable(route, request.work);
+		if (!repeatable && request.idempotencyKey === undefined) {
+			yield countRefused(telemetry, {kind: 'refused', refusal: makeRefusal('idempotency_key_missing')});
+			return;
+		}
+
+		const arrivedMs = clock.now();
+		const ready: RoutedRequest = {
+			id: random.id(), customer, route, pool: routed.configuration.pools.get(route.pool)!, work: request.work, repeatable,
+			idempotencyKey: request.idempotencyKey, arrivedMs, deadlineMs: arrivedMs + route.timeoutMs,
+		};
+		const labels = {route: route.name, customer: customer.name};
+		telemetry.count('requests_total', labels);
+		telemetry.set('requests_running', ++running);
+		try {
+			yield * watchAnswer(dispatcher.run(ready, signal), ready);
+		} finally {
+			telemetry.set('requests_running', --running);
+		}
+	}
+
+	async function * watchAnswer(events: AsyncIterable<AnswerEvent>, request: RoutedRequest): AsyncGenerator<AnswerEvent> {
+		const route = {route: request.route.name};
+		let first = true;
+		for await (const event of events) {
+			if (event.kind === 'data' && first) {
+				first = false;
+				telemetry.observe('first_token_ms', clock.now() - request.arrivedMs, route);
+			}
+
+			if (event.kind === 'end') {
+				telemetry.observe('answer_ms', clock.now() - request.arrivedMs, route);
+				telemetry.count('answers_total', {...route, customer: request.customer.name});
+			}
+
+			yield countRefused(telemetry, event);
+		}
+	}
+
+	return {
+		configuration, views, handle,
+		countRunning: () => running,
+		async stop() {
+			stopping.abort();
+			await Promise.all(tasks);
+			await links.close();
+		},
+	};
+}
+
+function findRoute(configuration: Configuration | undefined, request: CallerRequest): Routed | RefusalReason {
+	if (!configuration) {
+		return 'not_configured';
+	}
+
+	const customer = authenticate(configuration, request.authorization);
+	if (!customer) {
+		return 'unauthenticated';
+	}
+
+	const route = configuration.routes.get(request.route);
+	if (!route) {
+		return 'route_unknown';
+	}
+
+	return customer.routes.includes(route.name) ? {customer, route, configuration} : 'route_not_allowed';
+}
+
+function countRefused(telemetry: Telemetry, event: AnswerEvent): AnswerEvent {
+	if (event.kind === 'refused') {
+		telemetry.count('refusals_total', {reason: event.refusal.reason, ran: event.refusal.ran});
+	}
+
+	return event;
+}
--- /dev/null
+++ b/packages/placement/chain.test.ts
@@ -0,0 +1,41 @@
+import t from 'tap';
+import fc from 'fast-check';
+import {makeChain} from './chain.ts';
+import {prepareHash} from '#core';
+
+const seed = {customer: 'a', model: 'm', weights: 'v1'};
+const messages = fc.array(fc.record({role: fc.constantFrom('system', 'user'), content: fc.string({maxLength: 200})}), {minLength: 1, maxLength: 5});
+
+t.before(prepareHash);
+
+t.test('shared openings share their keys', async () => {
+	fc.assert(fc.property(messages, messages, messages, (opening, a, b) => {
+		const left = makeChain(seed, [...opening, ...a], 16);
+		const right = makeChain(seed, [...opening, ...b], 16);
+		const shared = makeChain(seed, opening, 16).keys;
+		for (const [index, key] of shared.entries()) {
+			if (left.keys[index] !== key || right.keys[index] !== key) {
+				return false;
+			}
+		}
+
+		return true;
+	}), {seed: 11});
+});
+
+t.test('no key matches across customers, models or weights', async () => {
+	fc.assert(fc.property(messages, fc.constantFrom('customer', 'model', 'weights'), (list, field) => {
+		const own = new Set(makeChain(seed, list, 16).keys);
+		return makeChain({...seed, [field]: 'other'}, list, 16).keys.every(key => !own.has(key));
+	}), {seed: 12});
+});
+
+t.test('a change anywhere changes every later key', async () => {
+	fc.assert(fc.property(messages, fc.nat(), (list, pick) => {
+		const index = pick % list.length;
+		const changed = list.map((message, at) => at === index ? {...message, content: `${message.content}x`} : message);
+		const before = makeChain(seed, list, 16);
+		const after = makeChain(seed, changed, 16);
+		return before.keys.at(-1) !== after.keys.at(-1);
+	}), {seed: 13});
+});
--- /dev/null
+++ b/packages/platform/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The interface to the platform's object API and its lagging list of
+ * instances, with one adapter over HTTP.
+ */
+export type {
+	InstanceEntry, Platform, PlatformFailure, PutOptions, StoredObject, WatchBatch,
+} from './platform.ts';
+export {createHttpPlatform, type HttpPlatformOptions} from './http-platform.ts';
--- /dev/null
+++ b/packages/standins/engine-server.ts
@@ -0,0 +1,122 @@
+/** An engine's requests, reports, cache events and orders over HTTP, around the stand-in. */
+import {Buffer} from 'node:buffer';
+import express, {type Response} from 'express';
+import {z} from 'zod';
+import type {EngineStandin} from './engine.ts';
+import {bodyLimit, sendTargetResult} from './_send.ts';
+import type {TargetCall, TargetFrame} from '#core';
+import {makeCloseSignal, startHttpServer, type HttpServer} from '#http';
+
+const callSchema = z.object({
+	model: z.string().optional(),
+	messages: z.array(z.object({role: z.string(), content: z.string()})),
+	max_tokens: z.number(),
+	routing: z.object({
+		attempt: z.string(),
+		request: z.string(),
+		customer: z.string(),
+		weights: z.string().optional(),
+		incarnation: z.string().optional(),
+		chain: z.array(z.string()),
+		pieceTokens: z.array(z.number()),
+		priority: z.number(),
+		remainingMs: z.number(),
+		resumeOffset: z.number(),
+		deliveredText: z.string(),
+		importKeys: z.array(z.string()),
+	}),
+});
+
+const orderSchema = z.object({
+	kind: z.enum(['load', 'unload', 'drain', 'role', 'adapter']),
+	model: z.string(),
+	value: z.string(),
+	fencing: z.number(),
+	orderId: z.string(),
+});
+
+const eventsSchema = z.object({after: z.coerce.number()});
+
+/**
+ * Serves an engine on loopback.
+ *
+ * @param port 0 takes a free one
+ */
+export async function startEngineServer(engine: EngineStandin, port = 0): Promise<HttpServer> {
+	const app = express();
+	app.use(express.json({limit: bodyLimit}));
+	app.post('/v1/chat/completions', async (req, res) => {
+		await streamChat(engine, readCall(callSchema.parse(req.body)), res);
+	});
+	app.get('/report', async (_req, res) => {
+		sendTargetResult(res, await engine.readReport());
+	});
+	app.get('/events', async (req, res) => {
+		sendTargetResult(res, await engine.readCacheEvents(eventsSchema.parse(req.query).after));
+	});
+	app.post('/orders', async (req, res) => {
+		sendTargetResult(res, await engine.sendOrder(orderSchema.parse(req.body)));
+	});
+	return startHttpServer(app, `127.0.0.1:${port}`);
+}
+
+function readCall(body: z.infer<typeof callSchema>): TargetCall {
+	const {attempt, request, ...routing} = body.routing;
+	return {
+		...routing,
+		attemptId: attempt,
+		requestId: request,
+		model: body.model,
+		freshConnection: false,
+		work: {
+			kind: 'chat', messages: body.messages, maxTokens: body.max_tokens, extra: {},
+		},
+	};
+}
+
+async function streamChat(engine: EngineStandin, call: TargetCall, res: Response): Promise<void> {
+	for await (const frame of engine.run(call, makeCloseSignal(res))) {
+		if (frame.kind === 'fault' && frame.outcome !== 'failed') {
+			closeOnFault(res, frame.outcome === 'refused');
+			return;
+		}
+
+		if (!res.headersSent) {
+			res.writeHead(200, {'content-type': 'text/event-stream'});
+		}
+
+		res.write(`data: ${JSON.stringify(writeFrame(frame))}\n\n`);
+	}
+
+	res.end();
+}
+
+function closeOnFault(res: Response, refused: boolean): void {
+	if (refused && !res.headersSent) {
+		res.status(503).json({detail: 'not run'});
+		return;
+	}
+
+	res.destroy();
+}
+
+type FrameWriters = Readonly<{[Kind in TargetFrame['kind']]: (frame: Extract<TargetFrame, {kind: Kind}>) => unknown}>;
+
+const frameWriters: FrameWriters = {
+	head: ({attemptId, incarnation, weights, promptTokens, cachedTokens}) =>
+		({
+			type: 'head', attempt: attemptId, incarnation, weights, promptTokens, cachedTokens,
+		}),
+	data: ({attemptId, offset, bytes}) => ({
+		type: 'data', attempt: attemptId, offset, base64: Buffer.from(bytes).toString('base64'),
+	}),
+	tool: ({attemptId, call}) => ({type: 'tool', attempt: attemptId, ...call}),
+	usage: ({attemptId, usage}) => ({type: 'usage', attempt: attemptId, ...usage}),
+	end: ({attemptId, finish}) => ({type: 'end', attempt: attemptId, finish}),
+	fault: ({outcome, detail}) => ({type: 'error', ran: outcome === 'failed', detail}),
+};
+
+function writeFrame(frame: TargetFrame): unknown {
+	const write: (frame: never) => unknown = frameWriters[frame.kind];
+	return write(frame as never); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the table is keyed by the frame's own kind
+}
--- /dev/null
+++ b/packages/standins/service-server.ts
@@ -0,0 +1,82 @@
+/** A plain service's calls and reports over HTTP, around the stand-in. */
+import {Buffer} from 'node:buffer';
+import express, {type Response} from 'express';
+import type {ServiceStandin} from './service.ts';
+import {bodyLimit, sendTargetResult} from './_send.ts';
+import type {TargetCall, TargetFrame} from '#core';
+import {makeCloseSignal, startHttpServer, type HttpServer} from '#http';
+
+/**
+ * Serves a member of a plain service on loopback.
+ *
+ * @param port 0 takes a free one
+ */
+export async function startServiceServer(service: ServiceStandin, port = 0): Promise<HttpServer> {
+	const app = express();
+	app.get('/report', async (_req, res) => {
+		sendTargetResult(res, await service.readReport());
+	});
+	app.use(express.raw({type: () => true, limit: bodyLimit}));
+	app.use(async (req, res) => {
+		const call: TargetCall = {
+			attemptId: req.get('x-attempt-id') ?? '',
+			requestId: req.get('x-request-id') ?? '',
+			customer: req.get('x-customer') ?? '',
+			work: {
+				kind: 'call', method: req.method, path: req.originalUrl, body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
+			},
+			chain: [],
+			pieceTokens: [],
+			priority: 0,
+			remainingMs: 0,
+			resumeOffset: 0,
+			deliveredText: '',
+			freshConnection: false,
+			importKeys: [],
+		};
+		for await (const frame of service.run(call, makeCloseSignal(res))) {
+			sendFrame(res, frame);
+		}
+	});
+	return startHttpServer(app, `127.0.0.1:${port}`);
+}
+
+function sendFrame(res: Response, frame: TargetFrame): void {
+	switch (frame.kind) {
+		case 'head': {
+			res.writeHead(frame.status, {
+				'content-type': frame.contentType ?? 'application/octet-stream', 'x-attempt-id': frame.attemptId, 'x-incarnation': frame.incarnation,
+			});
+			break;
+		}
+
+		case 'data': {
+			res.write(frame.bytes);
+			break;
+		}
+
+		case 'end': {
+			res.end();
+			break;
+		}
+
+		case 'fault': {
+			sendFault(res, frame.outcome === 'refused');
+			break;
+		}
+
+		case 'tool':
+		case 'usage': {
+			break;
+		}
+	}
+}
+
+function sendFault(res: Response, refused: boolean): void {
+	if (refused) {
+		res.status(503).set('x-not-run', '1').end();
+		return;
+	}
+
+	res.destroy();
+}
--- /dev/null
+++ b/packages/standins/service.ts
@@ -0,0 +1,162 @@
+/** A stand-in for a plain service, such as a stock ledger, whose calls may not be repeated. */
+import type {Clock} from '#clock';
+import {
+	createRandom, fail, succeed, type CacheEventBatch, type LoadReport, type OrderReceipt, type Random, type Result,
+	type ServiceWork, type TargetCall, type TargetFailure, type TargetFrame, type TargetLink,
+} from '#core';
+
+/** Options of {@link ServiceStandin}. */
+export type ServiceOptions = Readonly<{
+	/** Time of one call, in milliseconds. Default: 20. */
+	callMs?: number;
+	/** Seed of the incarnation. Default: 1. */
+	seed?: number;
+	/** Executions, shared by the members of one service. Default: an own list. */
+	ledger?: Execution[];
+}>;
+
+/** One call that took effect. */
+export type Execution = Readonly<{requestId: string; method: string; path: string; body: string}>;
+
+/** A member of a plain service, with faults that a test switches on. */
+export class ServiceStandin implements TargetLink {
+	/** Every call that took effect, in order. */
+	readonly ledger: Execution[];
+	readonly #clock: Clock;
+	readonly #callMs: number;
+	readonly #random: Random;
+	#incarnation: string;
+	#running = 0;
+	#down = false;
+	#leaving = false;
+	#answersToLose = 0;
+	#silent = 0;
+	#refusals = 0;
+	#epoch = 0;
+
+	constructor(clock: Clock, options: ServiceOptions = {}) {
+		this.#clock = clock;
+		this.#callMs = options.callMs ?? 20;
+		this.#random = createRandom(options.seed ?? 1);
+		this.#incarnation = this.#random.id();
+		this.ledger = options.ledger ?? [];
+	}
+
+	/** Kills the process; calls that run are lost, those that already took effect stay. */
+	crash(): void {
+		this.#down = true;
+		this.#epoch++;
+	}
+
+	restart(): void {
+		this.#down = false;
+		this.#leaving = false;
+		this.#incarnation = this.#random.id();
+	}
+
+	leave(): void {
+		this.#leaving = true;
+	}
+
+	/** Loses the next answers, after the calls took effect. */
+	loseAnswers(count: number): void {
+		this.#answersToLose = count;
+	}
+
+	/** The next calls take effect, but their connections stay silent. */
+	silenceCalls(count: number): void {
+		this.#silent = count;
+	}
+
+	/** Refuses the next calls without running them. */
+	refuseCalls(count: number): void {
+		this.#refusals = count;
+	}
+
+	async * run(call: TargetCall, signal: AbortSignal): AsyncGenerator<TargetFrame> {
+		if (this.#down) {
+			yield {kind: 'fault', outcome: 'notSent', detail: 'ECONNREFUSED'};
+			return;
+		}
+
+		if (this.#refusals > 0) {
+			this.#refusals--;
+			yield {kind: 'fault', outcome: 'refused', detail: 'busy, not run'};
+			return;
+		}
+
+		const epoch = this.#epoch;
+		const {work} = call;
+		if (work.kind !== 'call') {
+			yield {kind: 'fault', outcome: 'refused', detail: 'not a call'};
+			return;
+		}
+
+		const body = new TextDecoder().decode(work.body);
+		this.#running++;
+		await this.#clock.sleep(this.#callMs / 2);
+		if (epoch === this.#epoch) {
+			this.ledger.push({
+				requestId: call.requestId, method: work.method, path: work.path, body,
+			});
+			await this.#clock.sleep(this.#callMs / 2);
+		}
+
+		this.#running--;
+		if (this.#silent > 0) {
+			this.#silent--;
+			await waitForAbort(signal);
+			return;
+		}
+
+		if (epoch !== this.#epoch || this.#answersToLose > 0) {
+			this.#answersToLose = Math.max(0, this.#answersToLose - 1);
+			yield {kind: 'fault', outcome: 'unknown', detail: 'ECONNRESET'};
+			return;
+		}
+
+		const answer = new TextEncoder().encode(JSON.stringify({done: true, number: this.ledger.length, path: work.path}));
+		yield {
+			kind: 'head', attemptId: call.attemptId, status: 200, contentType: 'application/json', incarnation: this.#incarnation, promptTokens: 0, cachedTokens: 0,
+		};
+		yield {
+			kind: 'data', attemptId: call.attemptId, offset: 0, bytes: answer,
+		};
+		yield {kind: 'end', attemptId: call.attemptId, finish: 'stop'};
+	}
+
+	async readReport(): Promise<Result<LoadReport, TargetFailure>> {
+		if (this.#down) {
+			return fail({outcome: 'notSent', detail: 'ECONNREFUSED'});
+		}
+
+		return succeed({
+			incarnation: this.#incarnation, running: this.#running, queued: 0, queuedTokens: 0, prefillTokensPerMs: 1, tokenGapMs: 0,
+			ageMs: 0, leaving: this.#leaving, cacheSequence: 0, loading: false,
+		});
+	}
+
+	async readCacheEvents(): Promise<Result<CacheEventBatch, TargetFailure>> {
+		return fail({outcome: 'refused', detail: 'a plain service has no prefix cache'});
+	}
+
+	async sendOrder(): Promise<Result<OrderReceipt, TargetFailure>> {
+		return fail({outcome: 'refused', detail: 'a plain service takes no orders'});
+	}
+
+	async close(): Promise<void> {
+		// The stand-in holds no connection.
+	}
+}
+
+async function waitForAbort(signal: AbortSignal): Promise<void> {
+	if (signal.aborted) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
+}
--- /dev/null
+++ b/packages/targets/engine-link.ts
@@ -0,0 +1,149 @@
+/** The adapter to model engines: chat completions over server-sent events, with resume and attempt ids. */
+import {Buffer} from 'node:buffer';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {z} from 'zod';
+import {
+	createHttpLink, eventsSchema, makeFault, readJson, receiptSchema, reportSchema, type HttpLink,
+} from './_http.ts';
+import type {HttpConnectorOptions} from './http-connector.ts';
+import type {
+	Target, TargetCall, TargetFrame, TargetLink,
+} from '#core';
+
+const frameSchema = z.discriminatedUnion('type', [
+	z.object({
+		type: z.literal('head'), attempt: z.string(), incarnation: z.string(), weights: z.string().optional(),
+		promptTokens: z.number(), cachedTokens: z.number(),
+	}),
+	z.object({
+		type: z.literal('data'), attempt: z.string(), offset: z.number(), base64: z.string(),
+	}),
+	z.object({
+		type: z.literal('tool'), attempt: z.string(), index: z.number(), id: z.string(), name: z.string(), arguments: z.string(),
+	}),
+	z.object({
+		type: z.literal('usage'), attempt: z.string(), promptTokens: z.number(), completionTokens: z.number(), cachedTokens: z.number(),
+	}),
+	z.object({type: z.literal('end'), attempt: z.string(), finish: z.string()}),
+	z.object({
+		type: z.literal('error'), ran: z.boolean(), detail: z.string(), retryAfterMs: z.number().optional(),
+	}),
+]);
+
+type WireFrame = z.infer<typeof frameSchema>;
+
+/** Creates the handle to one engine. */
+export function createEngineLink(target: Target, options: HttpConnectorOptions): TargetLink {
+	const link = createHttpLink(target.address, options);
+	return {
+		run: (call, signal) => runChat(link, call, signal),
+		readReport: async signal => readJson(link, reportSchema, {method: 'GET', path: '/report', signal}),
+		readCacheEvents: async (after, signal) => readJson(link, eventsSchema, {method: 'GET', path: `/events?after=${after}`, signal}),
+		sendOrder: async (order, signal) => readJson(link, receiptSchema, {
+			method: 'POST', path: '/orders', body: order, signal,
+		}),
+		close: async () => link.pool.close(),
+	};
+}
+
+async function * runChat(link: HttpLink, call: TargetCall, signal: AbortSignal): AsyncGenerator<TargetFrame> {
+	const {work} = call;
+	if (work.kind !== 'chat') {
+		yield {kind: 'fault', outcome: 'refused', detail: 'an engine takes chats only'};
+		return;
+	}
+
+	const fresh = call.freshConnection ? link.openFresh() : undefined;
+	try {
+		const answer = await (fresh ?? link.pool).request({
+			origin: link.origin,
+			method: 'POST',
+			path: '/v1/chat/completions',
+			headers: {'content-type': 'application/json', 'x-attempt-id': call.attemptId},
+			body: JSON.stringify({
+				...work.extra,
+				model: call.model, messages: work.messages, max_tokens: work.maxTokens, stream: true,
+				routing: {
+					attempt: call.attemptId, request: call.requestId, customer: call.customer, weights: call.weights,
+					incarnation: call.incarnation, chain: call.chain, pieceTokens: call.pieceTokens, priority: call.priority,
+					remainingMs: call.remainingMs, resumeOffset: call.resumeOffset, deliveredText: call.deliveredText,
+					importKeys: call.importKeys,
+				},
+			}),
+			signal,
+		});
+		if (answer.statusCode !== 200) {
+			await answer.body.dump();
+			yield {kind: 'fault', outcome: answer.statusCode === 503 || answer.statusCode === 429 ? 'refused' : 'failed', detail: `engine answered ${answer.statusCode}`};
+			return;
+		}
+
+		yield * readFrames(answer.body);
+	} catch (error) {
+		yield makeFault(error);
+	} finally {
+		await fresh?.destroy();
+	}
+}
+
+async function * readFrames(body: AsyncIterable<Uint8Array>): AsyncGenerator<TargetFrame> {
+	const pending: EventSourceMessage[] = [];
+	const parser = createParser({
+		onEvent(event) {
+			pending.push(event);
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const chunk of body) {
+		parser.feed(decoder.decode(chunk, {stream: true}));
+		for (const event of pending.splice(0)) {
+			const frame = parseFrame(event.data);
+			yield frame;
+			if (frame.kind === 'end' || frame.kind === 'fault') {
+				return;
+			}
+		}
+	}
+
+	yield {kind: 'fault', outcome: 'unknown', detail: 'the stream closed without its end'};
+}
+
+function parseFrame(data: string): TargetFrame {
+	let json: unknown;
+	try {
+		json = JSON.parse(data);
+	} catch {
+		return {kind: 'fault', outcome: 'unknown', detail: 'the engine sent an event that is not JSON'};
+	}
+
+	const parsed = frameSchema.safeParse(json);
+	if (!parsed.success) {
+		return {kind: 'fault', outcome: 'unknown', detail: `the engine sent a malformed event: ${parsed.error.issues[0]?.message ?? ''}`};
+	}
+
+	const read: (frame: never) => TargetFrame = frameReaders[parsed.data.type];
+	return read(parsed.data as never); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the table is keyed by the frame's own type
+}
+
+type FrameReaders = Readonly<{[Type in WireFrame['type']]: (frame: Extract<WireFrame, {type: Type}>) => TargetFrame}>;
+
+const frameReaders: FrameReaders = {
+	head: ({attempt, incarnation, weights, promptTokens, cachedTokens}) =>
+		({
+			kind: 'head', attemptId: attempt, status: 200, incarnation, weights, promptTokens, cachedTokens,
+		}),
+	data: ({attempt, offset, base64}) => ({
+		kind: 'data', attemptId: attempt, offset, bytes: Buffer.from(base64, 'base64'),
+	}),
+	tool: ({attempt, index, id, name, arguments: text}) => ({
+		kind: 'tool', attemptId: attempt, call: {
+			index, id, name, arguments: text,
+		},
+	}),
+	usage: ({attempt, promptTokens, completionTokens, cachedTokens}) =>
+		({kind: 'usage', attemptId: attempt, usage: {promptTokens, completionTokens, cachedTokens}}),
+	end: ({attempt, finish}) => ({kind: 'end', attemptId: attempt, finish}),
+	error: ({ran, detail, retryAfterMs}) => ({
+		kind: 'fault', outcome: ran ? 'failed' : 'refused', detail, retryAfterMs,
+	}),
+};
--- /dev/null
+++ b/packages/telemetry/series.ts
@@ -0,0 +1,37 @@
+/** The closed list of metric series. */
+
+type SeriesRule = Readonly<{help: string; labels: readonly string[]}>;
+type HistogramRule = SeriesRule & Readonly<{buckets: readonly number[]}>;
+
+const latencyBucketsMs = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 1800, 3000, 5000, 10_000, 30_000, 60_000];
+
+/** Counters by name. */
+export const counterRules = {
+	requests_total: {help: 'Requests that arrived, by route and customer.', labels: ['route', 'customer']},
+	answers_total: {help: 'Requests answered in full, by route and customer.', labels: ['route', 'customer']},
+	refusals_total: {help: 'Refused or failed requests, by reason and run state.', labels: ['reason', 'ran']},
+	retries_total: {help: 'Further attempts, by reason.', labels: ['reason']},
+	attempts_total: {help: 'Attempts on targets, by pool and outcome.', labels: ['pool', 'outcome']},
+	prompt_tokens_total: {help: 'Prompt tokens sent to engines, by pool and whether the engine had them cached.', labels: ['pool', 'cached']},
+	configuration_changes_total: {help: 'Configuration generations that came into force.', labels: []},
+	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
+} as const satisfies Readonly<Record<string, SeriesRule>>;
+
+/** Gauges by name. */
+export const gaugeRules = {
+	configuration_generation: {help: 'Generation of the configuration in force.', labels: []},
+	requests_running: {help: 'Requests in progress.', labels: []},
+} as const satisfies Readonly<Record<string, SeriesRule>>;
+
+/** Histograms by name. */
+export const histogramRules = {
+	first_token_ms: {help: 'Time to the first token, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
+	answer_ms: {help: 'Time to the whole answer, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
+} as const satisfies Readonly<Record<string, HistogramRule>>;
+
+/** Name of a counter. */
+export type CounterName = keyof typeof counterRules;
+/** Name of a gauge. */
+export type GaugeName = keyof typeof gaugeRules;
+/** Name of a histogram. */
+export type HistogramName = keyof typeof histogramRules;
