--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,18 @@
+/** Benches by name: `npm run -s bench -- NAME [--json]`. */
+import process from 'node:process';
+import {Command} from 'commander';
+import {prepareHash} from '#core';
+
+/** Creates the command line; each bench registers itself here. */
+function createBenchProgram(): Command {
+	const program = new Command('bench');
+	program.description('Measurements; figures of time live here and not in tests.');
+	return program;
+}
+
+async function run(): Promise<void> {
+	await prepareHash();
+	await createBenchProgram().parseAsync(process.argv);
+}
+
+void run();
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -6,6 +6,7 @@
 import {createSystemClock} from '#clock';
 import {createEntryApp} from '#entry';
 import {startHttpServer} from '#http';
+import {createQuietBus} from '#peer-protocol';
 import {createHttpPlatform} from '#platform';
 import {createHttpConnector} from '#targets';
 import {createTelemetry, type Telemetry} from '#telemetry';
@@ -31,7 +32,8 @@
 	const router = createRouter({
 		name: settings.name, zone: settings.zone, clock, seed: randomInt(seedBound), telemetry,
 		platform: createHttpPlatform(settings.platformOrigin, {token: settings.platformToken}),
-		connector: createHttpConnector(), reportPollMs: settings.reportPollMs,
+		connector: createHttpConnector(),
+		bus: createQuietBus(), reportPollMs: settings.reportPollMs,
 	});
 	const entry = createEntryApp({
 		handle: router.handle, maxBodyBytes: settings.maxBodyBytes,
--- a/packages/node/router.test.ts
+++ b/packages/node/router.test.ts
@@ -4,6 +4,7 @@
 import {digestKey} from '#admission';
 import {ManualClock} from '#clock';
 import {publishFragments} from '#configuration';
+import {createQuietBus} from '#peer-protocol';
 import {prepareHash, type AnswerEvent, type TargetLink} from '#core';
 import {
 	EngineStandin, PlatformStandin, ServiceStandin, writeAnswerText,
@@ -43,7 +44,7 @@
 	await clock.advance(100);
 	await publishing;
 	const router = createRouter({
-		name: 'r1', zone: 'esbjerg', clock, seed: 7, platform, telemetry, reportPollMs: 100,
+		name: 'r1', zone: 'esbjerg', clock, seed: 7, platform, telemetry, reportPollMs: 100, bus: createQuietBus(),
 		connector: {open: (_pool, target) => byName.get(target.name)!},
 	});
 	await clock.advanceUntil(() => router.configuration.current !== undefined, 1000);
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -15,6 +15,7 @@
 import {Dispatcher, TargetLinks} from '#dispatch';
 import type {CallerRequest} from '#entry';
 import {TargetViews} from '#placement';
+import type {PeerBus} from '#peer-protocol';
 import type {Platform} from '#platform';
 import type {Telemetry} from '#telemetry';
 
@@ -27,6 +28,7 @@
 	seed: number;
 	platform: Platform;
 	connector: TargetConnector;
+	bus: PeerBus;
 	telemetry: Telemetry;
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: number;
--- /dev/null
+++ b/packages/peer-protocol/messages.ts
@@ -0,0 +1,40 @@
+/** The closed set of messages between instances, checked on arrival. */
+import {z} from 'zod';
+
+const maxNameLength = 200;
+const maxEntries = 4096;
+
+const nameSchema = z.string().max(maxNameLength);
+
+/** Schema of every message. */
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+	/** What the sender has in progress on targets. */
+	z.object({
+		kind: z.literal('sent'),
+		targets: z.array(z.object({target: nameSchema, requests: z.number(), tokens: z.number()})).max(maxEntries),
+	}),
+	/** A request's fingerprint was in flight on a target that crashed, or completed after all. */
+	z.object({
+		kind: z.literal('strike'), fingerprint: nameSchema, strikes: z.number().int().min(0), untilWallMs: z.number(),
+	}),
+	/** Demand and use of customers at the sender. */
+	z.object({
+		kind: z.literal('demand'),
+		customers: z.array(z.object({customer: nameSchema, requestsPerSecond: z.number(), concurrent: z.number()})).max(maxEntries),
+	}),
+	/** A target or instance begins to leave. */
+	z.object({kind: z.literal('leaving'), name: nameSchema, incarnation: nameSchema}),
+	/** The newest configuration generation that the sender knows, with the fragments' checksums. */
+	z.object({
+		kind: z.literal('generation'), generation: z.number().int().min(0), fragments: z.record(nameSchema, nameSchema),
+	}),
+]);
+
+/** A message between instances. */
+export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
+
+/** Kind of a message. */
+export type PeerMessageKind = PeerMessage['kind'];
+
+/** The message of one kind. */
+export type PeerMessageOf<Kind extends PeerMessageKind> = Extract<PeerMessage, {kind: Kind}>;
--- a/packages/standins/engine.ts
+++ b/packages/standins/engine.ts
@@ -452,38 +452,29 @@
 	}
 
 	async #obey(order: EngineOrder): Promise<void> {
-		switch (order.kind) {
-			case 'load': {
-				this.#loading = true;
-				await this.#options.weightStore?.load();
-				this.#loading = false;
-				this.#model = order.model;
-				if (this.#weights !== order.value) {
-					this.#weights = order.value;
-					this.#cache.clear(this.#clock.now());
-				}
-
-				break;
-			}
-
-			case 'unload': {
+		const handlers: Readonly<Record<EngineOrder['kind'], () => void | Promise<void>>> = {
+			load: async () => this.#loadWeights(order),
+			unload: () => {
 				this.#weights = undefined;
 				this.#cache.clear(this.#clock.now());
-
-				break;
-			}
-
-			case 'role':
-			case 'adapter': {
-				break;
-			}
-
-			case 'drain': {
+			},
+			drain: () => {
 				this.#leaving = true;
+			},
+			role: () => undefined,
+			adapter: () => undefined,
+		};
+		await handlers[order.kind]();
+	}
 
-				break;
-			}
-		// No default
+	async #loadWeights(order: EngineOrder): Promise<void> {
+		this.#loading = true;
+		await this.#options.weightStore?.load();
+		this.#loading = false;
+		this.#model = order.model;
+		if (this.#weights !== order.value) {
+			this.#weights = order.value;
+			this.#cache.clear(this.#clock.now());
 		}
 	}
 }
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -12,3 +12,4 @@
 export {startPlatformServer} from './platform-server.ts';
 export {startServiceServer} from './service-server.ts';
 export {writeAnswerText, countAnswerTokens} from './answer-text.ts';
+export {PeerNetworkStandin, type PeerNetworkOptions} from './peer-network.ts';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,10 +4,12 @@
 /** Leaves out the optional parts of `bunyan`, which it does without when loading them fails. */
 const omitOptional = {
 	name: 'omit-optional',
+	/* eslint-disable require-unicode-regexp -- esbuild reads filters as regular expressions of Go, which has no such flag */
 	setup(api) {
-		api.onResolve({filter: /^(dtrace-provider|mv|source-map-support)$/v}, ({path}) => ({path, namespace: 'omitted'}));
-		api.onLoad({filter: /.*/v, namespace: 'omitted'}, ({path}) => ({contents: `throw new Error('${path} is left out');`}));
+		api.onResolve({filter: /^(dtrace-provider|mv|source-map-support)$/}, ({path}) => ({path, namespace: 'omitted'}));
+		api.onLoad({filter: /.*/, namespace: 'omitted'}, ({path}) => ({contents: `throw new Error('${path} is left out');`}));
 	},
+	/* eslint-enable require-unicode-regexp */
 };
 
 /**
