Place through a placer that also judges answers' heads

Cause: the dispatcher chose targets and recorded cache entries by itself, and took an answer of another incarnation or of other weights as cache evidence. Change: a Placer with a pluggable policy; judgeHead says trust, not for the cache, or place again. Conclusion: an answer of a dead engine or of other weights no longer leaves entries behind.

--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -8,10 +8,10 @@
 import type {Clock} from '#clock';
 import {
 	makeRefusal, type AnswerEvent, type AttemptOutcome, type Random, type Refusal, type RefusalReason, type RoutedRequest,
-	type RunState, type Target, type TargetCall, type TargetFrame,
+	type RunState, type TargetCall, type TargetFrame,
 } from '#core';
 import {
-	chooseTarget, makeChain, type PromptChain, type TargetViews,
+	makeChain, type HeadVerdict, type Placement, type Placer, type PromptChain,
 } from '#placement';
 import type {Telemetry} from '#telemetry';
 
@@ -20,12 +20,11 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	views: TargetViews;
+	placer: Placer;
 	links: TargetLinks;
-	/** This instance's availability zone. */
-	zone: string;
 }>;
 
+type HeadFrame = Extract<TargetFrame, {kind: 'head'}>;
 type AttemptEnd = Readonly<{outcome: AttemptOutcome; detail: string; retryAfterMs?: number}>;
 
 /** State of one request over its attempts. */
@@ -61,12 +60,12 @@
 			splicer: new StreamSplicer(), excluded: new Set(), headSent: false, ran: 'not_run', reason: 'no_target',
 		};
 		for (let attempt = 0; attempt < maxAttempts; attempt++) {
-			const target = this.#choose(progress);
-			if (!target) {
+			const placement = this.#deps.placer.place({pool: request.pool, chain: progress.chain, excluded: progress.excluded});
+			if (!placement) {
 				break;
 			}
 
-			const end = yield * this.#runAttempt(target, progress, signal);
+			const end = yield * this.#runAttempt(placement, progress, signal);
 			this.#deps.telemetry.count('attempts_total', {pool: request.pool.name, outcome: end.outcome});
 			if (end.outcome === 'answered' || signal.aborted) {
 				return;
@@ -75,7 +74,7 @@
 			const decision = decideRetry(end.outcome, request.repeatable);
 			progress.ran = joinRunStates(progress.ran, decision.ran);
 			progress.reason = decision.reason;
-			progress.excluded.add(target.name);
+			progress.excluded.add(placement.target.name);
 			if (!decision.retry) {
 				break;
 			}
@@ -96,24 +95,15 @@
 		return makeChain(seed, work.messages, pool.pieceTokens);
 	}
 
-	#choose({request, chain, excluded}: Progress): Target | undefined {
-		const {views, zone} = this.#deps;
-		const {pool} = request;
-		const ranked = chooseTarget({
-			targets: pool.targets, getView: name => views.get(name), chain, excluded, zone, slots: pool.slots,
-		});
-		return ranked[0]?.target;
-	}
-
-	async * #runAttempt(target: Target, progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, AttemptEnd> {
-		const {views, links} = this.#deps;
+	async * #runAttempt(placement: Placement, progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, AttemptEnd> {
+		const {placer, links} = this.#deps;
 		const {request} = progress;
-		const call = this.#makeCall(target, progress);
+		const call = this.#makeCall(placement, progress);
 		const controller = new AbortController();
 		const limited = AbortSignal.any([signal, controller.signal]);
-		views.addInFlight(target.name, 1);
+		const finish = placer.begin(placement);
 		try {
-			for await (const frame of links.get(request.pool, target).run(call, limited)) {
+			for await (const frame of links.get(request.pool, placement.target).run(call, limited)) {
 				if (frame.kind === 'fault') {
 					return {outcome: frame.outcome, detail: frame.detail, retryAfterMs: frame.retryAfterMs};
 				}
@@ -127,7 +117,11 @@
 					return {outcome: 'answered', detail: ''};
 				}
 
-				const event = this.#takeFrame(frame, target, progress);
+				if (frame.kind === 'head' && this.#judgeHead(frame, placement, progress) === 'placeAgain') {
+					return {outcome: 'failed', detail: 'the answer comes from other weights'};
+				}
+
+				const event = this.#takeFrame(frame, placement, progress);
 				if (event === 'gap') {
 					return {outcome: 'unknown', detail: 'the answer has a gap'};
 				}
@@ -140,26 +134,26 @@
 			return {outcome: 'unknown', detail: 'the stream closed without its end'};
 		} finally {
 			controller.abort();
-			views.addInFlight(target.name, -1);
+			finish();
 		}
 	}
 
-	#makeCall(target: Target, progress: Progress): TargetCall {
+	#makeCall(placement: Placement, progress: Progress): TargetCall {
 		const {request, chain} = progress;
-		const {clock, random, views} = this.#deps;
+		const {clock, random} = this.#deps;
 		return {
 			attemptId: random.id(), requestId: request.id, customer: request.customer.name, work: request.work,
-			model: request.pool.model, weights: request.pool.weights, incarnation: views.get(target.name).incarnation,
+			model: request.pool.model, weights: request.pool.weights, incarnation: placement.incarnation,
 			chain: chain?.keys ?? [], pieceTokens: chain?.tokens ?? [], priority: request.customer.priority,
 			remainingMs: request.deadlineMs - clock.now(), resumeOffset: progress.splicer.offset,
-			deliveredText: progress.splicer.readText(), freshConnection: !request.repeatable, importKeys: [],
+			deliveredText: progress.splicer.readText(), freshConnection: !request.repeatable, importKeys: placement.importKeys,
 		};
 	}
 
-	#takeFrame(frame: Exclude<TargetFrame, {kind: 'fault' | 'end'}>, target: Target, progress: Progress): AnswerEvent | 'gap' | undefined {
+	#takeFrame(frame: Exclude<TargetFrame, {kind: 'fault' | 'end'}>, placement: Placement, progress: Progress): AnswerEvent | 'gap' | undefined {
 		switch (frame.kind) {
 			case 'head': {
-				return this.#takeHead(frame, target, progress);
+				return this.#takeHead(frame, placement, progress);
 			}
 
 			case 'data': {
@@ -181,12 +175,14 @@
 		}
 	}
 
-	#takeHead(frame: Extract<TargetFrame, {kind: 'head'}>, target: Target, progress: Progress): AnswerEvent | undefined {
-		const {views, telemetry} = this.#deps;
-		const {chain} = progress;
+	#judgeHead(frame: HeadFrame, placement: Placement, {request, splicer}: Progress): HeadVerdict {
+		return this.#deps.placer.takeHead(placement, frame, {mayRepeat: request.repeatable && splicer.offset === 0});
+	}
+
+	#takeHead(frame: HeadFrame, {target}: Placement, progress: Progress): AnswerEvent | undefined {
+		const {telemetry} = this.#deps;
 		const {pool} = progress.request;
-		if (chain) {
-			views.applyPrefill(target.name, frame.incarnation, chain.keys);
+		if (progress.chain) {
 			telemetry.count('prompt_tokens_total', {pool: pool.name, cached: 'yes'}, frame.cachedTokens);
 			telemetry.count('prompt_tokens_total', {pool: pool.name, cached: 'no'}, frame.promptTokens - frame.cachedTokens);
 		}
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -14,7 +14,7 @@
 } from '#core';
 import {Dispatcher, TargetLinks} from '#dispatch';
 import type {CallerRequest} from '#entry';
-import {TargetViews} from '#placement';
+import {Placer, TargetViews, type PlacementPolicy} from '#placement';
 import type {PeerBus} from '#peer-protocol';
 import type {Platform} from '#platform';
 import type {Telemetry} from '#telemetry';
@@ -32,6 +32,8 @@
 	telemetry: Telemetry;
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: number;
+	/** Default: the placement package's own. */
+	choose?: PlacementPolicy;
 }>;
 
 /** A running router. */
@@ -55,8 +57,11 @@
 	const configuration = new ConfigurationStore(platform, clock, telemetry);
 	const views = new TargetViews();
 	const links = new TargetLinks(deps.connector);
+	const placer = new Placer({
+		views, clock, random, zone: deps.zone, choose: deps.choose,
+	});
 	const dispatcher = new Dispatcher({
-		clock, random, telemetry, views, links, zone: deps.zone,
+		clock, random, telemetry, placer, links,
 	});
 	const stopping = new AbortController();
 	const tasks = [
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -4,27 +4,32 @@
  * chain's first key, so that instances which know nothing agree.
  */
 import type {PromptChain} from './chain.ts';
-import type {TargetView} from './views.ts';
-import {hash64, type Target} from '#core';
+import type {TargetViews} from './views.ts';
+import {
+	hash64, type Random, type Target, type TargetPool,
+} from '#core';
 
 /** What a choice depends on. */
 export type PlacementQuery = Readonly<{
-	targets: readonly Target[];
-	getView: (name: string) => TargetView;
+	pool: TargetPool;
+	views: TargetViews;
 	/** Absent for plain services. */
 	chain?: PromptChain;
 	/** Names of targets that must not be chosen. */
 	excluded: ReadonlySet<string>;
 	/** This instance's availability zone. */
 	zone: string;
-	/** Requests a target runs at once. */
-	slots: number;
+	random: Random;
+	/** Present time on the instance's monotonic clock, in milliseconds. */
+	nowMs: number;
 }>;
 
 /** A target with the terms of its rank, each in milliseconds. */
 export type Candidate = Readonly<{
 	target: Target;
 	cachedTokens: number;
+	/** Piece keys to import from the kept store. */
+	importKeys: readonly string[];
 	prefillMs: number;
 	queueMs: number;
 	distanceMs: number;
@@ -43,8 +48,8 @@
  */
 export function chooseTarget(query: PlacementQuery): readonly Candidate[] {
 	const affinity = query.chain?.keys[0] ?? '';
-	return query.targets
-		.filter(target => !query.excluded.has(target.name) && !query.getView(target.name).leaving)
+	return query.pool.targets
+		.filter(target => !query.excluded.has(target.name) && !query.views.get(target.name).leaving)
 		.map(target => ({candidate: rate(query, target), hash: hash64(`${affinity}|${target.name}`)}))
 		.toSorted((a, b) => {
 			const gap = a.candidate.totalMs - b.candidate.totalMs;
@@ -54,19 +59,19 @@
 }
 
 function rate(query: PlacementQuery, target: Target): Candidate {
-	const view = query.getView(target.name);
+	const view = query.views.get(target.name);
 	const cachedTokens = countCachedTokens(query.chain, view);
 	const uncached = (query.chain?.totalTokens ?? 0) - cachedTokens;
 	const prefillMs = uncached / (view.report?.prefillTokensPerMs ?? defaultPrefillTokensPerMs);
-	const waiting = Math.max(0, view.inFlight + (view.report?.queued ?? 0) - query.slots + 1);
+	const waiting = Math.max(0, view.inFlight + (view.report?.queued ?? 0) - query.pool.slots + 1);
 	const queueMs = waiting * queuedRequestMs;
 	const distanceMs = target.zone === query.zone ? 0 : otherZoneMs;
 	return {
-		target, cachedTokens, prefillMs, queueMs, distanceMs, totalMs: prefillMs + queueMs + distanceMs,
+		target, cachedTokens, importKeys: [], prefillMs, queueMs, distanceMs, totalMs: prefillMs + queueMs + distanceMs,
 	};
 }
 
-function countCachedTokens(chain: PromptChain | undefined, view: TargetView): number {
+function countCachedTokens(chain: PromptChain | undefined, view: ReturnType<TargetViews['get']>): number {
 	let count = 0;
 	for (const [index, key] of (chain?.keys ?? []).entries()) {
 		if (!view.cached.has(key)) {
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -5,3 +5,9 @@
 export {makeChain, type PromptChain} from './chain.ts';
 export {TargetViews, type TargetView} from './views.ts';
 export {chooseTarget, type Candidate, type PlacementQuery} from './choose.ts';
+export {
+	judgeHead, type AnswerHead, type HeadVerdict, type JudgeContext,
+} from './judge-head.ts';
+export {
+	Placer, type Placement, type PlacementPolicy, type PlacementRequest, type PlacerDeps,
+} from './placer.ts';
