--- /dev/null
+++ b/packages/scenario/_host.ts
@@ -0,0 +1,50 @@
+/** One router of a scenario, wired to the stand-ins through its lifeline. */
+import {Lifeline} from './_lifeline.ts';
+import type {Clock} from '#clock';
+import type {TargetLink} from '#core';
+import {createRouter, type Router} from '#node';
+import type {PlatformStandin, PeerNetworkStandin} from '#standins';
+import {createTelemetry, type Telemetry} from '#telemetry';
+
+/** What a router of a scenario needs. */
+export type HostDeps = Readonly<{
+	name: string;
+	zone: string;
+	seed: number;
+	clock: Clock;
+	platform: PlatformStandin;
+	network: PeerNetworkStandin;
+	getLink: (target: string) => TargetLink;
+}>;
+
+/** A router that can be killed and paused. */
+export type RouterHost = Readonly<{
+	name: string;
+	zone: string;
+	router: Router;
+	telemetry: Telemetry;
+	lifeline: Lifeline;
+}>;
+
+const reportPollMs = 100;
+
+/** Starts a router. */
+export function startHost(deps: HostDeps): RouterHost {
+	const lifeline = new Lifeline();
+	const telemetry = createTelemetry({level: 'silent'});
+	const incarnation = `${deps.name}-${deps.seed}`;
+	const router = createRouter({
+		name: deps.name,
+		zone: deps.zone,
+		seed: deps.seed,
+		telemetry,
+		reportPollMs,
+		clock: lifeline.wrapClock(deps.clock),
+		platform: lifeline.wrapPlatform(deps.platform),
+		connector: lifeline.wrapConnector({open: (_pool, target) => deps.getLink(target.name)}),
+		bus: lifeline.wrapBus(deps.network.join({name: deps.name, zone: deps.zone, incarnation})),
+	});
+	return {
+		name: deps.name, zone: deps.zone, router, telemetry, lifeline,
+	};
+}
--- /dev/null
+++ b/packages/scenario/_lifeline.ts
@@ -0,0 +1,143 @@
+/**
+ * Lets a scenario kill or pause one router of the process: everything that the
+ * router hears from outside (timers, answers, messages) goes through its
+ * lifeline, which holds it back while the router is paused, and for good once
+ * it is dead.
+ */
+import type {Cancel, Clock} from '#clock';
+import type {
+	Result, TargetCall, TargetConnector, TargetFrame, TargetLink,
+} from '#core';
+import type {PeerBus} from '#peer-protocol';
+import type {Platform} from '#platform';
+
+type State = 'running' | 'paused' | 'dead';
+
+/** Holds back what reaches a paused or dead router. */
+export class Lifeline {
+	readonly #died = new AbortController();
+	#state: State = 'running';
+	#held: Array<() => void> = [];
+
+	get state(): State {
+		return this.#state;
+	}
+
+	/** Aborts when the router is killed, as its sockets close then. */
+	get died(): AbortSignal {
+		return this.#died.signal;
+	}
+
+	/** Ends the process without any of its clean-up. */
+	kill(): void {
+		this.#state = 'dead';
+		this.#held = [];
+		this.#died.abort();
+	}
+
+	pause(): void {
+		this.#state = 'paused';
+	}
+
+	/** Lets everything through that was held back. */
+	resume(): void {
+		this.#state = 'running';
+		const held = this.#held;
+		this.#held = [];
+		for (const run of held) {
+			run();
+		}
+	}
+
+	/** Runs a callback now, on resumption, or never. */
+	pass(run: () => void): void {
+		if (this.#state === 'running') {
+			run();
+		} else if (this.#state === 'paused') {
+			this.#held.push(run);
+		}
+	}
+
+	/** Resolves like `promise`, but not while the router is paused or dead. */
+	async hold<Value>(promise: Promise<Value>): Promise<Value> {
+		return new Promise((resolve, reject) => {
+			promise.then(value => {
+				this.pass(() => {
+					resolve(value);
+				});
+			}, reject);
+		});
+	}
+
+	/** The clock as the router sees it: time goes on, timers are held back. */
+	wrapClock(clock: Clock): Clock {
+		const after = (delayMs: number, handler: () => void): Cancel => clock.after(delayMs, () => {
+			this.pass(handler);
+		});
+		return {
+			now: () => clock.now(),
+			wall: () => clock.wall(),
+			after,
+			subscribe: (intervalMs, handler) => clock.subscribe(intervalMs, () => {
+				if (this.#state === 'running') {
+					handler();
+				}
+			}),
+			sleep: async (delayMs, signal) => this.hold(clock.sleep(delayMs, signal)),
+		};
+	}
+
+	/** The platform as the router sees it. */
+	wrapPlatform(platform: Platform): Platform {
+		return {
+			get: async key => this.hold(platform.get(key)),
+			put: async (key, value, options) => this.hold(platform.put(key, value, options)),
+			remove: async (key, options) => this.hold(platform.remove(key, options)),
+			list: async prefix => this.hold(platform.list(prefix)),
+			watch: async (prefix, revision, signal) => this.hold(platform.watch(prefix, revision, signal)),
+			listInstances: async () => this.hold(platform.listInstances()),
+		};
+	}
+
+	/** The targets as the router sees them; its connections break when it dies. */
+	wrapConnector(connector: TargetConnector): TargetConnector {
+		return {
+			open: (pool, target) => this.#wrapLink(connector.open(pool, target)),
+		};
+	}
+
+	/** The peers as the router sees them. */
+	wrapBus(bus: PeerBus): PeerBus {
+		return {
+			...bus,
+			subscribe: (kind, handler) => bus.subscribe(kind, (message, from) => {
+				this.pass(() => {
+					handler(message, from);
+				});
+			}),
+		};
+	}
+
+	#wrapLink(link: TargetLink): TargetLink {
+		const holdResult = async <Value, Failure>(result: Promise<Result<Value, Failure>>) => this.hold(result);
+		return {
+			run: (call, signal) => this.#wrapRun(link, call, signal),
+			readReport: async signal => holdResult(link.readReport(signal)),
+			readCacheEvents: async (after, signal) => holdResult(link.readCacheEvents(after, signal)),
+			sendOrder: async (order, signal) => holdResult(link.sendOrder(order, signal)),
+			close: async () => link.close(),
+		};
+	}
+
+	async * #wrapRun(link: TargetLink, call: TargetCall, signal: AbortSignal): AsyncGenerator<TargetFrame> {
+		const frames = link.run(call, AbortSignal.any([signal, this.died]))[Symbol.asyncIterator]();
+		for (;;) {
+			const next = await this.hold(frames.next());
+			if (next.done) {
+				return;
+			}
+
+			yield next.value;
+		}
+	}
+}
