--- a/packages/cli/publish.ts
+++ b/packages/cli/publish.ts
@@ -23,5 +23,10 @@
 		return;
 	}
 
+	if (result.error.kind === 'conflict') {
+		console.error(`not published: service "${result.error.service}" was changed by another operator; read its file again and publish anew`);
+		return;
+	}
+
 	console.error(`not published: ${result.error.failure.kind}: ${result.error.failure.detail}`);
 }
--- a/packages/configuration/check.ts
+++ b/packages/configuration/check.ts
@@ -1,31 +1,26 @@
 /** Checks service files one by one and as a whole, and merges them into a configuration. */
-import {serviceFileSchema, type ServiceFile} from './service-file.ts';
 import {
-	fail, succeed, toMessage, type Configuration, type Customer, type Result, type Route, type TargetPool,
+	parseFragment, type ConfigurationFault, type Fragment, type ParsedFragment,
+} from './fragment.ts';
+import {checkReferences} from './_check-references.ts';
+import {checkRules} from './_check-rules.ts';
+import {checkUnique} from './_check-unique.ts';
+import type {ServiceFile} from './service-file.ts';
+import {
+	fail, succeed, type Configuration, type Result,
 } from '#core';
 
-/** One service file, not yet checked. */
-export type Fragment = Readonly<{
-	/** File name, for messages. */
-	file: string;
-	/** JSON text. */
-	text: string;
-}>;
-
-/** A fault, where it stands and how to mend it. */
-export type ConfigurationFault = Readonly<{
-	file: string;
-	/** Path of the field, such as `routes.0.pool`; empty for the whole file. */
-	field: string;
-	message: string;
-}>;
-
 /** Checked service files by service, and the configuration that they make. */
 export type CheckedFragments = Readonly<{
 	files: ReadonlyMap<string, ServiceFile>;
 	configuration: Configuration;
+	/** What is allowed but has no effect, such as a pool that no route names. */
+	warnings: readonly ConfigurationFault[];
 }>;
 
+/** Checks over all files together. */
+const checks = [checkUnique, checkReferences, checkRules];
+
 /**
  * Checks every fragment and all references between them.
  *
@@ -35,98 +30,67 @@
  */
 export function checkFragments(fragments: readonly Fragment[], generation: number): Result<CheckedFragments, readonly ConfigurationFault[]> {
 	const faults: ConfigurationFault[] = [];
-	const files = new Map<string, ServiceFile>();
-	const routes = new Map<string, Route>();
-	const pools = new Map<string, TargetPool>();
-	const customers = new Map<string, Customer>();
-
+	const files: ParsedFragment[] = [];
 	for (const fragment of fragments) {
 		const parsed = parseFragment(fragment);
-		if (!parsed.ok) {
+		if (parsed.ok) {
+			files.push(parsed.value);
+		} else {
 			faults.push(...parsed.error);
-			continue;
-		}
-
-		const file = parsed.value;
-		if (files.has(file.service)) {
-			faults.push({file: fragment.file, field: 'service', message: `service "${file.service}" stands in another file too; merge the two files or rename one`});
-			continue;
 		}
-
-		files.set(file.service, file);
-		faults.push(
-			...addAll(routes, file.routes, fragment.file, 'routes'),
-			...addAll(pools, file.pools, fragment.file, 'pools'),
-			...addAll(customers, file.customers, fragment.file, 'customers'),
-		);
 	}
 
-	for (const fragment of fragments) {
-		const file = [...files.values()].find(file => parsesAs(fragment, file.service));
-		if (file) {
-			faults.push(...checkReferences(fragment.file, file, routes, pools));
-		}
+	// References into a file that does not parse would only repeat its fault.
+	if (faults.length > 0) {
+		return fail([...faults, ...checkUnique(files)]);
 	}
 
-	return faults.length > 0
-		? fail(faults)
-		: succeed({
-			files, configuration: {
-				generation, routes, pools, customers,
-			},
-		});
+	return checkParsed(files, generation);
 }
 
-function parseFragment(fragment: Fragment): Result<ServiceFile, readonly ConfigurationFault[]> {
-	let json: unknown;
-	try {
-		json = JSON.parse(fragment.text);
-	} catch (error) {
-		return fail([{file: fragment.file, field: '', message: `is not JSON: ${toMessage(error)}`}]);
+/** Checks files that agree with the schema, as a whole. */
+export function checkParsed(files: readonly ParsedFragment[], generation: number): Result<CheckedFragments, readonly ConfigurationFault[]> {
+	const faults = checks.flatMap(check => check(files));
+	if (faults.length > 0) {
+		return fail(faults);
 	}
 
-	const parsed = serviceFileSchema.safeParse(json);
-	if (parsed.success) {
-		return succeed(parsed.data);
-	}
-
-	return fail(parsed.error.issues.map(issue => ({file: fragment.file, field: issue.path.join('.'), message: issue.message})));
-}
-
-function parsesAs(fragment: Fragment, service: string): boolean {
-	const parsed = parseFragment(fragment);
-	return parsed.ok && parsed.value.service === service;
+	const configuration = merge(files, generation);
+	return succeed({
+		files: new Map(files.map(({service}) => [service.service, service])),
+		configuration,
+		warnings: findUnused(files, configuration),
+	});
 }
 
-function addAll<Item extends Readonly<{name: string}>>(into: Map<string, Item>, items: readonly Item[], file: string, field: string): ConfigurationFault[] {
-	const faults: ConfigurationFault[] = [];
-	for (const [index, item] of items.entries()) {
-		if (into.has(item.name)) {
-			faults.push({file, field: `${field}.${index}.name`, message: `"${item.name}" is already defined; choose another name`});
-			continue;
-		}
-
-		into.set(item.name, item);
-	}
-
-	return faults;
+function merge(files: readonly ParsedFragment[], generation: number): Configuration {
+	const index = <Item extends Readonly<{name: string}>>(items: readonly Item[]): ReadonlyMap<string, Item> =>
+		new Map(items.map(item => [item.name, item]));
+	return {
+		generation,
+		routes: index(files.flatMap(({service}) => service.routes)),
+		pools: index(files.flatMap(({service}) => service.pools)),
+		customers: index(files.flatMap(({service}) => service.customers)),
+	};
 }
 
-function checkReferences(file: string, service: ServiceFile, routes: ReadonlyMap<string, Route>, pools: ReadonlyMap<string, TargetPool>): ConfigurationFault[] {
-	const faults: ConfigurationFault[] = [];
-	for (const [index, route] of service.routes.entries()) {
-		if (!pools.has(route.pool)) {
-			faults.push({file, field: `routes.${index}.pool`, message: `no pool is named "${route.pool}"; define it or name one of: ${[...pools.keys()].join(', ')}`});
+function findUnused(files: readonly ParsedFragment[], configuration: Configuration): readonly ConfigurationFault[] {
+	const usedPools = new Set([...configuration.routes.values()].map(route => route.pool));
+	const usedRoutes = new Set([...configuration.customers.values()].flatMap(customer => customer.routes));
+	const warnings: ConfigurationFault[] = [];
+	for (const {file, service} of files) {
+		for (const [index, {name}] of service.pools.entries()) {
+			if (!usedPools.has(name)) {
+				warnings.push({file, field: `pools.${index}`, message: `no route leads to pool "${name}"; add one or remove the pool`});
+			}
 		}
-	}
 
-	for (const [index, customer] of service.customers.entries()) {
-		for (const [place, name] of customer.routes.entries()) {
-			if (!routes.has(name)) {
-				faults.push({file, field: `customers.${index}.routes.${place}`, message: `no route is named "${name}"; define it or name one of: ${[...routes.keys()].join(', ')}`});
+		for (const [index, {name}] of service.routes.entries()) {
+			if (!usedRoutes.has(name)) {
+				warnings.push({file, field: `routes.${index}`, message: `no customer may call route "${name}"; add it to a customer's routes`});
 			}
 		}
 	}
 
-	return faults;
+	return warnings;
 }
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -3,7 +3,13 @@
  * publication by conditional update, and the generation in force.
  */
 export {serviceFileSchema, type ServiceFile} from './service-file.ts';
-export {checkFragments, type ConfigurationFault, type Fragment} from './check.ts';
-export {publishFragments, type PublishFailure, type PublishReceipt} from './publish.ts';
+export {checkFragments, type CheckedFragments} from './check.ts';
+export {maxFragmentBytes, type ConfigurationFault, type Fragment} from './fragment.ts';
+export {explainIssues, suggest, type FieldFault} from './explain-issues.ts';
+export {
+	noBase, publishFragments, type PublishFailure, type PublishOptions, type PublishReceipt,
+} from './publish.ts';
+export {readHead, type Head} from './head.ts';
+export {makeServiceFileSchema} from './json-schema.ts';
 export {ConfigurationStore} from './store.ts';
 export {headKey, fragmentPrefix} from './keys.ts';
--- a/packages/configuration/service-file.ts
+++ b/packages/configuration/service-file.ts
@@ -1,8 +1,20 @@
 /** The schema of the JSON file that stands beside a service's code. */
+import {isIPv4} from 'node:net';
 import {z} from 'zod';
 
 const nameSchema = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v, 'must be 1 to 63 lower-case letters, digits or hyphens, starting with a letter');
-const addressSchema = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/v, 'must be an IPv4 number and a port, such as 10.0.0.1:8000');
+/** Schema of an address that can be connected to. */
+export const addressSchema = z.string()
+	.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/v, 'must be an IPv4 number and a port, such as 10.0.0.1:8000')
+	.refine(address => isReachable(address), 'names no host and port that can be reached; state the number and port of one host');
+
+const maxPort = 65_535;
+
+function isReachable(address: string): boolean {
+	const [host = '', port] = address.split(':');
+	return isIPv4(host) && host !== '0.0.0.0' && Number(port) >= 1 && Number(port) <= maxPort;
+}
+
 const msSchema = z.number().int().positive();
 
 const targetSchema = z.strictObject({
--- a/packages/configuration/store.ts
+++ b/packages/configuration/store.ts
@@ -1,8 +1,9 @@
 /** The configuration in force on this instance: read from the platform, then watched. */
 import Emittery from 'emittery';
-import {checkFragments, type Fragment} from './check.ts';
+import {checkFragments} from './check.ts';
+import type {Fragment} from './fragment.ts';
 import {headKey, makeFragmentKey} from './keys.ts';
-import {headSchema} from './publish.ts';
+import {headSchema} from './head.ts';
 import type {Clock} from '#clock';
 import type {Configuration} from '#core';
 import type {Platform} from '#platform';
