--- a/packages/standins/_gate.ts
+++ b/packages/standins/_gate.ts
@@ -1,6 +1,8 @@
 /** Admits a bounded number of holders at once, highest priority first. */
 
-type Waiter = Readonly<{priority: number; order: number; admit: (admitted: boolean) => void}>;
+type Waiter = Readonly<{priority: number; order: number; isWanted: () => boolean; admit: (admitted: boolean) => void}>;
+
+const isAlwaysWanted = () => true;
 
 /** A counting semaphore with priorities. */
 export class Gate {
@@ -18,29 +20,39 @@
 	}
 
 	get waiting(): number {
-		return this.#waiters.length;
+		return this.#waiters.filter(({isWanted}) => isWanted()).length;
 	}
 
-	/** @returns `false` when the gate was reset before admission */
-	async enter(priority: number): Promise<boolean> {
+	/**
+	 * Waits for a place.
+	 *
+	 * @param isWanted asked when a place is free; a waiter that no longer wants it is passed over
+	 * @returns `false` when the gate was reset before admission, or the place was no longer wanted
+	 */
+	async enter(priority: number, isWanted: () => boolean = isAlwaysWanted): Promise<boolean> {
 		if (this.#held < this.#capacity) {
 			this.#held++;
 			return true;
 		}
 
 		return new Promise(resolve => {
-			this.#waiters.push({priority, order: this.#order++, admit: resolve});
+			this.#waiters.push({
+				priority, order: this.#order++, isWanted, admit: resolve,
+			});
 			this.#waiters.sort((a, b) => b.priority - a.priority || a.order - b.order);
 		});
 	}
 
 	leave(): void {
-		const next = this.#waiters.shift();
-		if (next) {
-			next.admit(true);
-		} else {
-			this.#held--;
+		for (let next = this.#waiters.shift(); next; next = this.#waiters.shift()) {
+			const isWanted = next.isWanted();
+			next.admit(isWanted);
+			if (isWanted) {
+				return;
+			}
 		}
+
+		this.#held--;
 	}
 
 	/** Turns all waiters away and forgets all holders. */
--- a/packages/standins/_prefix-cache.ts
+++ b/packages/standins/_prefix-cache.ts
@@ -29,8 +29,8 @@
 		return this.#pieces.has(key);
 	}
 
-	/** Tokens of the longest cached prefix of a chain; touches what it matches. */
-	match(keys: readonly string[]): number {
+	/** Tokens of the longest cached prefix of a chain. */
+	measure(keys: readonly string[]): number {
 		let count = 0;
 		for (const key of keys) {
 			const tokens = this.#pieces.get(key);
@@ -38,14 +38,19 @@
 				break;
 			}
 
-			this.#pieces.delete(key);
-			this.#pieces.set(key, tokens);
 			count += tokens;
 		}
 
 		return count;
 	}
 
+	/** Like {@link PrefixCache.measure}, and touches what it matches: upper levels last, so that they stay longest. */
+	match(keys: readonly string[]): number {
+		const missing = keys.findIndex(key => !this.#pieces.has(key));
+		this.#touch(missing === -1 ? keys : keys.slice(0, missing));
+		return this.measure(keys);
+	}
+
 	/** Stores a chain and evicts what no longer fits; events become visible at `visibleMs`. */
 	store(keys: readonly string[], tokens: readonly number[], visibleMs: number): void {
 		const stored: string[] = [];
@@ -61,6 +66,7 @@
 			this.#append('stored', stored, visibleMs);
 		}
 
+		this.#touch(keys);
 		this.#evict(visibleMs);
 	}
 
@@ -70,11 +76,28 @@
 		this.#append('cleared', [], visibleMs);
 	}
 
-	/** Events after a sequence number that are visible at `nowMs`. */
+	/** Events after a sequence number that are visible at `nowMs`, in order without the later ones. */
 	read(after: number, nowMs: number): readonly CacheEvent[] {
-		return this.#log
-			.filter(({event, visibleMs}) => event.sequence > after && visibleMs <= nowMs)
-			.map(({event}) => event);
+		const events: CacheEvent[] = [];
+		const first = this.#log[0]?.event.sequence ?? 0;
+		for (let index = Math.max(0, after + 1 - first); index < this.#log.length; index++) {
+			const {event, visibleMs} = this.#log[index]!;
+			if (visibleMs > nowMs) {
+				break;
+			}
+
+			events.push(event);
+		}
+
+		return events;
+	}
+
+	#touch(keys: readonly string[]): void {
+		for (const key of keys.toReversed()) {
+			const tokens = this.#pieces.get(key)!;
+			this.#pieces.delete(key);
+			this.#pieces.set(key, tokens);
+		}
 	}
 
 	#evict(visibleMs: number): void {
