Dispatcher in modules: splice at whole characters, silence bound, retry table by cause, retry budget

Cause: an attempt waited for a silent connection without end, a crossed frame ended the request, offsets inside a character could be continued with another one, parts of two runs of a service's call could be joined, retries had no budget and the route's time was not enforced. Change: attempt, frame reader, chat and call answers, progress, retry table, budget and silence bound are modules of their own; the head waits for content.

--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -1,51 +1,50 @@
 /**
  * Runs one request: chooses a target, streams its answer, and goes on with
- * another attempt where the retry table allows it.
+ * further attempts as the retry table, the retry budget and the remaining time
+ * allow.
  */
+import {runAttempt, type AttemptDeps} from './_attempt.ts';
+import {CallAnswer} from './_call-answer.ts';
+import {ChatAnswer} from './_chat-answer.ts';
 import type {TargetLinks} from './links.ts';
-import {decideRetry} from './retry.ts';
-import {StreamSplicer} from './splice.ts';
-import type {Clock} from '#clock';
+import {Progress, type AttemptEnd} from './_progress.ts';
+import {RetryBudget} from './retry-budget.ts';
+import {causeRules, decideRetry} from './retry.ts';
 import {
-	makeRefusal, type AnswerEvent, type AttemptOutcome, type Random, type Refusal, type RefusalReason, type RoutedRequest,
-	type RunState, type TargetCall, type TargetFrame,
+	makeRefusal, type AnswerEvent, type Refusal, type RoutedRequest,
 } from '#core';
-import {
-	makeChain, type HeadVerdict, type Placement, type Placer, type PromptChain,
-} from '#placement';
-import type {Telemetry} from '#telemetry';
+import {makeChain, type Placement, type PromptChain} from '#placement';
 
 /** What a dispatcher works with. */
-export type DispatcherDeps = Readonly<{
-	clock: Clock;
-	random: Random;
-	telemetry: Telemetry;
-	placer: Placer;
+export type DispatcherDeps = AttemptDeps & Readonly<{
 	links: TargetLinks;
 }>;
 
-type HeadFrame = Extract<TargetFrame, {kind: 'head'}>;
-type AttemptEnd = Readonly<{outcome: AttemptOutcome; detail: string; retryAfterMs?: number}>;
+/** Options of {@link Dispatcher}. */
+export type DispatcherOptions = Readonly<{
+	/** Longest answer, in bytes; the answer of a plain service is collected up to this size. Default: 8 388 608. */
+	maxAnswerBytes?: number;
+	/** Retry budgets. Default: a new one with its defaults. */
+	budget?: RetryBudget;
+}>;
 
-/** State of one request over its attempts. */
-type Progress = {
-	readonly request: RoutedRequest;
-	readonly chain: PromptChain | undefined;
-	readonly splicer: StreamSplicer;
-	readonly excluded: Set<string>;
-	headSent: boolean;
-	ran: RunState;
-	reason: RefusalReason;
-};
+/** Why no further attempt was made; the label of its counter. */
+type RetryRefusal = 'table' | 'deadline' | 'attempts' | 'budget' | 'no_target';
 
-const maxAttempts = 4;
+const refusalRetryMs = 1000;
+const firstDelayMs = 50;
+const undelayedRetries = 2;
 
 /** Runs requests on the targets of their pools. */
 export class Dispatcher {
 	readonly #deps: DispatcherDeps;
+	readonly #maxBytes: number;
+	readonly #budget: RetryBudget;
 
-	constructor(deps: DispatcherDeps) {
+	constructor(deps: DispatcherDeps, options: DispatcherOptions = {}) {
 		this.#deps = deps;
+		this.#maxBytes = options.maxAnswerBytes ?? 8_388_608;
+		this.#budget = options.budget ?? new RetryBudget();
 	}
 
 	/**
@@ -54,159 +53,135 @@
 	 * @returns the answer's events; `end` closes a complete answer, `refused` any other
 	 */
 	async * run(request: RoutedRequest, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
-		const progress: Progress = {
-			request,
-			chain: this.#makeChain(request),
-			splicer: new StreamSplicer(), excluded: new Set(), headSent: false, ran: 'not_run', reason: 'no_target',
-		};
-		for (let attempt = 0; attempt < maxAttempts; attempt++) {
-			const placement = this.#deps.placer.place({pool: request.pool, chain: progress.chain, excluded: progress.excluded});
-			if (!placement) {
-				break;
-			}
+		const {clock} = this.#deps;
+		const remainingMs = request.deadlineMs - clock.now();
+		if (remainingMs <= 0) {
+			yield {kind: 'refused', refusal: makeRefusal('deadline_exceeded', {ran: 'not_run', retryAfterMs: refusalRetryMs})};
+			return;
+		}
 
-			const end = yield * this.#runAttempt(placement, progress, signal);
-			this.#deps.telemetry.count('attempts_total', {pool: request.pool.name, outcome: end.outcome});
-			if (end.outcome === 'answered' || signal.aborted) {
-				return;
+		const deadline = new AbortController();
+		const cancel = clock.after(remainingMs, () => {
+			deadline.abort();
+		});
+		try {
+			const refusal = yield * this.#runAttempts(this.#makeProgress(request), AbortSignal.any([signal, deadline.signal]));
+			if (refusal && !signal.aborted) {
+				yield {kind: 'refused', refusal};
 			}
+		} finally {
+			cancel();
+		}
+	}
+
+	#makeProgress(request: RoutedRequest): Progress {
+		const limits = {maxBytes: this.#maxBytes};
+		const answer = request.work.kind === 'chat' ? new ChatAnswer(limits) : new CallAnswer(limits);
+		return new Progress(request, makeRequestChain(request), answer);
+	}
 
-			const decision = decideRetry(end.outcome, request.repeatable);
-			progress.ran = joinRunStates(progress.ran, decision.ran);
-			progress.reason = decision.reason;
-			progress.excluded.add(placement.target.name);
-			if (!decision.retry) {
-				break;
+	async * #runAttempts(progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, Refusal | undefined> {
+		const {links, telemetry} = this.#deps;
+		const {pool} = progress.request;
+		this.#budget.recordAttempt(pool.name);
+		let placement = this.#choose(progress);
+		while (placement) {
+			const link = links.get(pool, placement.target);
+			const end = yield * runAttempt(this.#deps, {placement, link}, progress, signal);
+			telemetry.count('attempts_total', {pool: pool.name, outcome: end ? causeRules[end.cause].outcome : 'answered'});
+			if (!end) {
+				return undefined;
 			}
 
-			this.#deps.telemetry.count('retries_total', {reason: end.outcome});
+			progress.recordEnd(end);
+			placement = await this.#chooseNext(placement, end, progress, signal);
 		}
 
-		yield {kind: 'refused', refusal: this.#refuse(progress)};
-	}
-
-	#makeChain(request: RoutedRequest): PromptChain | undefined {
-		const {work, pool, customer} = request;
-		if (work.kind !== 'chat') {
+		const empty = progress.answer.takeEmpty();
+		if (empty.length > 0 && !signal.aborted) {
+			yield * empty;
 			return undefined;
 		}
 
-		const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
-		return makeChain(seed, work.messages, pool.pieceTokens);
+		return makeRefusal(progress.reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? refusalRetryMs});
 	}
 
-	async * #runAttempt(placement: Placement, progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, AttemptEnd> {
-		const {placer, links} = this.#deps;
-		const {request} = progress;
-		const call = this.#makeCall(placement, progress);
-		const controller = new AbortController();
-		const limited = AbortSignal.any([signal, controller.signal]);
-		const finish = placer.begin(placement);
-		try {
-			for await (const frame of links.get(request.pool, placement.target).run(call, limited)) {
-				if (frame.kind === 'fault') {
-					return {outcome: frame.outcome, detail: frame.detail, retryAfterMs: frame.retryAfterMs};
-				}
-
-				if (frame.attemptId !== call.attemptId) {
-					return {outcome: 'unknown', detail: 'the answer belongs to another attempt'};
-				}
-
-				if (frame.kind === 'end') {
-					yield {kind: 'end', finish: frame.finish};
-					return {outcome: 'answered', detail: ''};
-				}
-
-				if (frame.kind === 'head' && this.#judgeHead(frame, placement, progress) === 'placeAgain') {
-					return {outcome: 'failed', detail: 'the answer comes from other weights'};
-				}
-
-				const event = this.#takeFrame(frame, placement, progress);
-				if (event === 'gap') {
-					return {outcome: 'unknown', detail: 'the answer has a gap'};
-				}
-
-				if (event) {
-					yield event;
-				}
-			}
+	#choose({request, chain, excluded}: Progress): Placement | undefined {
+		return this.#deps.placer.place({pool: request.pool, chain, excluded});
+	}
 
-			return {outcome: 'unknown', detail: 'the stream closed without its end'};
-		} finally {
-			controller.abort();
-			finish();
+	/** Decides whether and where a further attempt runs, waits until it is due, and counts what was decided. */
+	async #chooseNext(last: Placement, end: AttemptEnd, progress: Progress, signal: AbortSignal): Promise<Placement | undefined> {
+		const {telemetry} = this.#deps;
+		const next = this.#pickNext(last, end, progress);
+		if (typeof next === 'string') {
+			telemetry.count('retries_refused_total', {reason: next});
+			return undefined;
 		}
-	}
 
-	#makeCall(placement: Placement, progress: Progress): TargetCall {
-		const {request, chain} = progress;
-		const {clock, random} = this.#deps;
-		return {
-			attemptId: random.id(), requestId: request.id, customer: request.customer.name, work: request.work,
-			model: request.pool.model, weights: request.pool.weights, incarnation: placement.incarnation,
-			chain: chain?.keys ?? [], pieceTokens: chain?.tokens ?? [], priority: request.customer.priority,
-			remainingMs: request.deadlineMs - clock.now(), resumeOffset: progress.splicer.offset,
-			deliveredText: progress.splicer.readText(), freshConnection: !request.repeatable, importKeys: placement.importKeys,
-		};
-	}
+		await this.#delayRetry(progress, signal);
+		if (signal.aborted) {
+			progress.reason = 'deadline_exceeded';
+			telemetry.count('retries_refused_total', {reason: 'deadline'});
+			return undefined;
+		}
 
-	#takeFrame(frame: Exclude<TargetFrame, {kind: 'fault' | 'end'}>, placement: Placement, progress: Progress): AnswerEvent | 'gap' | undefined {
-		switch (frame.kind) {
-			case 'head': {
-				return this.#takeHead(frame, placement, progress);
-			}
+		telemetry.count('retries_total', {reason: end.cause});
+		return next;
+	}
 
-			case 'data': {
-				const bytes = progress.splicer.takeData(frame);
-				if (!bytes) {
-					return 'gap';
-				}
+	#pickNext(last: Placement, {cause}: AttemptEnd, progress: Progress): Placement | RetryRefusal {
+		const {pool, repeatable} = progress.request;
+		const place = decideRetry(cause, repeatable);
+		if (place === 'never') {
+			return cause === 'deadline' ? 'deadline' : 'table';
+		}
 
-				return bytes.length > 0 ? {kind: 'data', bytes} : undefined;
-			}
+		if (progress.isSpent) {
+			return 'attempts';
+		}
 
-			case 'tool': {
-				return progress.splicer.takeTool(frame.call) ? {kind: 'tool', call: frame.call} : undefined;
-			}
+		const placement = this.#place(last, place === 'same', progress);
+		if (!placement) {
+			return 'no_target';
+		}
 
-			case 'usage': {
-				return {kind: 'usage', usage: frame.usage};
-			}
+		if (causeRules[cause].budgeted && !this.#budget.take(pool.name, progress.answer.hasBegun())) {
+			progress.reason = 'retry_budget_spent';
+			return 'budget';
 		}
-	}
 
-	#judgeHead(frame: HeadFrame, placement: Placement, {request, splicer}: Progress): HeadVerdict {
-		return this.#deps.placer.takeHead(placement, frame, {mayRepeat: request.repeatable && splicer.offset === 0});
+		return placement;
 	}
 
-	#takeHead(frame: HeadFrame, {target}: Placement, progress: Progress): AnswerEvent | undefined {
-		const {telemetry} = this.#deps;
-		const {pool} = progress.request;
-		if (progress.chain) {
-			telemetry.count('prompt_tokens_total', {pool: pool.name, cached: 'yes'}, frame.cachedTokens);
-			telemetry.count('prompt_tokens_total', {pool: pool.name, cached: 'no'}, frame.promptTokens - frame.cachedTokens);
+	/** Delays later retries by a random part of an interval that doubles; the first ones are immediate. */
+	async #delayRetry({idleAttempts}: Progress, signal: AbortSignal): Promise<void> {
+		const {clock, random} = this.#deps;
+		const doublings = idleAttempts - undelayedRetries;
+		if (doublings > 0) {
+			await clock.sleep(random.next() * firstDelayMs * (2 ** doublings), signal);
 		}
+	}
 
-		if (progress.headSent) {
-			return undefined;
+	/** Prefers the same target where a generation may still be running there; begins another round where a stream would be cut. */
+	#place(last: Placement, same: boolean, progress: Progress): Placement | undefined {
+		const isChat = progress.request.work.kind === 'chat';
+		if (same && isChat && progress.takeResume()) {
+			return last;
 		}
 
-		progress.headSent = true;
-		return {
-			kind: 'head', target: target.name, status: frame.status, contentType: frame.contentType, cachedTokens: frame.cachedTokens, replayed: false,
-		};
-	}
-
-	#refuse(progress: Progress): Refusal {
-		return makeRefusal(progress.reason, {ran: progress.ran, retryAfterMs: 1000});
+		progress.excluded.add(last.target.name);
+		const placement = this.#choose(progress);
+		const mayBeginRound = !placement && progress.answer.hasBegun() && progress.beginRound();
+		return mayBeginRound ? this.#choose(progress) : placement;
 	}
 }
 
-/** Joins what two attempts say: "not run" needs both, and a sure run outweighs an unknown one. */
-function joinRunStates(a: RunState, b: RunState): RunState {
-	if (a === 'ran' || b === 'ran') {
-		return 'ran';
+function makeRequestChain({work, pool, customer}: RoutedRequest): PromptChain | undefined {
+	if (work.kind !== 'chat') {
+		return undefined;
 	}
 
-	return a === 'unknown' || b === 'unknown' ? 'unknown' : 'not_run';
+	const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
+	return makeChain(seed, work.messages, pool.pieceTokens);
 }
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -61,7 +61,7 @@
 		views, clock, random, zone: deps.zone, choose: deps.choose,
 	});
 	const dispatcher = new Dispatcher({
-		clock, random, telemetry, placer, links,
+		clock, random, telemetry, views, placer, links,
 	});
 	const stopping = new AbortController();
 	const tasks = [
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -11,6 +11,7 @@
 	answers_total: {help: 'Requests answered in full, by route and customer.', labels: ['route', 'customer']},
 	refusals_total: {help: 'Refused or failed requests, by reason and run state.', labels: ['reason', 'ran']},
 	retries_total: {help: 'Further attempts, by reason.', labels: ['reason']},
+	retries_refused_total: {help: 'Failed attempts after which no further one was made, by reason.', labels: ['reason']},
 	attempts_total: {help: 'Attempts on targets, by pool and outcome.', labels: ['pool', 'outcome']},
 	prompt_tokens_total: {help: 'Prompt tokens sent to engines, by pool and whether the engine had them cached.', labels: ['pool', 'cached']},
 	configuration_changes_total: {help: 'Configuration generations that came into force.', labels: []},
