Inner protocol, membership and its bus between instances

Cause: instances ran alone on a quiet bus. Change: length-prefixed CBOR frames over TCP with mutual HMAC authentication, a code over each frame, heartbeats both ways and bounded queues; membership by mergeable records, a bounded set of neighbours, relayed messages and requests; wired into the instance by the settings' peers.

--- /dev/null
+++ b/packages/membership/membership.test.ts
@@ -0,0 +1,158 @@
+import t from 'tap';
+import {Membership} from './membership.ts';
+import {ManualClock} from '#clock';
+import {createRandom, prepareHash} from '#core';
+import type {PeerMessage} from '#peer-protocol';
+import {PeerTransportStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+t.before(prepareHash);
+
+type Member = Readonly<{membership: Membership; stop: () => Promise<void>; address: string; heard: PeerMessage[]}>;
+
+function createFleet() {
+	const clock = new ManualClock();
+	const network = new PeerTransportStandin(clock);
+	const telemetry = createTelemetry({level: 'silent'});
+	const start = async (index: number, seeds: readonly string[], secret = 'secret'): Promise<Member> => {
+		const address = `10.0.0.${index}:1`;
+		const transport = network.open(address);
+		const membership = new Membership({
+			self: {
+				name: `r${index}`, zone: `z${index % 3}`, incarnation: `i${index}`, address,
+			}, clock, random: createRandom(index), telemetry, transport, secret,
+			readStatus: () => ({generation: index, ready: true, running: 0}), options: {seeds},
+		});
+		const heard: PeerMessage[] = [];
+		membership.bus.subscribe('leaving', message => {
+			heard.push(message);
+		});
+		const listener = await transport.listen(address, stream => {
+			membership.accept(stream);
+		});
+		const stopping = new AbortController();
+		const running = membership.run(stopping.signal);
+		return {
+			membership, address, heard,
+			async stop() {
+				stopping.abort();
+				await clock.advance(600);
+				await listener.close();
+				await running;
+			},
+		};
+	};
+
+	return {
+		clock, network, telemetry, start,
+	};
+}
+
+function countLive(member: Member): number {
+	return member.membership.listInstances().filter(({state}) => state === 'live').length;
+}
+
+async function startMany(fleet: ReturnType<typeof createFleet>, count: number): Promise<readonly Member[]> {
+	const members: Member[] = [];
+	for (let index = 1; index <= count; index++) {
+		members.push(await fleet.start(index, index === 1 ? [] : ['10.0.0.1:1']));
+	}
+
+	return members;
+}
+
+t.test('learns all instances from one seed', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 8);
+	t.ok(await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 8 && member.membership.bus.listNeighbours().length === 7), 5000, 10));
+	await fleet.clock.advance(1500);
+	t.same(members[0]!.membership.listInstances().map(({status}) => status?.generation).toSorted((a, b) => a! - b!), [1, 2, 3, 4, 5, 6, 7, 8]);
+});
+
+t.test('connections stay bounded among many', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 48);
+	t.ok(await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 48), 20_000, 100));
+	await fleet.clock.advance(15_000);
+	const degrees = members.map(member => member.membership.bus.listNeighbours().length);
+	t.ok(Math.max(...degrees) <= 20, `largest degree ${Math.max(...degrees)}`);
+	members[5]!.membership.bus.relay({kind: 'leaving', name: 'e1', incarnation: 'x'});
+	await fleet.clock.advance(100);
+	t.ok(members.every((member, index) => member.heard.length === (index === 5 ? 0 : 1)));
+});
+
+t.test('replaces a connection that went silent', async t => {
+	const fleet = createFleet();
+	const [a, b] = await startMany(fleet, 2);
+	await fleet.clock.advanceUntil(() => a!.membership.bus.listNeighbours().length === 1, 3000, 10);
+	await fleet.clock.advance(1000);
+	fleet.network.silence(a!.address, b!.address);
+	await fleet.clock.advance(6000);
+	a!.membership.bus.relay({kind: 'leaving', name: 'e1', incarnation: 'x'});
+	await fleet.clock.advance(50);
+	t.equal(b!.heard.length, 1);
+	t.ok(fleet.telemetry.read('peer_links_closed_total', {reason: 'silent'}) >= 1);
+});
+
+t.test('a crashed instance becomes gone', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 5);
+	await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 5), 5000, 10);
+	await members[4]!.stop();
+	t.ok(await fleet.clock.advanceUntil(() => members.slice(0, 4).every(member => member.membership.listInstances().length === 4), 10_000, 50));
+});
+
+t.test('one broken path does not make an instance gone', async t => {
+	const fleet = createFleet();
+	const [a, b, c] = await startMany(fleet, 3);
+	await fleet.clock.advanceUntil(() => [a!, b!, c!].every(member => countLive(member) === 3), 5000, 10);
+	fleet.network.setCut(a!.address, b!.address, true);
+	await fleet.clock.advance(20_000);
+	t.equal(a!.membership.listInstances().length, 3);
+	t.equal(b!.membership.listInstances().length, 3);
+	a!.membership.bus.relay({kind: 'leaving', name: 'e1', incarnation: 'x'});
+	await fleet.clock.advance(50);
+	t.equal(b!.heard.length, 1);
+});
+
+t.test('a partition heals', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 6);
+	await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 6), 5000, 10);
+	const cut = (isCut: boolean) => {
+		for (const left of members.slice(0, 3)) {
+			for (const right of members.slice(3)) {
+				fleet.network.setCut(left.address, right.address, isCut);
+			}
+		}
+	};
+
+	cut(true);
+	await fleet.clock.advance(60_000);
+	t.ok(members.every(member => member.membership.listInstances().length === 3));
+	cut(false);
+	t.ok(await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 6), 60_000, 100));
+});
+
+t.test('leaving reaches all and stays', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 4);
+	await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 4), 5000, 10);
+	members[2]!.membership.markLeaving();
+	await fleet.clock.advance(200);
+	t.ok(members.every(member => member.membership.listInstances().find(({name}) => name === 'r3')?.leaving));
+	members[2]!.membership.markGone();
+	await members[2]!.stop();
+	await fleet.clock.advance(200);
+	t.ok(members.filter((_, index) => index !== 2).every(member => member.membership.listInstances().length === 3));
+});
+
+t.test('another secret is kept out', async t => {
+	const fleet = createFleet();
+	const [a] = await startMany(fleet, 1);
+	const other = await fleet.start(9, [a!.address], 'another');
+	await fleet.clock.advance(5000);
+	t.equal(a!.membership.listInstances().length, 1);
+	t.equal(other.membership.listInstances().length, 1);
+	t.ok(fleet.telemetry.read('peer_links_closed_total', {reason: 'unauthenticated'}) >= 1);
+});
--- /dev/null
+++ b/packages/node/_peers.ts
@@ -0,0 +1,94 @@
+/** An instance's side of the inner protocol: its listener, membership, and the platform's list. */
+import {randomBytes} from 'node:crypto';
+import type {Settings} from './settings.ts';
+import type {Clock} from '#clock';
+import type {Random} from '#core';
+import {followList, Membership, type InstanceStatus} from '#membership';
+import {
+	createQuietBus, createTcpTransport, type PeerBus, type PeerStatus,
+} from '#peer-protocol';
+import type {Platform} from '#platform';
+import type {Telemetry} from '#telemetry';
+
+/** What the peers' side works with. */
+export type PeersDeps = Readonly<{
+	settings: Settings;
+	clock: Clock;
+	random: Random;
+	telemetry: Telemetry;
+	platform: Platform;
+	/** State that the heartbeats carry. */
+	readStatus: () => Omit<PeerStatus, 'membersDigest'>;
+}>;
+
+/** The peers as an instance sees them. */
+export type Peers = Readonly<{
+	bus: PeerBus;
+	/** `host:port` of the inner protocol; none without peers. */
+	address?: string;
+	listInstances(): readonly InstanceStatus[];
+	/** Whether this instance is one of `count` that do a shared duty. */
+	isAmongFirst(duty: string, count: number): boolean;
+	/** Tells the peers that this instance will stop. */
+	markLeaving(): void;
+	/** Tells the peers that this instance stops now, and ends all connections. */
+	stop(): Promise<void>;
+}>;
+
+const incarnationBytes = 16;
+
+/** Starts the peers' side; without `peers` in the settings, an instance is alone. */
+export async function startPeers(deps: PeersDeps): Promise<Peers> {
+	const {settings, clock, random, telemetry, platform, readStatus} = deps;
+	const incarnation = randomBytes(incarnationBytes).toString('hex');
+	const {name, zone, peers} = settings;
+	if (!peers) {
+		const self: InstanceStatus = {
+			name, zone, address: '', incarnation, state: 'live', leaving: false,
+		};
+		return {
+			bus: createQuietBus(),
+			listInstances: () => [{...self, status: readStatus()}],
+			isAmongFirst: () => true,
+			markLeaving() {
+				// There is nobody to tell.
+			},
+			async stop() {
+				// Nothing was started.
+			},
+		};
+	}
+
+	const transport = createTcpTransport();
+	const listener = await transport.listen(peers.listen, stream => {
+		membership.accept(stream);
+	});
+	const address = peers.advertise ?? listener.address;
+	const membership = new Membership({
+		self: {
+			name, zone, incarnation, address,
+		},
+		clock, random, telemetry, transport, secret: peers.secret, readStatus, options: {seeds: peers.seeds},
+	});
+	const stopping = new AbortController();
+	const tasks = [
+		membership.run(stopping.signal),
+		followList({
+			platform, membership, clock, random,
+		}, stopping.signal),
+	];
+	return {
+		bus: membership.bus, address,
+		listInstances: () => membership.listInstances(),
+		isAmongFirst: (duty, count) => membership.isAmongFirst(duty, count),
+		markLeaving() {
+			membership.markLeaving();
+		},
+		async stop() {
+			membership.markGone();
+			stopping.abort();
+			await Promise.all(tasks);
+			await listener.close();
+		},
+	};
+}
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -1,12 +1,13 @@
 /** A process's instance: a router with its HTTP servers. */
 import {randomInt} from 'node:crypto';
+import {startPeers, type Peers} from './_peers.ts';
 import {createRouter, type Router} from './router.ts';
 import type {Settings} from './settings.ts';
 import {createAdminApp} from '#admin';
 import {createSystemClock} from '#clock';
+import {createRandom} from '#core';
 import {createEntryApp} from '#entry';
 import {startHttpServer} from '#http';
-import {createQuietBus} from '#peer-protocol';
 import {createHttpPlatform} from '#platform';
 import {createHttpConnector} from '#targets';
 import {createTelemetry, type Telemetry} from '#telemetry';
@@ -19,6 +20,9 @@
 	address: string;
 	/** `host:port` that operators use. */
 	adminAddress: string;
+	/** `host:port` of the inner protocol; none without peers. */
+	peerAddress?: string;
+	peers: Peers;
 	/** Stops serving. */
 	stop(): Promise<void>;
 }>;
@@ -29,11 +33,17 @@
 export async function startInstance(settings: Settings): Promise<Instance> {
 	const clock = createSystemClock();
 	const telemetry = createTelemetry({name: settings.name, level: settings.logLevel});
-	const router = createRouter({
-		name: settings.name, zone: settings.zone, clock, seed: randomInt(seedBound), telemetry,
-		platform: createHttpPlatform(settings.platformOrigin, {token: settings.platformToken}),
-		connector: createHttpConnector(),
-		bus: createQuietBus(), reportPollMs: settings.reportPollMs,
+	const platform = createHttpPlatform(settings.platformOrigin, {token: settings.platformToken});
+	const readStatus = (from: Router) => ({
+		generation: from.configuration.current?.generation ?? 0, ready: from.configuration.current !== undefined, running: from.countRunning(),
+	});
+	const peers = await startPeers({
+		settings, clock, random: createRandom(randomInt(seedBound)), telemetry, platform, readStatus: () => readStatus(router),
+	});
+	const router: Router = createRouter({
+		name: settings.name, zone: settings.zone, clock, seed: randomInt(seedBound), telemetry, platform,
+		connector: createHttpConnector(), bus: peers.bus,
+		reportPollMs: settings.reportPollMs,
 	});
 	const entry = createEntryApp({
 		handle: router.handle, maxBodyBytes: settings.maxBodyBytes,
@@ -51,10 +61,12 @@
 	telemetry.log('instance started', {address, adminAddress});
 	return {
 		router, telemetry, address,
-		adminAddress,
+		adminAddress, peers,
+		...(peers.address === undefined ? {} : {peerAddress: peers.address}),
 		async stop() {
 			await Promise.all([callers.close(), operators.close()]);
 			await router.stop();
+			await peers.stop();
 			telemetry.log('instance stopped');
 		},
 	};
--- a/packages/node/settings.ts
+++ b/packages/node/settings.ts
@@ -6,6 +6,17 @@
 
 const listenSchema = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/v, 'must be an IPv4 number and a port, such as 127.0.0.1:8080');
 
+const peersSchema = z.strictObject({
+	/** Address for the other instances; port 0 takes a free one. */
+	listen: listenSchema,
+	/** Address by which the other instances reach this one. Default: the one that it listens on. */
+	advertise: listenSchema.optional(),
+	/** Secret that all instances of the deployment share; it authenticates them to each other. */
+	secret: z.string().min(16, 'must have at least 16 characters'),
+	/** Addresses of other instances to begin with; the platform's list and the peers name the rest. */
+	seeds: z.array(listenSchema).max(64).default([]),
+});
+
 /** Schema of the settings file. */
 export const settingsSchema = z.strictObject({
 	$schema: z.string().optional(),
@@ -25,6 +36,8 @@
 	maxBodyBytes: z.number().int().min(1024).max(67_108_864).default(4_194_304),
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: z.number().int().min(10).default(250),
+	/** The other instances. Without it, this one is alone. */
+	peers: peersSchema.optional(),
 	logLevel: z.enum(['silent', 'info', 'warn', 'error']).default('info'),
 });
 
--- /dev/null
+++ b/packages/peer-protocol/framing.test.ts
@@ -0,0 +1,78 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import t from 'tap';
+import {decodeValue, encodeValue} from './codec.ts';
+import {encodeFrame, FrameReader} from './framing.ts';
+import {SendQueue} from './send-queue.ts';
+
+function readAll(reader: FrameReader, maxBytes: number): readonly Uint8Array[] {
+	const payloads: Uint8Array[] = [];
+	for (;;) {
+		const taken = reader.take(maxBytes);
+		if (!taken.ok || !taken.value) {
+			return payloads;
+		}
+
+		payloads.push(taken.value);
+	}
+}
+
+t.test('frames survive any split of the stream', t => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 40}), {maxLength: 8}), fc.array(fc.integer({min: 1, max: 9}), {minLength: 1, maxLength: 20}), (payloads, sizes) => {
+		const stream = Buffer.concat(payloads.map(payload => encodeFrame(payload)));
+		const reader = new FrameReader();
+		const read: Uint8Array[] = [];
+		for (let at = 0, turn = 0; at < stream.length; turn++) {
+			const size = sizes[turn % sizes.length]!;
+			reader.push(stream.subarray(at, at + size));
+			read.push(...readAll(reader, 40));
+			at += size;
+		}
+
+		t.same(read.map(payload => [...payload]), payloads.map(payload => [...payload]));
+		t.notOk(reader.isInsideFrame);
+	}), {seed: 21});
+	t.end();
+});
+
+t.test('refuses a long frame by its header alone', t => {
+	const reader = new FrameReader();
+	reader.push(encodeFrame(new Uint8Array(41)).subarray(0, 4));
+	t.same(reader.take(40), {ok: false, error: 'oversized'});
+	t.end();
+});
+
+t.test('knows a cut inside a frame', t => {
+	const reader = new FrameReader();
+	reader.push(encodeFrame(new Uint8Array(8)).subarray(0, 7));
+	t.same(reader.take(40), {ok: true, value: undefined});
+	t.ok(reader.isInsideFrame);
+	t.end();
+});
+
+t.test('values survive the codec', t => {
+	const values = fc.oneof(fc.string(), fc.integer(), fc.boolean(), fc.double({noNaN: true}), fc.array(fc.string()), fc.dictionary(fc.string({minLength: 1}).filter(key => key !== '__proto__'), fc.integer()));
+	fc.assert(fc.property(values, value => {
+		t.same(decodeValue(encodeValue({value})), {ok: true, value: {value}});
+	}), {seed: 22});
+	t.end();
+});
+
+t.test('no bytes make the decoder throw', t => {
+	fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+		decodeValue(bytes);
+	}), {seed: 23, numRuns: 2000});
+	t.end();
+});
+
+t.test('a full queue drops periodic frames only', t => {
+	const queue = new SendQueue(30);
+	const make = (size: number, isPeriodic: boolean) => ({body: new Uint8Array(size), isPeriodic});
+	t.equal(queue.add(make(10, true)), 'queued');
+	t.equal(queue.add(make(12, false)), 'queued');
+	t.equal(queue.add(make(13, false)), 'dropped_oldest');
+	t.equal(queue.add(make(9, true)), 'dropped_oldest');
+	t.equal(queue.add(make(9, false)), 'full');
+	t.same([queue.take()?.length, queue.take()?.length, queue.take()], [12, 13, undefined]);
+	t.end();
+});
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -1,11 +1,21 @@
 /** The closed set of messages between instances, checked on arrival. */
 import {z} from 'zod';
+import {peerSchema} from './identity.ts';
 
 const maxNameLength = 200;
 const maxEntries = 4096;
 
 const nameSchema = z.string().max(maxNameLength);
 
+/** What is known of one instance; docs/design/membership.md states how records merge. */
+export const memberRecordSchema = z.object({
+	peer: peerSchema,
+	/** Rises each time the instance refutes that it is suspect or gone. */
+	version: z.number().int().min(0),
+	state: z.enum(['live', 'suspect', 'gone']),
+	leaving: z.boolean(),
+});
+
 /** Schema of every message. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
 	/** What the sender has in progress on targets. */
@@ -24,12 +34,15 @@
 	}),
 	/** A target or instance begins to leave. */
 	z.object({kind: z.literal('leaving'), name: nameSchema, incarnation: nameSchema}),
-	/** The newest configuration generation that the sender knows, with the fragments' checksums. */
-	z.object({
-		kind: z.literal('generation'), generation: z.number().int().min(0), fragments: z.record(nameSchema, nameSchema),
-	}),
+	/** The configuration generation in force at the sender. */
+	z.object({kind: z.literal('generation'), generation: z.number().int().min(0)}),
+	/** What the sender knows of other instances and of itself. */
+	z.object({kind: z.literal('members'), members: z.array(memberRecordSchema).max(maxEntries)}),
 ]);
 
+/** What is known of one instance. */
+export type MemberRecord = Readonly<z.infer<typeof memberRecordSchema>>;
+
 /** A message between instances. */
 export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
 
--- a/packages/peer-protocol/quiet-bus.ts
+++ b/packages/peer-protocol/quiet-bus.ts
@@ -1,10 +1,12 @@
 /** The bus of an instance that has no peers. */
 import type {PeerBus} from './bus.ts';
+import {fail} from '#core';
 
 /** Creates a bus that reaches nobody. */
 export function createQuietBus(): PeerBus {
 	return {
 		listPeers: () => [],
+		listNeighbours: () => [],
 		relay() {
 			// There is nobody to tell.
 		},
@@ -14,5 +16,9 @@
 		subscribe: () => () => {
 			// Nothing was subscribed.
 		},
+		request: async () => fail('no_link'),
+		answer() {
+			// Nobody asks.
+		},
 	};
 }
--- /dev/null
+++ b/packages/peer-protocol/tcp-transport.ts
@@ -0,0 +1,55 @@
+/** Byte streams between instances over TCP. */
+import {once} from 'node:events';
+import {createConnection, createServer, type Socket} from 'node:net';
+import type {PeerTransport} from './transport.ts';
+import {fail, succeed, toMessage} from '#core';
+
+/** Creates the transport over `node:net`. */
+export function createTcpTransport(): PeerTransport {
+	return {
+		async listen(address, accept) {
+			const [host, port] = address.split(':');
+			const sockets = new Set<Socket>();
+			const server = createServer({noDelay: true}, socket => {
+				sockets.add(socket);
+				socket.on('close', () => {
+					sockets.delete(socket);
+				});
+				accept(socket);
+			});
+			server.listen(Number(port), host);
+			await once(server, 'listening');
+			const bound = server.address();
+			if (bound === null || typeof bound === 'string') {
+				throw new Error(`the listener on ${address} has no port`);
+			}
+
+			return {
+				address: `${bound.address}:${bound.port}`,
+				async close() {
+					const closed = once(server, 'close');
+					server.close();
+					for (const socket of sockets) {
+						socket.destroy();
+					}
+
+					await closed;
+				},
+			};
+		},
+		async connect(address, signal) {
+			const [host, port] = address.split(':');
+			const socket = createConnection({host, port: Number(port), noDelay: true});
+			try {
+				await once(socket, 'connect', {signal});
+				return succeed(socket);
+			} catch (error) {
+				socket.on('error', () => {
+					// The failure was reported already.
+				});
+				socket.destroy();
+				return fail(toMessage(error));
+			}
+		},
+	};
+}
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -12,4 +12,5 @@
 export {startPlatformServer} from './platform-server.ts';
 export {startServiceServer} from './service-server.ts';
 export {writeAnswerText, countAnswerTokens} from './answer-text.ts';
+export {PeerTransportStandin, type PeerTransportOptions} from './peer-transport.ts';
 export {PeerNetworkStandin, type PeerNetworkOptions} from './peer-network.ts';
--- a/packages/standins/peer-network.ts
+++ b/packages/standins/peer-network.ts
@@ -1,9 +1,13 @@
 /** A network between instances in memory, with latency and partitions, for tests of what uses the bus. */
 import type {Clock} from '#clock';
-import type {Peer, PeerBus, PeerMessage} from '#peer-protocol';
+import {fail, succeed, type Result} from '#core';
+import type {
+	Peer, PeerBus, PeerMessage, PeerRequest, PeerRequestFailure, PeerResponse,
+} from '#peer-protocol';
 
 type Handler = (message: never, from: Peer) => void;
-type Member = Readonly<{peer: Peer; handlers: Map<string, Set<Handler>>}>;
+type Answerer = (request: never, from: Peer) => PeerResponse | undefined;
+type Member = Readonly<{peer: Peer; handlers: Map<string, Set<Handler>>; answerers: Map<string, Answerer>}>;
 
 /** Options of {@link PeerNetworkStandin}. */
 export type PeerNetworkOptions = Readonly<{
@@ -27,7 +31,7 @@
 
 	/** Adds an instance and gives it its bus. */
 	join(peer: Peer): PeerBus {
-		const member: Member = {peer, handlers: new Map()};
+		const member: Member = {peer, handlers: new Map(), answerers: new Map()};
 		this.#members.set(peer.name, member);
 		const send = (message: PeerMessage) => {
 			this.#sendToAll(peer, message);
@@ -35,6 +39,7 @@
 
 		return {
 			listPeers: () => this.#listReachable(peer.name).map(other => other.peer),
+			listNeighbours: () => this.#listReachable(peer.name).map(other => other.peer),
 			relay: send,
 			sample: send,
 			subscribe(kind, handler) {
@@ -45,6 +50,10 @@
 					handlers.delete(handler);
 				};
 			},
+			request: async (to, request) => this.#ask(to.name, peer, request) as never, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- answerers are kept by the request's own kind
+			answer(kind, answerer) {
+				member.answerers.set(kind, answerer);
+			},
 		};
 	}
 
@@ -66,6 +75,17 @@
 		return this.#cut.has(from) ? [] : [...this.#members.values()].filter(({peer}) => peer.name !== from && !this.#cut.has(peer.name));
 	}
 
+	async #ask(to: string, from: Peer, request: PeerRequest): Promise<Result<PeerResponse, PeerRequestFailure>> {
+		await this.#clock.sleep(2 * this.#latencyMs);
+		const member = this.#listReachable(from.name).find(({peer}) => peer.name === to);
+		if (!member) {
+			return fail('no_link');
+		}
+
+		const response = member.answerers.get(request.kind)?.(request as never, from); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- answerers are kept by the request's own kind
+		return response ? succeed(response) : fail('unanswered');
+	}
+
 	#sendToAll(from: Peer, message: PeerMessage): void {
 		for (const {peer} of this.#listReachable(from.name)) {
 			this.#clock.after(this.#latencyMs, () => {
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -15,12 +15,21 @@
 	attempts_total: {help: 'Attempts on targets, by pool and outcome.', labels: ['pool', 'outcome']},
 	prompt_tokens_total: {help: 'Prompt tokens sent to engines, by pool and whether the engine had them cached.', labels: ['pool', 'cached']},
 	configuration_changes_total: {help: 'Configuration generations that came into force.', labels: []},
+	peer_links_opened_total: {help: 'Authenticated connections to other instances.', labels: []},
+	peer_links_closed_total: {help: 'Ended connections to other instances, by reason.', labels: ['reason']},
+	peer_connect_failures_total: {help: 'Attempts to reach another instance that did not end in an authenticated connection.', labels: []},
+	peer_messages_total: {help: 'Messages heard from other instances, by kind.', labels: ['kind']},
+	peer_messages_dropped_total: {help: 'Periodic messages dropped because the queue to a peer was full.', labels: []},
+	peer_bytes_total: {help: 'Bytes exchanged with other instances, by direction.', labels: ['direction']},
+	members_suspected_total: {help: 'Instances that this one reported as not answering.', labels: []},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
 /** Gauges by name. */
 export const gaugeRules = {
 	configuration_generation: {help: 'Generation of the configuration in force.', labels: []},
+	peers_live: {help: 'Other instances believed to be live.', labels: []},
+	peers_linked: {help: 'Open connections to other instances.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
