Bench of placement policies on whole routers in virtual time

Cause: no policy could be compared on the same load. Change: `npm run -s bench -- placement`: eight routers, six engines in three zones, eight customers, nested prefixes, faults, four policies and an oracle.

--- /dev/null
+++ b/bench/_placement-faults.ts
@@ -0,0 +1,56 @@
+/** Faults that the placement bench brings about, each over the whole run. */
+import type {Cluster} from './_placement-cluster.ts';
+
+/** A fault as a schedule of actions; `durationMs` is the length of the run. */
+export type Fault = (cluster: Cluster, durationMs: number) => void;
+
+const downMs = 5000;
+const silenceEveryMs = 5000;
+
+/** Faults by name. */
+export const faults = {
+	none: () => undefined,
+	engineCrash(cluster, durationMs) {
+		for (const [index, engine] of [...cluster.engines.values()].slice(0, 3).entries()) {
+			const atMs = durationMs * (index + 1) / 4;
+			cluster.clock.after(atMs, () => {
+				engine.crash();
+			});
+			cluster.clock.after(atMs + downMs, () => {
+				engine.restart();
+			});
+		}
+	},
+	eventLoss(cluster) {
+		for (const engine of cluster.engines.values()) {
+			engine.loseEvents(0.3);
+		}
+	},
+	// The load itself shifts; see `shiftEveryMs`.
+	hotShift: () => undefined,
+	routerRestarts(cluster, durationMs) {
+		for (const part of [1, 2, 3]) {
+			cluster.clock.after(durationMs * part / 4, () => {
+				cluster.beginReplacement();
+			});
+		}
+	},
+	silentConnections(cluster) {
+		const engines = [...cluster.engines.values()];
+		let turn = 0;
+		cluster.clock.subscribe(silenceEveryMs, () => {
+			engines[turn++ % engines.length]!.silenceConnections();
+		});
+	},
+	platformOutage(cluster, durationMs) {
+		cluster.clock.after(durationMs / 4, () => {
+			cluster.platform.setDown(true);
+		});
+		cluster.clock.after(durationMs * 3 / 4, () => {
+			cluster.platform.setDown(false);
+		});
+	},
+} as const satisfies Readonly<Record<string, Fault>>;
+
+/** Name of a fault. */
+export type FaultName = keyof typeof faults;
--- /dev/null
+++ b/bench/_placement-run.ts
@@ -0,0 +1,113 @@
+/** One run of the placement bench: one policy, one load, one fault. */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Cluster, promisedFirstTokenMs, type ClusterOptions} from './_placement-cluster.ts';
+import type {Fault} from './_placement-faults.ts';
+import type {LoadRequest} from './_placement-load.ts';
+import type {AnswerEvent} from '#core';
+
+/** What a run measured. */
+export type PolicyFigures = Readonly<{
+	/** Share of prompt tokens that engines had cached. */
+	hitRate: number;
+	ttftMsP50: number;
+	ttftMsP95: number;
+	ttftMsP99: number;
+	/** Share of prompt tokens that were computed although some engine had computed them before. */
+	recomputedRatio: number;
+	/** Share of requests answered in full, the first token within the promised time. */
+	answeredInTimeRatio: number;
+}>;
+
+/** Options of {@link runPolicy}. */
+export type RunOptions = ClusterOptions & Readonly<{
+	load: readonly LoadRequest[];
+	durationMs: number;
+	/** Requests before this time are not counted. */
+	warmUpMs: number;
+	fault: Fault;
+}>;
+
+const drainMs = 20_000;
+const maxMs = 60_000;
+
+type Tally = {
+	readonly ttft: Histogram;
+	requests: number;
+	inTime: number;
+};
+
+/** Runs a load through a new cluster. */
+export async function runPolicy(options: RunOptions): Promise<PolicyFigures> {
+	const cluster = new Cluster(options);
+	await cluster.start();
+	const tally: Tally = {ttft: build({highestTrackableValue: maxMs * 10, numberOfSignificantValueDigits: 3}), requests: 0, inTime: 0};
+	options.fault(cluster, options.durationMs);
+	let before = readTokens(cluster);
+	cluster.clock.after(options.warmUpMs, () => {
+		before = readTokens(cluster);
+	});
+	for (const request of options.load) {
+		cluster.clock.after(request.atMs, () => {
+			void runRequest(cluster, request, request.atMs >= options.warmUpMs ? tally : undefined);
+		});
+	}
+
+	await cluster.clock.advance(options.durationMs + drainMs);
+	const figures = computeFigures(tally, before, readTokens(cluster));
+	await cluster.stop();
+	return figures;
+}
+
+type Tokens = Readonly<{cached: number; computed: number; imported: number; recomputed: number}>;
+
+function readTokens(cluster: Cluster): Tokens {
+	const engines = [...cluster.engines.values()];
+	return {
+		cached: engines.reduce((sum, engine) => sum + engine.cachedTokens, 0),
+		computed: engines.reduce((sum, engine) => sum + engine.prefilledTokens, 0),
+		imported: engines.reduce((sum, engine) => sum + engine.importedTokens, 0),
+		recomputed: cluster.recomputedTokens,
+	};
+}
+
+function computeFigures(tally: Tally, before: Tokens, after: Tokens): PolicyFigures {
+	const cached = after.cached - before.cached;
+	const total = cached + after.computed - before.computed + after.imported - before.imported;
+	return {
+		hitRate: cached / total,
+		ttftMsP50: tally.ttft.getValueAtPercentile(50) / 10,
+		ttftMsP95: tally.ttft.getValueAtPercentile(95) / 10,
+		ttftMsP99: tally.ttft.getValueAtPercentile(99) / 10,
+		recomputedRatio: (after.recomputed - before.recomputed) / total,
+		answeredInTimeRatio: tally.inTime / tally.requests,
+	};
+}
+
+async function runRequest(cluster: Cluster, request: LoadRequest, tally: Tally | undefined): Promise<void> {
+	const {clock, routers} = cluster;
+	const router = routers[Math.floor(request.pick * routers.length)]!;
+	const startMs = clock.now();
+	let ttftMs = maxMs;
+	let complete = false;
+	if (tally) {
+		tally.requests++;
+	}
+
+	const events: AsyncIterable<AnswerEvent> = router.handle({
+		route: 'chat', authorization: `Bearer ${request.customer}`, work: {
+			kind: 'chat', messages: request.messages, maxTokens: request.maxTokens, extra: {},
+		},
+	}, new AbortController().signal);
+	for await (const event of events) {
+		if (event.kind === 'data') {
+			ttftMs = Math.min(ttftMs, clock.now() - startMs);
+		}
+
+		complete ||= event.kind === 'end';
+	}
+
+	if (tally) {
+		tally.ttft.recordValue(Math.max(1, Math.round(ttftMs * 10)));
+		tally.inTime += complete && ttftMs <= promisedFirstTokenMs ? 1 : 0;
+	}
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,14 @@
 /** Benches by name: `npm run -s bench -- NAME [--json]`. */
 import process from 'node:process';
 import {Command} from 'commander';
+import {registerPlacementBench} from './placement.ts';
 import {prepareHash} from '#core';
 
 /** Creates the command line; each bench registers itself here. */
 function createBenchProgram(): Command {
 	const program = new Command('bench');
 	program.description('Measurements; figures of time live here and not in tests.');
+	registerPlacementBench(program);
 	return program;
 }
 
