Claim requests that may not be repeated on the platform before they run

Cause: a re-send of a movement ran it again, and nothing stood in the way of two instances running the same key. Change: a record per customer and key, created conditionally with a nonce before dispatch; re-sends follow the running job, get the kept answer, or are told that the outcome is unknown. Lost answers to conditional writes are recognised by reading back.

--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -22,6 +22,7 @@
 	idempotency_key_reused: {status: 422, ran: 'not_run', message: 'The Idempotency-Key was used with a different request.'},
 	outcome_unknown: {status: 409, ran: 'unknown', message: 'An earlier request with this Idempotency-Key may have run; its outcome is not known.'},
 	claim_in_progress: {status: 409, ran: 'unknown', message: 'A request with this Idempotency-Key is still running.'},
+	answer_not_kept: {status: 409, ran: 'ran', message: 'An earlier request with this Idempotency-Key ran; its answer was too large to keep.'},
 	claims_unavailable: {status: 503, ran: 'not_run', message: 'The platform that records calls that run at most once is unavailable.'},
 	rate_limited: {status: 429, ran: 'not_run', message: 'The customer is over its request rate.'},
 	concurrency_limited: {status: 429, ran: 'not_run', message: 'The customer has too many requests in progress.'},
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -6,6 +6,7 @@
 import {pollTargets} from './_poll-targets.ts';
 import {isRepeatable} from './_repeatable.ts';
 import {authenticate} from '#admission';
+import {Claims} from '#claims';
 import type {Clock} from '#clock';
 import {ConfigurationStore} from '#configuration';
 import {
@@ -63,6 +64,10 @@
 	const dispatcher = new Dispatcher({
 		clock, random, telemetry, views, placer, links,
 	});
+	const claims = new Claims({
+		clock, random, platform, telemetry, owner: {name: deps.name, incarnation: random.id()},
+		isLive: owner => deps.bus.listPeers().some(peer => peer.name === owner.name && peer.incarnation === owner.incarnation),
+	});
 	const stopping = new AbortController();
 	const tasks = [
 		configuration.run(stopping.signal),
@@ -95,7 +100,7 @@
 		telemetry.count('requests_total', labels);
 		telemetry.set('requests_running', ++running);
 		try {
-			yield * watchAnswer(dispatcher.run(ready, signal), ready);
+			yield * watchAnswer(claims.run(ready, signal, limited => dispatcher.run(ready, limited)), ready);
 		} finally {
 			telemetry.set('requests_running', --running);
 		}
@@ -123,6 +128,7 @@
 		configuration, views, handle,
 		countRunning: () => running,
 		async stop() {
+			await claims.stop();
 			stopping.abort();
 			await Promise.all(tasks);
 			await links.close();
--- /dev/null
+++ b/packages/platform/commit-change.ts
@@ -0,0 +1,58 @@
+/** A conditional update that recognises its own lost answer. */
+import type {Platform, PlatformFailure, StoredObject} from './platform.ts';
+import {fail, succeed, type Result} from '#core';
+
+/** A conditional update. */
+export type Change = Readonly<{
+	key: string;
+	/** Must hold a nonce, so that no other writer can have written the same text. */
+	value: string;
+	/** Version that the object must have; 0 means that it must not exist. */
+	ifVersion: number;
+}>;
+
+/** What became of a conditional update. */
+export type ChangeOutcome
+	= | Readonly<{kind: 'committed'; version: number}>
+		/** Another writer was first; `current` is absent where the object does not exist. */
+		| Readonly<{kind: 'conflict'; current?: StoredObject}>;
+
+const maxAttempts = 3;
+
+/**
+ * Commits a conditional update. After a lost answer or a conflict the object is
+ * read back: the same text means that the update took effect.
+ *
+ * @returns a failure of kind `unknown` where the update may have taken effect or may still do so
+ */
+export async function commitChange(platform: Platform, change: Change): Promise<Result<ChangeOutcome, PlatformFailure>> {
+	const {key, value, ifVersion} = change;
+	let isUncertain = false;
+	for (let attempt = 0; attempt < maxAttempts; attempt++) {
+		const put = await platform.put(key, value, {ifVersion});
+		if (put.ok) {
+			return succeed({kind: 'committed', version: put.value.version});
+		}
+
+		if (put.error.kind !== 'unknown' && put.error.kind !== 'conflict') {
+			return fail(isUncertain ? {...put.error, kind: 'unknown'} : put.error);
+		}
+
+		isUncertain ||= put.error.kind === 'unknown';
+		const stored = await platform.get(key);
+		if (!stored.ok) {
+			return fail(isUncertain ? {...stored.error, kind: 'unknown'} : stored.error);
+		}
+
+		const current = stored.value;
+		if (current?.value === value) {
+			return succeed({kind: 'committed', version: current.version});
+		}
+
+		if ((current?.version ?? 0) !== ifVersion) {
+			return succeed({kind: 'conflict', current});
+		}
+	}
+
+	return fail({kind: isUncertain ? 'unknown' : 'conflict', detail: `${key} could not be committed in ${maxAttempts} attempts`});
+}
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -6,3 +6,4 @@
 	InstanceEntry, Platform, PlatformFailure, PutOptions, StoredObject, WatchBatch,
 } from './platform.ts';
 export {createHttpPlatform, type HttpPlatformOptions} from './http-platform.ts';
+export {commitChange, type Change, type ChangeOutcome} from './commit-change.ts';
--- a/packages/platform/platform.ts
+++ b/packages/platform/platform.ts
@@ -5,6 +5,8 @@
 export type PlatformFailure = Readonly<{
 	kind: 'conflict' | 'unavailable' | 'unknown' | 'rate_limited' | 'too_large' | 'gone';
 	detail: string;
+	/** When the next call has a chance, in milliseconds; stated where calls are not sent for the time being. */
+	retryAfterMs?: number;
 }>;
 
 /** An object as it is stored. */
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -22,6 +22,8 @@
 	peer_messages_dropped_total: {help: 'Periodic messages dropped because the queue to a peer was full.', labels: []},
 	peer_bytes_total: {help: 'Bytes exchanged with other instances, by direction.', labels: ['direction']},
 	members_suspected_total: {help: 'Instances that this one reported as not answering.', labels: []},
+	claims_total: {help: 'Requests that may run at most once, by what became of their claim.', labels: ['result']},
+	claim_writes_total: {help: 'Attempts to record what became of a claim, by result.', labels: ['result']},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
