--- a/packages/claims/claims.test.ts
+++ b/packages/claims/claims.test.ts
@@ -4,9 +4,8 @@
 import {Claims, makeClaimKey, parseRecord} from './mod.ts';
 import {ManualClock} from '#clock';
 import {
-	createRandom, makeRefusal, type AnswerEvent, type Refusal, type RoutedRequest, type ServiceWork, type TargetCall,
+	createRandom, makeRefusal, type AnswerEvent, type Refusal, type RoutedRequest, type ServiceWork, type TargetCall, type TargetFailure,
 } from '#core';
-import {decideRetry} from '#dispatch';
 import {PlatformStandin, ServiceStandin, type Execution} from '#standins';
 import {createTelemetry} from '#telemetry';
 
@@ -85,7 +84,14 @@
 	};
 }
 
-/** Tries one member after the other by the retry table; ends without a word when aborted. */
+const faultRefusals: Readonly<Record<TargetFailure['outcome'], Refusal>> = {
+	notSent: makeRefusal('no_target'),
+	refused: makeRefusal('target_refused'),
+	failed: makeRefusal('target_failed'),
+	unknown: makeRefusal('target_lost'),
+};
+
+/** Tries one member after the other while nothing ran; ends without a word when aborted. */
 async function * runOnServices(services: readonly ServiceStandin[], request: RoutedRequest, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
 	let refusal: Refusal = makeRefusal('no_target');
 	for (const service of services) {
@@ -110,8 +116,7 @@
 	};
 	for await (const frame of service.run(call, signal)) {
 		if (frame.kind === 'fault') {
-			const {reason, ran} = decideRetry(frame.outcome, false);
-			return makeRefusal(reason, {ran});
+			return faultRefusals[frame.outcome];
 		}
 
 		yield frame.kind === 'head'
