--- a/packages/cli/demo.ts
+++ b/packages/cli/demo.ts
@@ -34,7 +34,7 @@
 	console.log(`published generation ${published.value.generation}`);
 	const routers = await startAll(2, async index => startInstance({
 		name: `router-${index + 1}`, zone: 'esbjerg', listen: '127.0.0.1:0', adminListen: '127.0.0.1:0',
-		platformOrigin: `http://${platform.address}`, maxBodyBytes: 4_194_304, reportPollMs: 250, logLevel: 'silent',
+		platformOrigin: `http://${platform.address}`, maxBodyBytes: 4_194_304, reportPollMs: 250, logLevel: 'silent', operatorTokenDigests: [],
 	}));
 	await waitForReady(clock, routers);
 	const answered = await sendRequests(routers);
