Administration API: operators' tokens, publishing, configuration in force, explanations

Each bound and refusal has a code from a closed list and a counter. Health, readiness and metrics stay open for the balancer and the collector; without operators nothing else is shown.

--- /dev/null
+++ b/packages/admin/_send.ts
@@ -0,0 +1,12 @@
+/** Refusals as JSON. */
+import type {Response} from 'express';
+import {adminRefusalRules, type AdminRefusal} from './refusals.ts';
+import type {Telemetry} from '#telemetry';
+
+/** Counts a refusal and answers with it. */
+export function sendAdminRefusal(res: Response, telemetry: Telemetry, refusal: AdminRefusal): void {
+	const {reason, detail, extra} = refusal;
+	const {status, message} = adminRefusalRules[reason];
+	telemetry.count('admin_refusals_total', {reason});
+	res.status(status).json({error: {code: reason, message: detail ? `${message} ${detail}` : message, ...extra}});
+}
--- a/packages/admin/mod.ts
+++ b/packages/admin/mod.ts
@@ -1,2 +1,3 @@
-/** The operators' side: health, readiness, status and metrics over HTTP. */
-export {createAdminApp, type AdminDeps} from './app.ts';
+/** The operators' side: health, readiness, status, publishing, explanations and metrics over HTTP. */
+export {createAdminApp, type AdminDeps, type ExplainQuery} from './app.ts';
+export {adminRefusalRules, type AdminRefusalReason} from './refusals.ts';
--- /dev/null
+++ b/packages/node/_explain.ts
@@ -0,0 +1,58 @@
+/** Says where a request would be sent right now, with every term of each target's rank. */
+import {
+	fail, succeed, type Configuration, type RefusalReason, type Result,
+} from '#core';
+import {makeChain, type Candidate, type Placer} from '#placement';
+
+/** A request whose placement is asked for. */
+export type ExplainRequest = Readonly<{
+	customer: string;
+	route: string;
+	messages: ReadonlyArray<Readonly<{role: string; content: string}>>;
+}>;
+
+/** The answer: candidates best first. */
+export type Explanation = Readonly<{
+	generation: number;
+	route: string;
+	pool: string;
+	customer: string;
+	promptTokens: number;
+	pieces: number;
+	/** Names of the pool's targets that may not be chosen at present. */
+	ineligible: readonly string[];
+	candidates: readonly Candidate[];
+}>;
+
+/** Ranks the targets of the route's pool for a request, without sending it. */
+export function explainPlacement(configuration: Configuration | undefined, placer: Placer, request: ExplainRequest): Result<Explanation, RefusalReason> {
+	if (!configuration) {
+		return fail('not_configured');
+	}
+
+	const customer = configuration.customers.get(request.customer);
+	if (!customer) {
+		return fail('unauthenticated');
+	}
+
+	const route = configuration.routes.get(request.route);
+	if (!route) {
+		return fail('route_unknown');
+	}
+
+	if (!customer.routes.includes(route.name)) {
+		return fail('route_not_allowed');
+	}
+
+	const pool = configuration.pools.get(route.pool)!;
+	const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
+	const chain = pool.kind === 'engine' ? makeChain(seed, request.messages, pool.pieceTokens) : undefined;
+	const candidates = placer.rank({pool, chain, excluded: new Set()});
+	const eligible = new Set(candidates.map(({target}) => target.name));
+	return succeed({
+		generation: configuration.generation, route: route.name, pool: pool.name, customer: customer.name,
+		promptTokens: chain?.totalTokens ?? 0, pieces: chain?.keys.length ?? 0,
+		ineligible: pool.targets.map(({name}) => name).filter(name => !eligible.has(name)),
+		candidates,
+	});
+}
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -53,6 +53,7 @@
 	});
 	const admin = createAdminApp({
 		name: settings.name, zone: settings.zone, telemetry, configuration: router.configuration, countRunning: router.countRunning,
+		platform, operatorTokenDigests: settings.operatorTokenDigests, explain: router.explain,
 	});
 	const callers = await startHttpServer(entry, settings.listen);
 	const operators = await startHttpServer(admin, settings.adminListen);
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -3,6 +3,7 @@
  * touches the outside is handed in, so that tests run it on stand-ins and a
  * manual clock.
  */
+import {explainPlacement, type ExplainRequest, type Explanation} from './_explain.ts';
 import {pollTargets} from './_poll-targets.ts';
 import {isRepeatable} from './_repeatable.ts';
 import {authenticate} from '#admission';
@@ -10,7 +11,7 @@
 import type {Clock} from '#clock';
 import {ConfigurationStore} from '#configuration';
 import {
-	createRandom, makeRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type RoutedRequest,
+	createRandom, makeRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type Result, type RoutedRequest,
 	type Route, type TargetConnector,
 } from '#core';
 import {Dispatcher, TargetLinks} from '#dispatch';
@@ -43,6 +44,8 @@
 	views: TargetViews;
 	/** Runs a caller's request. */
 	handle(request: CallerRequest, signal: AbortSignal): AsyncIterable<AnswerEvent>;
+	/** Says where a request would be sent and why. */
+	explain(request: ExplainRequest): Result<Explanation, RefusalReason>;
 	/** Requests in progress. */
 	countRunning(): number;
 	/** Stops all background tasks. */
@@ -126,6 +129,7 @@
 
 	return {
 		configuration, views, handle,
+		explain: request => explainPlacement(configuration.current, placer, request),
 		countRunning: () => running,
 		async stop() {
 			await claims.stop();
