--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -54,6 +54,7 @@
 	const admin = createAdminApp({
 		name: settings.name, zone: settings.zone, telemetry, configuration: router.configuration, countRunning: router.countRunning,
 		platform, operatorTokenDigests: settings.operatorTokenDigests, explain: router.explain,
+		readStatus: () => ({ready: router.configuration.current !== undefined, instances: peers.listInstances()}),
 	});
 	const callers = await startHttpServer(entry, settings.listen);
 	const operators = await startHttpServer(admin, settings.adminListen);
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -8,6 +8,7 @@
 
 /** Counters by name. */
 export const counterRules = {
+	admin_refusals_total: {help: 'Requests that the administration API refused, by reason.', labels: ['reason']},
 	requests_total: {help: 'Requests that arrived, by route and customer.', labels: ['route', 'customer']},
 	answers_total: {help: 'Requests answered in full, by route and customer.', labels: ['route', 'customer']},
 	refusals_total: {help: 'Refused or failed requests, by reason and run state.', labels: ['reason', 'ran']},
@@ -25,7 +26,6 @@
 	members_suspected_total: {help: 'Instances that this one reported as not answering.', labels: []},
 	claims_total: {help: 'Requests that may run at most once, by what became of their claim.', labels: ['result']},
 	claim_writes_total: {help: 'Attempts to record what became of a claim, by result.', labels: ['result']},
-	admin_refusals_total: {help: 'Requests that the administration API refused, by reason.', labels: ['reason']},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
