Capacity follows demand: lease, forecast, plan and orders per pool

Cause: nothing loaded or unloaded weights, so a pool stayed as it started. Random numbers come from a generator whose neighbouring seeds differ, and identifiers of real processes from the system's source. An engine without weights is not chosen.

--- a/bench/_placement-cluster.ts
+++ b/bench/_placement-cluster.ts
@@ -4,7 +4,9 @@
 import {digestKey} from '#admission';
 import {ManualClock} from '#clock';
 import {publishFragments} from '#configuration';
-import type {TargetCall, TargetFrame, TargetLink} from '#core';
+import {
+	createRandom, type TargetCall, type TargetFrame, type TargetLink,
+} from '#core';
 import {createRouter, type Router} from '#node';
 import type {PlacementPolicy} from '#placement';
 import {EngineStandin, PeerNetworkStandin, PlatformStandin} from '#standins';
@@ -112,7 +114,7 @@
 		const name = `r${index}-${this.#started++}`;
 		const zone = shape.zones[index % shape.zones.length]!;
 		return createRouter({
-			name, zone, clock: this.clock, seed: seed + this.#started, platform: this.platform, reportPollMs,
+			name, zone, clock: this.clock, random: createRandom(seed + this.#started), platform: this.platform, reportPollMs,
 			telemetry: createTelemetry({level: 'silent'}),
 			bus: this.#network.join({name, zone, incarnation: name}),
 			connector: {open: (_pool, target) => this.#makeLink(this.engines.get(target.name)!, target.zone === zone ? 0 : shape.zoneMs * 2)},
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -18,6 +18,6 @@
 export {
 	refusalRules, makeRefusal, type Refusal, type RefusalOptions, type RefusalReason, type RunState,
 } from './refusal.ts';
-export {createRandom, type Random} from './random.ts';
+export {createRandom, createSystemRandom, type Random} from './random.ts';
 export {Channel} from './channel.ts';
 export {hash64, prepareHash} from './hash.ts';
--- a/packages/core/random.ts
+++ b/packages/core/random.ts
@@ -1,5 +1,6 @@
-/** Seeded random numbers over `pure-rand`, so that every run can be repeated. */
-import {xoroshiro128plus, unsafeUniformIntDistribution} from 'pure-rand';
+/** Random numbers: seeded ones over `pure-rand`, so that a run can be repeated, and the system's own for identifiers. */
+import {randomBytes, randomInt} from 'node:crypto';
+import {mersenne, unsafeUniformIntDistribution} from 'pure-rand';
 
 /** A source of pseudo-random numbers. Not for secrets. */
 export type Random = Readonly<{
@@ -12,6 +13,8 @@
 }>;
 
 const unitSteps = 2 ** 30;
+const seedBound = 2 ** 31;
+const idBytes = 16;
 
 /**
  * Creates a generator.
@@ -24,7 +27,7 @@
  * ```
  */
 export function createRandom(seed: number): Random {
-	const generator = xoroshiro128plus(seed);
+	const generator = mersenne(seed);
 	const below = (bound: number) => unsafeUniformIntDistribution(0, bound - 1, generator);
 	const word = () => below(2 ** 32).toString(16).padStart(8, '0');
 	return {
@@ -33,3 +36,15 @@
 		id: () => word() + word() + word() + word(),
 	};
 }
+
+/**
+ * Creates the generator of a process in production: choices from a random seed,
+ * identifiers from the system's secure source, so that no two processes ever
+ * share one.
+ */
+export function createSystemRandom(): Random {
+	return {
+		...createRandom(randomInt(seedBound)),
+		id: () => randomBytes(idBytes).toString('hex'),
+	};
+}
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -1,11 +1,10 @@
 /** A process's instance: a router with its HTTP servers. */
-import {randomInt} from 'node:crypto';
 import {startPeers, type Peers} from './_peers.ts';
 import {createRouter, type Router} from './router.ts';
 import type {Settings} from './settings.ts';
 import {createAdminApp} from '#admin';
 import {createSystemClock} from '#clock';
-import {createRandom} from '#core';
+import {createSystemRandom} from '#core';
 import {createEntryApp} from '#entry';
 import {startHttpServer} from '#http';
 import {createHttpPlatform} from '#platform';
@@ -27,21 +26,20 @@
 	stop(): Promise<void>;
 }>;
 
-const seedBound = 2 ** 31;
-
 /** Starts an instance from its settings. */
 export async function startInstance(settings: Settings): Promise<Instance> {
 	const clock = createSystemClock();
 	const telemetry = createTelemetry({name: settings.name, level: settings.logLevel});
+	const random = createSystemRandom();
 	const platform = createHttpPlatform(settings.platformOrigin, {token: settings.platformToken});
 	const readStatus = (from: Router) => ({
 		generation: from.configuration.current?.generation ?? 0, ready: from.configuration.current !== undefined, running: from.countRunning(),
 	});
 	const peers = await startPeers({
-		settings, clock, random: createRandom(randomInt(seedBound)), telemetry, platform, readStatus: () => readStatus(router),
+		settings, clock, random, telemetry, platform, readStatus: () => readStatus(router),
 	});
 	const router: Router = createRouter({
-		name: settings.name, zone: settings.zone, clock, seed: randomInt(seedBound), telemetry, platform,
+		name: settings.name, zone: settings.zone, clock, random, telemetry, platform,
 		connector: createHttpConnector(), bus: peers.bus,
 		reportPollMs: settings.reportPollMs,
 	});
--- a/packages/node/router.test.ts
+++ b/packages/node/router.test.ts
@@ -5,7 +5,9 @@
 import {ManualClock} from '#clock';
 import {publishFragments} from '#configuration';
 import {createQuietBus} from '#peer-protocol';
-import {prepareHash, type AnswerEvent, type TargetLink} from '#core';
+import {
+	createRandom, prepareHash, type AnswerEvent, type TargetLink,
+} from '#core';
 import {
 	EngineStandin, PlatformStandin, ServiceStandin, writeAnswerText,
 } from '#standins';
@@ -44,7 +46,7 @@
 	await clock.advance(100);
 	await publishing;
 	const router = createRouter({
-		name: 'r1', zone: 'esbjerg', clock, seed: 7, platform, telemetry, reportPollMs: 100, bus: createQuietBus(),
+		name: 'r1', zone: 'esbjerg', clock, random: createRandom(7), platform, telemetry, reportPollMs: 100, bus: createQuietBus(),
 		connector: {open: (_pool, target) => byName.get(target.name)!},
 	});
 	await clock.advanceUntil(() => router.configuration.current !== undefined, 1000);
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -8,11 +8,12 @@
 import {isRepeatable} from './_repeatable.ts';
 import {authenticate} from '#admission';
 import {Claims} from '#claims';
+import {runCapacity} from '#capacity';
 import type {Clock} from '#clock';
 import {ConfigurationStore} from '#configuration';
 import {
-	createRandom, makeRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type Result, type RoutedRequest,
-	type Route, type TargetConnector,
+	makeRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type Result, type RoutedRequest,
+	type Route, type Random, type TargetConnector,
 } from '#core';
 import {Dispatcher, TargetLinks} from '#dispatch';
 import type {CallerRequest} from '#entry';
@@ -26,8 +27,7 @@
 	name: string;
 	zone: string;
 	clock: Clock;
-	/** Seed of the router's random choices. */
-	seed: number;
+	random: Random;
 	platform: Platform;
 	connector: TargetConnector;
 	bus: PeerBus;
@@ -56,8 +56,9 @@
 
 /** Wires a router and starts its background tasks. */
 export function createRouter(deps: RouterDeps): Router {
-	const {clock, telemetry, platform} = deps;
-	const random = createRandom(deps.seed);
+	const {
+		clock, telemetry, platform, random,
+	} = deps;
 	const configuration = new ConfigurationStore(platform, clock, telemetry);
 	const views = new TargetViews();
 	const links = new TargetLinks(deps.connector);
@@ -77,6 +78,11 @@
 		pollTargets({
 			configuration, views, links, clock, pollMs: deps.reportPollMs,
 		}, stopping.signal),
+		runCapacity({
+			name: deps.name, clock, random, telemetry, platform, bus: deps.bus, configuration,
+			getLink: (pool, target) => links.get(pool, target),
+			countWaiting: () => 0,
+		}, stopping.signal),
 	];
 	let running = 0;
 
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -32,6 +32,11 @@
 		kind: z.literal('demand'),
 		customers: z.array(z.object({customer: nameSchema, requestsPerSecond: z.number(), concurrent: z.number()})).max(maxEntries),
 	}),
+	/** Requests that wait at the sender, by pool. */
+	z.object({
+		kind: z.literal('pressure'),
+		pools: z.array(z.object({pool: nameSchema, waiting: z.number()})).max(maxEntries),
+	}),
 	/** A target or instance begins to leave. */
 	z.object({kind: z.literal('leaving'), name: nameSchema, incarnation: nameSchema}),
 	/** The configuration generation in force at the sender. */
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -49,7 +49,7 @@
 export function chooseTarget(query: PlacementQuery): readonly Candidate[] {
 	const affinity = query.chain?.keys[0] ?? '';
 	return query.pool.targets
-		.filter(target => !query.excluded.has(target.name) && !query.views.get(target.name).leaving)
+		.filter(target => !query.excluded.has(target.name) && isUsable(query, target))
 		.map(target => ({candidate: rate(query, target), hash: hash64(`${affinity}|${target.name}`)}))
 		.toSorted((a, b) => {
 			const gap = a.candidate.totalMs - b.candidate.totalMs;
@@ -58,6 +58,13 @@
 		.map(({candidate}) => candidate);
 }
 
+/** A target that leaves takes no new request, nor does an engine that reports no weights. */
+function isUsable({pool, views}: PlacementQuery, target: Target): boolean {
+	const {leaving, report} = views.get(target.name);
+	const isEmpty = pool.kind === 'engine' && report !== undefined && report.weights === undefined;
+	return !leaving && !isEmpty;
+}
+
 function rate(query: PlacementQuery, target: Target): Candidate {
 	const view = query.views.get(target.name);
 	const cachedTokens = countCachedTokens(query.chain, view);
--- a/packages/scenario/_host.ts
+++ b/packages/scenario/_host.ts
@@ -1,7 +1,7 @@
 /** One router of a scenario, wired to the stand-ins through its lifeline. */
 import {Lifeline} from './_lifeline.ts';
 import type {Clock} from '#clock';
-import type {TargetLink} from '#core';
+import {createRandom, type TargetLink} from '#core';
 import {createRouter, type Router} from '#node';
 import type {PlatformStandin, PeerNetworkStandin} from '#standins';
 import {createTelemetry, type Telemetry} from '#telemetry';
@@ -36,7 +36,7 @@
 	const router = createRouter({
 		name: deps.name,
 		zone: deps.zone,
-		seed: deps.seed,
+		random: createRandom(deps.seed),
 		telemetry,
 		reportPollMs,
 		clock: lifeline.wrapClock(deps.clock),
--- a/packages/scenario/_lifeline.ts
+++ b/packages/scenario/_lifeline.ts
@@ -4,6 +4,7 @@
  * lifeline, which holds it back while the router is paused, and for good once
  * it is dead.
  */
+import {setMaxListeners} from 'node:events';
 import type {Cancel, Clock} from '#clock';
 import type {
 	Result, TargetCall, TargetConnector, TargetFrame, TargetLink,
@@ -19,6 +20,10 @@
 	#state: State = 'running';
 	#held: Array<() => void> = [];
 
+	constructor() {
+		setMaxListeners(0, this.#died.signal);
+	}
+
 	get state(): State {
 		return this.#state;
 	}
--- a/packages/scenario/_steps-check.ts
+++ b/packages/scenario/_steps-check.ts
@@ -71,8 +71,17 @@
 	loads: world => world.weightStore.mostAtOnce,
 	/** `figure loaded VERSION …`: engines that serve a weights version. */
 	loaded: (world, step) => [...world.engines.values()].filter(engine => !engine.down && engine.weights === getWord(step, 1, 'a version')).length,
+	/** `figure orders ENGINE …`: orders that took effect on an engine. */
+	orders: (world, step) => world.getEngine(getWord(step, 1, 'an engine')).orders.length,
 	/** `figure generation ROUTER …`: generation in force. */
 	generation: (world, step) => world.getRouter(getWord(step, 1, 'a router')).router.configuration.current?.generation ?? 0,
+	/** `figure answered FLOW …`: share of a flow's calls that were answered in full. */
+	answered: (world, step) => shareOf(world, step, call => call.state === 'answered'),
+	/** `figure in-time FLOW TIME …`: share of a flow's calls whose answer began in time and ended. */
+	'in-time'(world, step) {
+		const limitMs = parseTime(getWord(step, 2, 'a time'));
+		return shareOf(world, step, call => call.state === 'answered' && (call.firstByteMs ?? Infinity) - call.startedMs <= limitMs);
+	},
 	/** `figure counter ROUTER NAME [label=value…] …` */
 	counter: (world, step) => readCounter(world, step),
 };
@@ -119,6 +128,16 @@
 	},
 };
 
+function shareOf(world: World, step: Step, isCounted: (call: CallerCall) => boolean): number {
+	const flow = getWord(step, 1, 'a flow');
+	const calls = [...world.calls].filter(([name]) => name.startsWith(`${flow}.`)).map(([, call]) => call);
+	if (calls.length === 0) {
+		throw new ScenarioError(`flow "${flow}" has sent nothing`);
+	}
+
+	return calls.filter(call => isCounted(call)).length / calls.length;
+}
+
 function isWithin(value: number, step: Step): boolean {
 	const read = (name: string) => {
 		const text = step.options.get(name);
--- a/packages/scenario/_steps-traffic.ts
+++ b/packages/scenario/_steps-traffic.ts
@@ -14,15 +14,12 @@
 export const trafficSteps: StepTable = {
 	/** `chat CALL ROUTER customer=C route=R "PROMPT"… [tokens=N]`: each quoted text is one message. */
 	chat(world, step) {
-		const messages = step.words.slice(2).map((content, index) => ({role: index === 0 ? 'system' : 'user', content: expandText(content)}));
+		const messages = step.words.slice(2).map(content => expandText(content));
 		if (messages.length === 0) {
 			throw new ScenarioError('a chat needs at least one message');
 		}
 
-		const tokens = step.options.get('tokens');
-		sendCall(world, step, {
-			kind: 'chat', messages, maxTokens: tokens === undefined ? defaultTokens : parseNumber(tokens), extra: {},
-		});
+		sendCall(world, step, makeChat(step, messages));
 	},
 
 	/** `call CALL ROUTER METHOD /PATH customer=C route=R [key=K] [body=TEXT]` */
@@ -33,6 +30,20 @@
 		});
 	},
 
+	/** `flow NAME ROUTER… customer=C route=R rate=PER-SECOND for=TIME prompt=TEXT [tokens=N]`: chats at an even rate, whatever becomes of them. */
+	flow(world, step) {
+		const [name = '', ...routers] = step.words;
+		const everyMs = 1000 / parseNumber(step.options.get('rate') ?? '1');
+		const count = Math.floor(parseTime(step.options.get('for') ?? '1s') / everyMs);
+		for (let index = 0; index < count; index++) {
+			world.clock.after(index * everyMs, () => {
+				const router = routers[index % routers.length]!;
+				const messages = [expandText(step.options.get('prompt') ?? 'hello'), `question ${index}`];
+				sendCall(world, {...step, words: [`${name}.${index}`, router]}, makeChat(step, messages));
+			});
+		}
+	},
+
 	/** `leave CALL`: the caller goes away. */
 	leave(world, step) {
 		world.getCall(getWord(step, 0, 'a call')).leave();
@@ -67,6 +78,16 @@
 	},
 };
 
+function makeChat(step: Step, messages: readonly string[]): Work {
+	const tokens = step.options.get('tokens');
+	return {
+		kind: 'chat',
+		messages: messages.map((content, index) => ({role: index === 0 ? 'system' : 'user', content})),
+		maxTokens: tokens === undefined ? defaultTokens : parseNumber(tokens),
+		extra: {},
+	};
+}
+
 function sendCall(world: World, step: Step, work: Work): void {
 	const name = getWord(step, 0, 'a call name');
 	const host = world.getRouter(getWord(step, 1, 'a router'));
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -26,6 +26,8 @@
 	members_suspected_total: {help: 'Instances that this one reported as not answering.', labels: []},
 	claims_total: {help: 'Requests that may run at most once, by what became of their claim.', labels: ['result']},
 	claim_writes_total: {help: 'Attempts to record what became of a claim, by result.', labels: ['result']},
+	capacity_orders_total: {help: 'Orders to engines, by pool, kind and result.', labels: ['pool', 'kind', 'result']},
+	lease_changes_total: {help: 'Leases taken, released and superseded, by lease.', labels: ['lease', 'event']},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
@@ -34,6 +36,8 @@
 	configuration_generation: {help: 'Generation of the configuration in force.', labels: []},
 	peers_live: {help: 'Other instances believed to be live.', labels: []},
 	peers_linked: {help: 'Open connections to other instances.', labels: []},
+	capacity_wanted: {help: 'Engines that the plan wants loaded, by pool; set by the holder of the lease.', labels: ['pool']},
+	capacity_serving: {help: 'Engines that are loaded, by pool; set by the holder of the lease.', labels: ['pool']},
 	requests_running: {help: 'Requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
