Configuration relay, planned stop, warm start

Cause: each instance read the platform alone and a stop cut what ran. Leaving targets are relayed with their incarnation.

--- a/packages/admin/app.ts
+++ b/packages/admin/app.ts
@@ -31,6 +31,8 @@
 	explain: (query: ExplainQuery) => Result<unknown, RefusalReason>;
 	/** Further fields of the status. Default: none. */
 	readStatus?: () => Readonly<Record<string, unknown>>;
+	/** Whether the balancer should send requests. Default: once there is a configuration. */
+	isReady?: () => boolean;
 }>;
 
 const maxMessages = 4096;
@@ -100,7 +102,7 @@
 		res.json({status: 'ok'});
 	});
 	app.get('/readyz', (_req, res) => {
-		const ready = deps.configuration.current !== undefined;
+		const ready = deps.isReady?.() ?? deps.configuration.current !== undefined;
 		res.status(ready ? 200 : 503).json({ready});
 	});
 	app.get('/metrics', async (_req, res) => {
--- a/packages/cli/serve.ts
+++ b/packages/cli/serve.ts
@@ -21,6 +21,7 @@
 
 	const instance = await startInstance(settings.value);
 	await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+	await instance.drain();
 	await instance.stop();
 	process.exit(); // eslint-disable-line unicorn/no-process-exit
 }
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -11,5 +11,5 @@
 } from './publish.ts';
 export {readHead, type Head} from './head.ts';
 export {makeServiceFileSchema} from './json-schema.ts';
-export {ConfigurationStore} from './store.ts';
+export {ConfigurationStore, type ConfigurationStoreOptions} from './store.ts';
 export {headKey, fragmentPrefix} from './keys.ts';
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -46,6 +46,8 @@
 	secret: string;
 	/** State that the heartbeats carry. */
 	readStatus: () => Omit<PeerStatus, 'membersDigest'>;
+	/** Called with each heartbeat of a neighbour. */
+	heard?: (peer: Peer, status: PeerStatus) => void;
 	options?: MembershipOptions;
 }>;
 
@@ -342,6 +344,7 @@
 				this.#links.receive(link, envelope);
 				if (envelope.type === 'heartbeat') {
 					this.#resync(link, envelope.status.membersDigest);
+					this.#deps.heard?.(link.peer!, envelope.status);
 				}
 			},
 		};
--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -5,9 +5,9 @@
 import type {Random} from '#core';
 import {followList, Membership, type InstanceStatus} from '#membership';
 import {
-	createQuietBus, createTcpTransport, type PeerBus, type PeerStatus,
+	createQuietBus, createTcpTransport, type Peer, type PeerBus, type PeerStatus,
 } from '#peer-protocol';
-import type {Platform} from '#platform';
+import type {InstanceEntry, Platform} from '#platform';
 import type {Telemetry} from '#telemetry';
 
 /** What the peers' side works with. */
@@ -19,11 +19,17 @@
 	platform: Platform;
 	/** State that the heartbeats carry. */
 	readStatus: () => Omit<PeerStatus, 'membersDigest'>;
+	/** Called with each heartbeat of a neighbour. */
+	heard: (peer: Peer, status: PeerStatus) => void;
+	/** Called with each list of instances that the platform gave. */
+	listed: (entries: readonly InstanceEntry[]) => void;
 }>;
 
 /** The peers as an instance sees them. */
 export type Peers = Readonly<{
 	bus: PeerBus;
+	/** Random for each start of the process. */
+	incarnation: string;
 	/** `host:port` of the inner protocol; none without peers. */
 	address?: string;
 	listInstances(): readonly InstanceStatus[];
@@ -47,7 +53,7 @@
 			name, zone, address: '', incarnation, state: 'live', leaving: false,
 		};
 		return {
-			bus: createQuietBus(),
+			bus: createQuietBus(), incarnation,
 			listInstances: () => [{...self, status: readStatus()}],
 			isAmongFirst: () => true,
 			markLeaving() {
@@ -68,17 +74,17 @@
 		self: {
 			name, zone, incarnation, address,
 		},
-		clock, random, telemetry, transport, secret: peers.secret, readStatus, options: {seeds: peers.seeds},
+		clock, random, telemetry, transport, secret: peers.secret, readStatus, heard: deps.heard, options: {seeds: peers.seeds},
 	});
 	const stopping = new AbortController();
 	const tasks = [
 		membership.run(stopping.signal),
 		followList({
-			platform, membership, clock, random,
+			platform, membership, clock, random, listed: deps.listed,
 		}, stopping.signal),
 	];
 	return {
-		bus: membership.bus, address,
+		bus: membership.bus, incarnation, address,
 		listInstances: () => membership.listInstances(),
 		isAmongFirst: (duty, count) => membership.isAmongFirst(duty, count),
 		markLeaving() {
--- a/packages/node/_poll-targets.ts
+++ b/packages/node/_poll-targets.ts
@@ -13,6 +13,8 @@
 	clock: Clock;
 	/** Time between reads of one target, in milliseconds. */
 	pollMs: number;
+	/** Called when a target's report was taken in. */
+	reported: (target: string) => void;
 }>;
 
 const readTimeoutMs = 1000;
@@ -69,6 +71,7 @@
 		const report = await link.readReport(limited);
 		if (report.ok) {
 			views.applyReport(target.name, report.value);
+			deps.reported(target.name);
 		}
 
 		if (report.ok && pool.kind === 'engine') {
--- a/packages/node/instance.test.ts
+++ b/packages/node/instance.test.ts
@@ -1,9 +1,15 @@
 import t from 'tap';
+import {fetch} from 'undici';
 import {startInstance, type Instance} from './instance.ts';
 import {parseSettings} from './settings.ts';
+import {digestKey} from '#admission';
 import {createSystemClock, ManualClock} from '#clock';
+import {publishFragments} from '#configuration';
 import {prepareHash} from '#core';
-import {PlatformStandin, startPlatformServer} from '#standins';
+import {createHttpPlatform} from '#platform';
+import {
+	EngineStandin, PlatformStandin, startEngineServer, startPlatformServer,
+} from '#standins';
 
 const limitMs = 20_000;
 
@@ -22,7 +28,7 @@
 async function start(name: string, platformOrigin: string, seeds: readonly string[]): Promise<Instance> {
 	const settings = parseSettings(JSON.stringify({
 		name, zone: 'esbjerg', listen: '127.0.0.1:0', adminListen: '127.0.0.1:0', platformOrigin, logLevel: 'silent',
-		peers: {listen: '127.0.0.1:0', secret: 'a secret of sixteen', seeds},
+		stop: {balancerMs: 300, drainMs: 60_000}, peers: {listen: '127.0.0.1:0', secret: 'a secret of sixteen', seeds},
 	}));
 	if (!settings.ok) {
 		throw new Error(JSON.stringify(settings.error));
@@ -42,3 +48,50 @@
 	await first.stop();
 	await platform.destroy();
 });
+
+t.test('a planned stop cuts no request', async t => {
+	const clock = createSystemClock();
+	const platform = await startPlatformServer(new PlatformStandin(clock));
+	const engine = await startEngineServer(new EngineStandin(clock, {seed: 1, model: 'm', weights: 'v1'}));
+	const platformOrigin = `http://${platform.address}`;
+	const published = await publishFragments(createHttpPlatform(platformOrigin), [{
+		file: 'stock.json', text: JSON.stringify({
+			service: 'stock', routes: [{name: 'chat', pool: 'language'}],
+			pools: [{
+				name: 'language', kind: 'engine', model: 'm', weights: 'v1', targets: [{name: 'e1', address: engine.address, zone: 'esbjerg'}],
+			}],
+			customers: [{
+				name: 'installer', keyDigests: [digestKey('key')], routes: ['chat'], limit: {requestsPerSecond: 100},
+			}],
+		}),
+	}]);
+	t.ok(published.ok);
+	const instance = await start('r1', platformOrigin, []);
+	const ask = async (tokens: number) => {
+		const answer = await fetch(`http://${instance.address}/v1/chat/completions`, {
+			method: 'POST', headers: {'content-type': 'application/json', authorization: 'Bearer key'},
+			body: JSON.stringify({
+				model: 'chat', stream: true, max_tokens: tokens, messages: [{role: 'user', content: 'hej'}],
+			}),
+		});
+		return {status: answer.status, text: await answer.text(), connection: answer.headers.get('connection')};
+	};
+
+	t.ok(await waitFor(() => instance.lifecycle.isReady));
+	const long = ask(150);
+	t.ok(await waitFor(() => instance.router.countRunning() === 1));
+	const draining = instance.drain();
+	const ready = await fetch(`http://${instance.adminAddress}/readyz`);
+	t.equal(ready.status, 503);
+	const late = await ask(1);
+	t.match(late, {status: 200, connection: 'close'});
+	t.ok(await waitFor(() => instance.lifecycle.phase === 'refusing'));
+	const refused = await ask(1);
+	t.equal(refused.status, 503);
+	t.match(refused.text, 'stopping');
+	await draining;
+	await instance.stop();
+	const whole = await long;
+	t.match(whole.text, '[DONE]');
+	await Promise.all([platform.destroy(), engine.destroy()]);
+});
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -4,3 +4,9 @@
 } from './settings.ts';
 export {createRouter, type Router, type RouterDeps} from './router.ts';
 export {startInstance, type Instance} from './instance.ts';
+export {
+	Lifecycle, type HandOver, type LifecycleDeps, type Phase,
+} from './lifecycle.ts';
+export {
+	provideSnapshots, restoreState, type StrikeRecord, type WarmStartDeps,
+} from './warm-start.ts';
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -5,6 +5,7 @@
  */
 import {explainPlacement, type ExplainRequest, type Explanation} from './_explain.ts';
 import {pollTargets} from './_poll-targets.ts';
+import {LeavingRelay} from './_relay-leaving.ts';
 import {isRepeatable} from './_repeatable.ts';
 import {authenticate} from '#admission';
 import {Claims} from '#claims';
@@ -19,19 +20,23 @@
 import type {CallerRequest} from '#entry';
 import {Placer, TargetViews, type PlacementPolicy} from '#placement';
 import type {PeerBus} from '#peer-protocol';
-import type {Platform} from '#platform';
+import type {InstanceEntry, Platform} from '#platform';
 import type {Telemetry} from '#telemetry';
 
 /** What a router is made of. */
 export type RouterDeps = Readonly<{
 	name: string;
 	zone: string;
+	/** Incarnation by which the peers know this instance. Default: a random one. */
+	incarnation?: string;
 	clock: Clock;
 	random: Random;
 	platform: Platform;
 	connector: TargetConnector;
 	bus: PeerBus;
 	telemetry: Telemetry;
+	/** Whether this instance watches the configuration on the platform at present. Default: always. */
+	isWatcher?: () => boolean;
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: number;
 	/** Default: the placement package's own. */
@@ -48,6 +53,8 @@
 	explain(request: ExplainRequest): Result<Explanation, RefusalReason>;
 	/** Requests in progress. */
 	countRunning(): number;
+	/** Takes in the platform's list of instances. */
+	readList(entries: readonly InstanceEntry[]): void;
 	/** Stops all background tasks. */
 	stop(): Promise<void>;
 }>;
@@ -59,8 +66,9 @@
 	const {
 		clock, telemetry, platform, random,
 	} = deps;
-	const configuration = new ConfigurationStore(platform, clock, telemetry);
+	const configuration = new ConfigurationStore(platform, clock, telemetry, {bus: deps.bus, isWatcher: deps.isWatcher});
 	const views = new TargetViews();
+	const leaving = new LeavingRelay(deps.bus, views);
 	const links = new TargetLinks(deps.connector);
 	const placer = new Placer({
 		views, clock, random, zone: deps.zone, choose: deps.choose,
@@ -69,7 +77,7 @@
 		clock, random, telemetry, views, placer, links,
 	});
 	const claims = new Claims({
-		clock, random, platform, telemetry, owner: {name: deps.name, incarnation: random.id()},
+		clock, random, platform, telemetry, owner: {name: deps.name, incarnation: deps.incarnation ?? random.id()},
 		isLive: owner => deps.bus.listPeers().some(peer => peer.name === owner.name && peer.incarnation === owner.incarnation),
 	});
 	const stopping = new AbortController();
@@ -77,6 +85,9 @@
 		configuration.run(stopping.signal),
 		pollTargets({
 			configuration, views, links, clock, pollMs: deps.reportPollMs,
+			reported(target) {
+				leaving.check(target);
+			},
 		}, stopping.signal),
 		runCapacity({
 			name: deps.name, clock, random, telemetry, platform, bus: deps.bus, configuration,
@@ -137,6 +148,9 @@
 		configuration, views, handle,
 		explain: request => explainPlacement(configuration.current, placer, request),
 		countRunning: () => running,
+		readList(entries) {
+			leaving.readList(entries);
+		},
 		async stop() {
 			await claims.stop();
 			stopping.abort();
--- a/packages/node/settings.ts
+++ b/packages/node/settings.ts
@@ -23,6 +23,13 @@
 	seeds: z.array(listenSchema).max(64).default([]),
 });
 
+const stopSchema = z.strictObject({
+	/** Time after which the balancer has surely turned away from an instance that is not ready, in milliseconds. */
+	balancerMs: z.number().int().min(0).max(600_000).default(15_000),
+	/** Longest time for which running requests are waited for, in milliseconds. */
+	drainMs: z.number().int().min(0).max(86_400_000).default(4_500_000),
+});
+
 /** Schema of the settings file. */
 export const settingsSchema = z.strictObject({
 	$schema: z.string().optional(),
@@ -46,6 +53,8 @@
 	peers: peersSchema.optional(),
 	/** SHA-256 digests of the operators' bearer tokens. Without one, the administration API shows health and metrics only. */
 	operatorTokenDigests: z.array(digestSchema).max(64).default([]),
+	/** Bounds of a planned stop. Default: those of its fields. */
+	stop: stopSchema.optional(),
 	logLevel: z.enum(['silent', 'info', 'warn', 'error']).default('info'),
 });
 
@@ -55,6 +64,9 @@
 /** A variable prefix: `APRICOTDOOR_MAX_BODY_BYTES` replaces `maxBodyBytes` of the file. */
 export const environmentPrefix = 'APRICOTDOOR_';
 
+/** Bounds of a planned stop where the settings name none. */
+export const defaultStop = stopSchema.parse({});
+
 /** Variables with the prefix that are read by other verbs than `serve`. */
 const otherVariables = new Set(['APRICOTDOOR_ADMIN_TOKEN']);
 
--- /dev/null
+++ b/packages/node/warm-start.test.ts
@@ -0,0 +1,103 @@
+import t from 'tap';
+import {provideSnapshots, restoreState, type WarmStartDeps} from './warm-start.ts';
+import {ManualClock} from '#clock';
+import {ConfigurationStore, publishFragments} from '#configuration';
+import {createRandom} from '#core';
+import {TargetViews} from '#placement';
+import {PeerNetworkStandin, PlatformStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+const file = {
+	file: 'stock.json', text: JSON.stringify({
+		service: 'stock', customers: [], routes: [], pools: [{name: 'ledger', kind: 'service', targets: [{name: 's1', address: '10.0.0.1:1', zone: 'esbjerg'}]}],
+	}),
+};
+
+function createFleet() {
+	const clock = new ManualClock();
+	const platform = new PlatformStandin(clock);
+	const network = new PeerNetworkStandin(clock);
+	const telemetry = createTelemetry({level: 'silent'});
+	const stopping = new AbortController();
+	const start = (index: number) => {
+		const name = `r${index}`;
+		const bus = network.join({name, zone: 'esbjerg', incarnation: name});
+		const configuration = new ConfigurationStore(platform, clock, telemetry, {bus});
+		const state = {isReady: false};
+		const deps: WarmStartDeps = {
+			clock, random: createRandom(index), telemetry, bus, configuration, views: new TargetViews(), isReady: () => state.isReady,
+		};
+		provideSnapshots(deps);
+		void configuration.run(stopping.signal);
+		void restoreState(deps, true, stopping.signal).then(() => {
+			state.isReady = true;
+		});
+		return {...deps, state};
+	};
+
+	return {
+		clock, platform, telemetry, stopping, start,
+	};
+}
+
+async function publish(clock: ManualClock, platform: PlatformStandin): Promise<void> {
+	const published = publishFragments(platform, [file]);
+	await clock.advance(100);
+	await published;
+}
+
+t.test('a restarted instance knows the targets\' caches before it is ready', async t => {
+	const {clock, platform, stopping, start} = createFleet();
+	await publish(clock, platform);
+	const first = start(1);
+	t.ok(await clock.advanceUntil(() => first.state.isReady, 8000, 20));
+	first.views.applyPrefill('e1', 'i1', ['k1', 'k2']);
+	const second = start(2);
+	t.ok(await clock.advanceUntil(() => second.state.isReady, 8000, 20));
+	t.same([...second.views.get('e1').cached], ['k1', 'k2']);
+	t.equal(second.views.get('e1').incarnation, 'i1');
+	stopping.abort();
+});
+
+t.test('a herd with nobody ready starts from the platform', async t => {
+	const {clock, platform, stopping, start} = createFleet();
+	await publish(clock, platform);
+	const herd = Array.from({length: 8}, (_, index) => start(index + 1));
+	t.ok(await clock.advanceUntil(() => herd.every(({state}) => state.isReady), 15_000, 20));
+	stopping.abort();
+});
+
+t.test('a herd does not take its snapshots all at once', async t => {
+	const {clock, platform, telemetry, stopping, start} = createFleet();
+	await publish(clock, platform);
+	const first = start(0);
+	await clock.advanceUntil(() => first.state.isReady, 8000, 20);
+	const taken = () => telemetry.read('snapshots_total', {result: 'taken'});
+	const before = taken();
+	const herd = Array.from({length: 24}, (_, index) => start(index + 1));
+	await clock.advance(200);
+	t.ok(taken() - before <= 4, `${taken() - before} in 200 ms`);
+	t.ok(await clock.advanceUntil(() => herd.every(({state}) => state.isReady), 15_000, 20));
+	stopping.abort();
+});
+
+t.test('all restarted while the platform is down: ready once it is back', async t => {
+	const {clock, platform, stopping, start} = createFleet();
+	await publish(clock, platform);
+	platform.setDown(true);
+	const herd = Array.from({length: 4}, (_, index) => start(index + 1));
+	await clock.advance(30_000);
+	t.notOk(herd.some(({state}) => state.isReady));
+	platform.setDown(false);
+	t.ok(await clock.advanceUntil(() => herd.every(({state}) => state.isReady), 3000, 20));
+	stopping.abort();
+});
+
+t.test('all restarted while the platform is slow', async t => {
+	const {clock, platform, stopping, start} = createFleet();
+	await publish(clock, platform);
+	platform.slowDown(400);
+	const herd = Array.from({length: 4}, (_, index) => start(index + 1));
+	t.ok(await clock.advanceUntil(() => herd.every(({state}) => state.isReady), 10_000, 20));
+	stopping.abort();
+});
--- a/packages/peer-protocol/requests.ts
+++ b/packages/peer-protocol/requests.ts
@@ -30,9 +30,9 @@
 	z.object({kind: z.literal('fragment'), text: z.string().max(maxFragmentLength)}),
 	z.object({
 		kind: z.literal('snapshot'),
-		/** Cached piece keys of each target, outermost first. */
+		/** Cached piece keys of each target, after the cache event of the given number. */
 		targets: z.array(z.object({
-			target: nameSchema, incarnation: nameSchema, leaving: z.boolean(), keys: z.array(nameSchema).max(maxKeysPerTarget),
+			target: nameSchema, incarnation: nameSchema, leaving: z.boolean(), sequence: z.number(), keys: z.array(nameSchema).max(maxKeysPerTarget),
 		})).max(maxTargets),
 		strikes: z.array(z.object({fingerprint: nameSchema, strikes: z.number().int().min(0), untilWallMs: z.number()})).max(maxStrikes),
 	}),
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -3,7 +3,7 @@
  * and load, and the choice of a target for a request.
  */
 export {makeChain, type PromptChain} from './chain.ts';
-export {TargetViews, type TargetView} from './views.ts';
+export {TargetViews, type TargetSummary, type TargetView} from './views.ts';
 export {chooseTarget, type Candidate, type PlacementQuery} from './choose.ts';
 export {
 	judgeHead, type AnswerHead, type HeadVerdict, type JudgeContext,
--- a/packages/placement/views.ts
+++ b/packages/placement/views.ts
@@ -13,6 +13,17 @@
 	leaving: boolean;
 }>;
 
+/** What one instance tells another about a target. */
+export type TargetSummary = Readonly<{
+	target: string;
+	incarnation: string;
+	leaving: boolean;
+	/** Number of the newest cache event that is covered. */
+	sequence: number;
+	/** Piece keys believed to be cached. */
+	keys: readonly string[];
+}>;
+
 type Entry = {
 	name: string;
 	incarnation: string;
@@ -69,6 +80,35 @@
 		}
 	}
 
+	/**
+	 * The cached keys of every target, for an instance that starts.
+	 *
+	 * @param maxKeys most keys in all; each target gets an equal part
+	 */
+	exportSummaries(maxKeys: number): readonly TargetSummary[] {
+		const known = [...this.#entries.values()].filter(({incarnation}) => incarnation !== '');
+		const share = Math.floor(maxKeys / Math.max(1, known.length));
+		return known.map(({name, incarnation, leaving, sequence, cached}) => ({
+			target: name, incarnation, leaving, sequence, keys: [...cached].slice(0, share),
+		}));
+	}
+
+	/** Takes in a summary, unless this instance has heard of the target's other incarnation or of newer cache events. */
+	importSummary(summary: TargetSummary): void {
+		const entry = this.#find(summary.target);
+		const isOther = entry.incarnation !== '' && entry.incarnation !== summary.incarnation;
+		if (isOther || entry.sequence > summary.sequence) {
+			return;
+		}
+
+		entry.incarnation = summary.incarnation;
+		entry.sequence = summary.sequence;
+		entry.leaving ||= summary.leaving;
+		for (const key of summary.keys) {
+			entry.cached.add(key);
+		}
+	}
+
 	/** Sequence number after which the next cache events are wanted. */
 	getSequence(name: string): number {
 		return this.#find(name).sequence;
