Quarantine: strikes after crashes, turns of struck requests, refusal at the second crash

Cause: a request that crashes its target was retried on target after target, and its caller's re-sends did the same through other instances. Change: a lost connection is probed; a refused connect or another incarnation is a crash, which leaves a strike by fingerprint on what was in flight, merged with the peers by union; struck requests take turns, one a target; an attempt under way is recalled before its first byte when a peer sees the crash. Conclusion: three routers, nine sendings of one poisonous request, six engines: at most two crashes and all 24 innocent answers exact (fleet.test.ts).

--- a/packages/dispatch/_attempt.ts
+++ b/packages/dispatch/_attempt.ts
@@ -21,7 +21,12 @@
 }>;
 
 /** Where an attempt runs. */
-export type AttemptPlace = Readonly<{placement: Placement; link: TargetLink}>;
+export type AttemptPlace = Readonly<{
+	placement: Placement;
+	link: TargetLink;
+	/** Takes the attempt back while nothing of it was delivered. */
+	recall: AbortSignal;
+}>;
 
 type Fault = Extract<TargetFrame, {kind: 'fault'}>;
 
@@ -35,11 +40,11 @@
 /** Runs an attempt; ends with nothing when the answer is complete or the caller has left. */
 export async function * runAttempt(deps: AttemptDeps, place: AttemptPlace, progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, AttemptEnd | undefined> {
 	const {views, placer, clock} = deps;
-	const {placement, link} = place;
+	const {placement, link, recall} = place;
 	const {target} = placement;
 	const call = makeCall(deps, placement, progress);
 	const controller = new AbortController();
-	const limited = AbortSignal.any([signal, controller.signal]);
+	const limited = AbortSignal.any([signal, recall, controller.signal]);
 	const reader = new FrameReader(link.run(call, limited), clock, limited);
 	let answered = false;
 	let incarnation = call.incarnation ?? '';
@@ -56,7 +61,7 @@
 			const read = await reader.read(getLimitMs);
 			const frame = checkRead(read, call);
 			if (typeof frame === 'string') {
-				return makeEnd(frame);
+				return makeEnd(frame === 'deadline' && !signal.aborted ? 'struck' : frame);
 			}
 
 			if (frame.kind === 'fault') {
--- a/packages/dispatch/_progress.ts
+++ b/packages/dispatch/_progress.ts
@@ -5,6 +5,7 @@
 } from './retry.ts';
 import type {RefusalReason, RoutedRequest, RunState} from '#core';
 import type {PromptChain} from '#placement';
+import {makeFingerprint} from '#quarantine';
 
 /** How an attempt ended. */
 export type AttemptEnd = Readonly<{
@@ -26,6 +27,8 @@
 	readonly request: RoutedRequest;
 	readonly chain: PromptChain | undefined;
 	readonly answer: Answer;
+	/** Recognises the request when it is sent again. */
+	readonly fingerprint: string;
 	/** Targets that are not tried again in this round. */
 	readonly excluded = new Set<string>();
 	ran: RunState = 'not_run';
@@ -43,6 +46,7 @@
 		this.request = request;
 		this.chain = chain;
 		this.answer = answer;
+		this.fingerprint = makeFingerprint(request);
 		this.needsFresh = !request.repeatable;
 	}
 
--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -6,6 +6,7 @@
 import {runAttempt, type AttemptDeps} from './_attempt.ts';
 import {CallAnswer} from './_call-answer.ts';
 import {ChatAnswer} from './_chat-answer.ts';
+import {CrashGuard, type Admission, type GuardDeps} from './_crash-guard.ts';
 import type {TargetLinks} from './links.ts';
 import {Progress, type AttemptEnd} from './_progress.ts';
 import {RetryBudget} from './retry-budget.ts';
@@ -16,7 +17,7 @@
 import {makeChain, type Placement, type PromptChain} from '#placement';
 
 /** What a dispatcher works with. */
-export type DispatcherDeps = AttemptDeps & Readonly<{
+export type DispatcherDeps = AttemptDeps & GuardDeps & Readonly<{
 	links: TargetLinks;
 }>;
 
@@ -40,11 +41,13 @@
 	readonly #deps: DispatcherDeps;
 	readonly #maxBytes: number;
 	readonly #budget: RetryBudget;
+	readonly #guard: CrashGuard;
 
 	constructor(deps: DispatcherDeps, options: DispatcherOptions = {}) {
 		this.#deps = deps;
 		this.#maxBytes = options.maxAnswerBytes ?? 8_388_608;
 		this.#budget = options.budget ?? new RetryBudget();
+		this.#guard = new CrashGuard(deps);
 	}
 
 	/**
@@ -81,20 +84,20 @@
 	}
 
 	async * #runAttempts(progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, Refusal | undefined> {
-		const {links, telemetry} = this.#deps;
-		const {pool} = progress.request;
-		this.#budget.recordAttempt(pool.name);
-		let placement = this.#choose(progress);
-		while (placement) {
-			const link = links.get(pool, placement.target);
-			const end = yield * runAttempt(this.#deps, {placement, link}, progress, signal);
-			telemetry.count('attempts_total', {pool: pool.name, outcome: end ? causeRules[end.cause].outcome : 'answered'});
+		this.#budget.recordAttempt(progress.request.pool.name);
+		let wanted = this.#choose(progress);
+		while (wanted && this.#guard.readRefusalMs(progress) === 0) {
+			const admission = await this.#guard.enter(wanted, progress, signal);
+			if (!admission) {
+				break;
+			}
+
+			const end = yield * this.#runAdmitted(admission, progress, signal);
 			if (!end) {
 				return undefined;
 			}
 
-			progress.recordEnd(end);
-			placement = await this.#chooseNext(placement, end, progress, signal);
+			wanted = await this.#chooseNext(admission.placement, end, progress, signal);
 		}
 
 		const empty = progress.answer.takeEmpty();
@@ -103,7 +106,38 @@
 			return undefined;
 		}
 
-		return makeRefusal(progress.reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? refusalRetryMs});
+		return this.#refuse(progress, signal);
+	}
+
+	async * #runAdmitted({placement, recall, leave}: Admission, progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, AttemptEnd | undefined> {
+		const {links, telemetry} = this.#deps;
+		const {pool} = progress.request;
+		const place = {placement, link: links.get(pool, placement.target), recall};
+		try {
+			const end = yield * runAttempt(this.#deps, place, progress, signal);
+			telemetry.count('attempts_total', {pool: pool.name, outcome: end ? causeRules[end.cause].outcome : 'answered'});
+			if (!end) {
+				this.#guard.recordCompletion(progress);
+				return undefined;
+			}
+
+			const classified = await this.#guard.classifyEnd(end, place, progress, signal);
+			progress.recordEnd(classified);
+			return classified;
+		} finally {
+			leave();
+		}
+	}
+
+	/** A quarantined request is never said not to have run: an earlier sending of it has. */
+	#refuse(progress: Progress, signal: AbortSignal): Refusal {
+		const quarantineMs = this.#guard.readRefusalMs(progress);
+		if (quarantineMs > 0) {
+			return makeRefusal('quarantined', {ran: progress.ran === 'not_run' ? 'unknown' : progress.ran, retryAfterMs: quarantineMs});
+		}
+
+		const reason = signal.aborted ? 'deadline_exceeded' : progress.reason;
+		return makeRefusal(reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? refusalRetryMs});
 	}
 
 	#choose({request, chain, excluded}: Progress): Placement | undefined {
--- a/packages/dispatch/retry.ts
+++ b/packages/dispatch/retry.ts
@@ -35,6 +35,10 @@
 	crashed: {
 		outcome: 'unknown', reason: 'target_lost', place: 'other', budgeted: true,
 	},
+	/** Another instance saw a target crash under the same request; this one is taken back before its first byte. */
+	struck: {
+		outcome: 'unknown', reason: 'target_lost', place: 'other', budgeted: false,
+	},
 	/** The connection was lost. */
 	lost: {
 		outcome: 'unknown', reason: 'target_lost', place: 'same', budgeted: true,
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -21,6 +21,7 @@
 import {Placer, TargetViews, type PlacementPolicy} from '#placement';
 import type {PeerBus} from '#peer-protocol';
 import type {InstanceEntry, Platform} from '#platform';
+import {Quarantine, StruckTurns} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
 /** What a router is made of. */
@@ -73,8 +74,12 @@
 	const placer = new Placer({
 		views, clock, random, zone: deps.zone, choose: deps.choose,
 	});
+	const quarantine = new Quarantine({
+		clock, random, telemetry, bus: deps.bus,
+	});
+	const turns = new StruckTurns({clock, random, bus: deps.bus});
 	const dispatcher = new Dispatcher({
-		clock, random, telemetry, views, placer, links,
+		clock, random, telemetry, views, placer, links, quarantine, turns,
 	});
 	const claims = new Claims({
 		clock, random, platform, telemetry, owner: {name: deps.name, incarnation: deps.incarnation ?? random.id()},
@@ -154,6 +159,8 @@
 		async stop() {
 			await claims.stop();
 			stopping.abort();
+			quarantine.close();
+			turns.close();
 			await Promise.all(tasks);
 			await links.close();
 		},
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -4,6 +4,7 @@
 
 const maxNameLength = 200;
 const maxEntries = 4096;
+const maxCrashes = 16;
 
 const nameSchema = z.string().max(maxNameLength);
 
@@ -23,9 +24,14 @@
 		kind: z.literal('sent'),
 		targets: z.array(z.object({target: nameSchema, requests: z.number(), tokens: z.number()})).max(maxEntries),
 	}),
-	/** A request's fingerprint was in flight on a target that crashed, or completed after all. */
+	/** Crashes of targets while a request with this fingerprint was in flight there, and those that a completed run has cleared. */
 	z.object({
-		kind: z.literal('strike'), fingerprint: nameSchema, strikes: z.number().int().min(0), untilWallMs: z.number(),
+		kind: z.literal('strike'), fingerprint: nameSchema, crashes: z.array(nameSchema).max(maxCrashes), cleared: z.array(nameSchema).max(maxCrashes),
+		untilWallMs: z.number(),
+	}),
+	/** A struck request begins, goes on with or ends its turn on a target. */
+	z.object({
+		kind: z.literal('turn'), turn: nameSchema, fingerprint: nameSchema, target: nameSchema, order: z.number().int().min(0), runs: z.boolean(),
 	}),
 	/** Demand and use of customers at the sender. */
 	z.object({
--- /dev/null
+++ b/packages/quarantine/fleet.test.ts
@@ -0,0 +1,89 @@
+import {Buffer} from 'node:buffer';
+import t from 'tap';
+import {digestKey} from '#admission';
+import {ManualClock} from '#clock';
+import {publishFragments} from '#configuration';
+import {prepareHash, type AnswerEvent, type TargetLink} from '#core';
+import {createRouter} from '#node';
+import {
+	EngineStandin, PeerNetworkStandin, PlatformStandin, writeAnswerText,
+} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+t.before(prepareHash);
+
+const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
+const file = {
+	service: 'stock',
+	pools: [{
+		name: 'language', kind: 'engine', model: 'm', weights: 'v1', targets: names.map((name, index) => ({name, address: `10.0.0.${index + 1}:1`, zone: 'esbjerg'})),
+	}],
+	routes: [{name: 'chat', pool: 'language'}],
+	customers: [{
+		name: 'installer', keyDigests: [digestKey('key')], routes: ['chat'], limit: {requestsPerSecond: 1000, concurrent: 1000},
+	}],
+};
+
+async function start(count: number) {
+	const clock = new ManualClock();
+	const platform = new PlatformStandin(clock);
+	const network = new PeerNetworkStandin(clock);
+	const engines = new Map(names.map((name, index) => [name, new EngineStandin(clock, {seed: index + 1, model: 'm', weights: 'v1'})]));
+	const publishing = publishFragments(platform, [{file: 'stock.json', text: JSON.stringify(file)}]);
+	await clock.advance(100);
+	await publishing;
+	const routers = Array.from({length: count}, (_, index) => {
+		const name = `r${index}`;
+		return createRouter({
+			name, zone: 'esbjerg', clock, seed: index + 1, platform, reportPollMs: 100, telemetry: createTelemetry({level: 'silent'}),
+			bus: network.join({name, zone: 'esbjerg', incarnation: name}),
+			connector: {open: (_pool, target): TargetLink => engines.get(target.name)!},
+		});
+	});
+	await clock.advanceUntil(() => routers.every(router => router.configuration.current !== undefined), 2000);
+	await clock.advance(300);
+	const send = (router: number, content: string) => {
+		const work = {
+			kind: 'chat', messages: [{role: 'user', content}], maxTokens: 30, extra: {},
+		} as const;
+		const events: AnswerEvent[] = [];
+		void (async () => {
+			for await (const event of routers[router]!.handle({route: 'chat', authorization: 'Bearer key', work}, new AbortController().signal)) {
+				events.push(event);
+			}
+		})();
+
+		return {work, events};
+	};
+
+	const countCrashes = () => [...engines.values()].reduce((sum, engine) => sum + engine.crashes, 0);
+	return {
+		clock, engines, send, countCrashes,
+	};
+}
+
+const readBytes = (events: readonly AnswerEvent[]) => Buffer.concat(events.flatMap(event => event.kind === 'data' ? [event.bytes] : []));
+
+t.test('a request that crashes targets ends two of them at most, and the innocent are answered', async t => {
+	const {clock, send, countCrashes} = await start(3);
+	const innocent = Array.from({length: 24}, (_, index) => send(index % 3, `question ${index}`));
+	const poisonous = [0, 1, 2].map(router => send(router, 'open the gate !!crash!!'));
+	await clock.advance(20);
+	for (let again = 0; again < 6; again++) {
+		await clock.advance(300);
+		poisonous.push(send(again % 3, 'open the gate !!crash!!'));
+	}
+
+	await clock.advance(25_000);
+	t.ok(countCrashes() <= 2, `${countCrashes()} crashes`);
+	for (const {events} of poisonous) {
+		const last = events.at(-1);
+		t.equal(last?.kind === 'refused' && last.refusal.reason, 'quarantined');
+		t.not(last?.kind === 'refused' && last.refusal.ran, 'not_run');
+	}
+
+	for (const {work, events} of innocent) {
+		t.equal(events.at(-1)?.kind, 'end');
+		t.same(readBytes(events), Buffer.concat(writeAnswerText(work)));
+	}
+});
--- /dev/null
+++ b/packages/quarantine/quarantine.test.ts
@@ -0,0 +1,75 @@
+import t from 'tap';
+import {Quarantine, type QuarantineOptions} from './quarantine.ts';
+import {ManualClock} from '#clock';
+import {createRandom} from '#core';
+import {PeerNetworkStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+function start(options: QuarantineOptions = {}) {
+	const clock = new ManualClock();
+	const network = new PeerNetworkStandin(clock);
+	const join = (name: string) => new Quarantine({
+		clock, random: createRandom(name.length), telemetry: createTelemetry({level: 'silent'}), bus: network.join({name, zone: 'z', incarnation: name}),
+	}, options);
+	return {clock, network, join};
+}
+
+t.test('quarantines at the second crash, for a time', async t => {
+	const {clock, join} = start({holdMs: 1000});
+	const quarantine = join('a');
+	quarantine.recordCrash('f', 'e1', 'i1');
+	t.equal(quarantine.readRefusalMs('f'), 0);
+	quarantine.recordCrash('f', 'e2', 'i2');
+	t.equal(quarantine.readRefusalMs('f'), 1000);
+	await clock.advance(1000);
+	t.equal(quarantine.readRefusalMs('f'), 0);
+	t.equal(quarantine.countStrikes('f'), 0);
+});
+
+t.test('counts one crash once that several instances saw', async t => {
+	const {clock, join} = start();
+	const [a, b] = [join('a'), join('b')];
+	a.recordCrash('f', 'e1', 'i1');
+	b.recordCrash('f', 'e1', 'i1');
+	await clock.advance(10);
+	t.same([a.countStrikes('f'), b.countStrikes('f')], [1, 1]);
+	b.recordCrash('f', 'e1', 'i2');
+	await clock.advance(10);
+	t.same([a.countStrikes('f'), b.countStrikes('f')], [2, 2]);
+});
+
+t.test('clears strikes at every instance, and they do not come back', async t => {
+	const {clock, network, join} = start();
+	const [a, b] = [join('a'), join('b')];
+	a.recordCrash('f', 'e1', 'i1');
+	await clock.advance(10);
+	network.setCut('b', true);
+	a.recordCompletion('f');
+	await clock.advance(10);
+	network.setCut('b', false);
+	await clock.advance(20_000);
+	t.same([a.countStrikes('f'), b.countStrikes('f')], [0, 0]);
+});
+
+t.test('tells an instance that has just started', async t => {
+	const {clock, join} = start();
+	const a = join('a');
+	a.recordCrash('f', 'e1', 'i1');
+	a.recordCrash('f', 'e2', 'i1');
+	await clock.advance(1000);
+	const late = join('late');
+	await clock.advance(16_000);
+	t.ok(late.readRefusalMs('f') > 0);
+});
+
+t.test('keeps a bounded number of fingerprints', async t => {
+	const {join} = start({maxEntries: 100});
+	const quarantine = join('a');
+	for (let index = 0; index < 1000; index++) {
+		quarantine.recordCrash(`f${index}`, 'e1', 'i1');
+	}
+
+	t.equal(quarantine.size, 100);
+	t.equal(quarantine.countStrikes('f999'), 1);
+	t.equal(quarantine.countStrikes('f0'), 0);
+});
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -14,3 +14,4 @@
 export {writeAnswerText, countAnswerTokens} from './answer-text.ts';
 export {PeerTransportStandin, type PeerTransportOptions} from './peer-transport.ts';
 export {PeerNetworkStandin, type PeerNetworkOptions} from './peer-network.ts';
+export {ScriptedTarget, type AttemptScript} from './scripted-target.ts';
