--- a/packages/dispatch/dispatcher.test.ts
+++ b/packages/dispatch/dispatcher.test.ts
@@ -12,7 +12,7 @@
 	EngineStandin, ScriptedTarget, ServiceStandin, writeAnswerText,
 } from '#standins';
 import {createQuietBus} from '#peer-protocol';
-import {Quarantine, StruckTurns} from '#quarantine';
+import {makeFingerprint, Quarantine, StruckTurns} from '#quarantine';
 import {createTelemetry} from '#telemetry';
 
 t.before(prepareHash);
@@ -52,11 +52,11 @@
 	const placer = new Placer({
 		views, clock, random, zone: 'z',
 	});
+	const quarantine = new Quarantine({
+		clock, random, telemetry, bus,
+	});
 	const dispatcher = new Dispatcher({
-		clock, random, telemetry, views, placer, links,
-		quarantine: new Quarantine({
-			clock, random, telemetry, bus,
-		}),
+		clock, random, telemetry, views, placer, links, quarantine,
 		turns: new StruckTurns({clock, random, bus}),
 	}, options);
 	const leave = new AbortController();
@@ -68,7 +68,7 @@
 	};
 
 	return {
-		clock, telemetry, views, dispatcher, leave, events, run,
+		clock, telemetry, views, quarantine, dispatcher, leave, events, run,
 	};
 }
 
@@ -355,3 +355,24 @@
 	t.equal(rig.events.at(-1)?.kind, 'end');
 	t.equal(s1.ledger.length + s2.ledger.length, 1);
 });
+
+t.test('takes an attempt back when the same request crashed a target elsewhere', async t => {
+	async function * wait(call: TargetCall): AsyncGenerator<TargetFrame> {
+		await clock.sleep(200);
+		yield * whole(call);
+	}
+
+	const clock = new ManualClock();
+	const a = new ScriptedTarget(wait);
+	const {run, events, quarantine, telemetry} = start({a, b: a}, {clock});
+	const done = run();
+	await clock.advance(100);
+	quarantine.recordCrash(makeFingerprint(makeRequest(['a', 'b'])), 'c', 'i1');
+	await clock.advance(150);
+	t.same(events, [], 'the first attempt delivers nothing any more');
+	await clock.advance(500);
+	await done;
+	t.equal(readBytes(events).toString(), 'abc');
+	t.equal(telemetry.read('retries_total', {reason: 'struck'}), 1);
+	t.equal(quarantine.countStrikes(makeFingerprint(makeRequest(['a', 'b']))), 0, 'completion clears the strike');
+});
--- a/packages/quarantine/fleet.test.ts
+++ b/packages/quarantine/fleet.test.ts
@@ -3,7 +3,9 @@
 import {digestKey} from '#admission';
 import {ManualClock} from '#clock';
 import {publishFragments} from '#configuration';
-import {prepareHash, type AnswerEvent, type TargetLink} from '#core';
+import {
+	createRandom, prepareHash, type AnswerEvent, type TargetLink,
+} from '#core';
 import {createRouter} from '#node';
 import {
 	EngineStandin, PeerNetworkStandin, PlatformStandin, writeAnswerText,
@@ -35,7 +37,7 @@
 	const routers = Array.from({length: count}, (_, index) => {
 		const name = `r${index}`;
 		return createRouter({
-			name, zone: 'esbjerg', clock, seed: index + 1, platform, reportPollMs: 100, telemetry: createTelemetry({level: 'silent'}),
+			name, zone: 'esbjerg', clock, random: createRandom(index + 1), platform, reportPollMs: 100, telemetry: createTelemetry({level: 'silent'}),
 			bus: network.join({name, zone: 'esbjerg', incarnation: name}),
 			connector: {open: (_pool, target): TargetLink => engines.get(target.name)!},
 		});
