--- /dev/null
+++ b/packages/cli/_demo-deployment.ts
@@ -0,0 +1,115 @@
+/** The example deployment of Målerlagerforening, with its addresses replaced by stand-ins on loopback. */
+import customersFile from '../../examples/malerlagerforening/customers.json' with {type: 'json'};
+import languageFile from '../../examples/malerlagerforening/language.json' with {type: 'json'};
+import ledgerFile from '../../examples/malerlagerforening/stock-ledger.json' with {type: 'json'};
+import {digestKey} from '#admission';
+import type {Clock} from '#clock';
+import {publishFragments} from '#configuration';
+import {fail, succeed, type Result} from '#core';
+import type {HttpServer} from '#http';
+import {parseSettings, startInstance, type Instance} from '#node';
+import {createHttpPlatform} from '#platform';
+import {
+	EngineStandin, PlatformStandin, ServiceStandin, startEngineServer, startPlatformServer, startServiceServer,
+	WeightStoreStandin, type Execution,
+} from '#standins';
+
+/** A running deployment on loopback. */
+export type DemoDeployment = Readonly<{
+	generation: number;
+	/** `host:port` of each router. */
+	routers: readonly string[];
+	/** Bearer key of a customer. */
+	getKey(customer: string): string;
+	/** Calls that took effect on the ledger. */
+	countExecutions(): number;
+	stop(): Promise<void>;
+}>;
+
+const routerCount = 2;
+const readyLimitMs = 10_000;
+const readyStepMs = 50;
+
+/** Starts stand-ins and routers, and publishes the example files. */
+export async function startDemoDeployment(clock: Clock): Promise<Result<DemoDeployment, string>> {
+	const ledger: Execution[] = [];
+	const weightStore = new WeightStoreStandin(clock);
+	const platform = await startPlatformServer(new PlatformStandin(clock));
+	const servers = [platform];
+	const language = await replaceAddresses(languageFile, servers, async index =>
+		startEngineServer(new EngineStandin(clock, {
+			seed: index + 1, model: 'stock-chat', weights: 'v1', weightStore,
+		})));
+	const stock = await replaceAddresses(ledgerFile, servers, async index => startServiceServer(new ServiceStandin(clock, {seed: index + 1, ledger})));
+	const customers = {...customersFile, customers: customersFile.customers.map(customer => ({...customer, keyDigests: [digestKey(makeKey(customer.name))]}))};
+	const origin = `http://${platform.address}`;
+	const fragments = Object.entries({language, stock, customers}).map(([file, content]) => ({file, text: JSON.stringify(content)}));
+	const published = await publishFragments(createHttpPlatform(origin), fragments);
+	if (!published.ok) {
+		return fail(`the example was not accepted: ${JSON.stringify(published.error)}`);
+	}
+
+	const routers = await Promise.all(Array.from({length: routerCount}, async (_, index) => startRouter(`router-${index + 1}`, origin)));
+	const stop = async () => {
+		await Promise.all(routers.map(async router => router.stop()));
+		await Promise.all(servers.map(async server => server.destroy()));
+	};
+
+	if (!await waitUntilReady(clock, routers)) {
+		await stop();
+		return fail(`the routers were not ready after ${readyLimitMs} ms`);
+	}
+
+	return succeed({
+		generation: published.value.generation, routers: routers.map(router => router.address), getKey: makeKey,
+		countExecutions: () => ledger.length, stop,
+	});
+}
+
+function makeKey(customer: string): string {
+	return `demo-key-of-${customer}`;
+}
+
+type PoolFile<Pool> = Readonly<{pools: readonly Pool[]}>;
+type ExamplePool = Readonly<{keptStore?: string; targets: ReadonlyArray<Readonly<{name: string; address: string; zone: string}>>}>;
+
+/** Starts a stand-in for each target of a file's pools, and puts their addresses in. */
+async function replaceAddresses<Pool extends ExamplePool>(file: PoolFile<Pool>, servers: HttpServer[], start: (index: number) => Promise<HttpServer>): Promise<unknown> {
+	const pools: unknown[] = [];
+	for (const {keptStore: _keptStore, ...pool} of file.pools) {
+		const targets: unknown[] = [];
+		for (const [index, target] of pool.targets.entries()) {
+			const server = await start(index);
+			servers.push(server);
+			targets.push({...target, address: server.address});
+		}
+
+		pools.push({...pool, targets});
+	}
+
+	return {...file, pools};
+}
+
+async function startRouter(name: string, platformOrigin: string): Promise<Instance> {
+	const settings = parseSettings(JSON.stringify({
+		name, zone: 'esbjerg', listen: '127.0.0.1:0', adminListen: '127.0.0.1:0', platformOrigin, logLevel: 'silent',
+	}));
+	if (!settings.ok) {
+		throw new Error(`the demo's settings have faults: ${JSON.stringify(settings.error)}`);
+	}
+
+	return startInstance(settings.value);
+}
+
+async function waitUntilReady(clock: Clock, routers: readonly Instance[]): Promise<boolean> {
+	const endMs = clock.now() + readyLimitMs;
+	while (routers.some(({router}) => !router.configuration.current)) {
+		if (clock.now() > endMs) {
+			return false;
+		}
+
+		await clock.sleep(readyStepMs);
+	}
+
+	return true;
+}
--- a/packages/cli/check.ts
+++ b/packages/cli/check.ts
@@ -1,24 +1,43 @@
 /** `apricotdoor check`: says every fault of the configuration by file, field and mend. */
-import process from 'node:process';
+import {exitCodes, type ExitCode} from './exit-codes.ts';
 import {readFragments} from './_fragments.ts';
+import type {CommandIo} from './io.ts';
 import {checkFragments, type ConfigurationFault} from '#configuration';
 
+/** Options of the verb. */
+export type CheckOptions = Readonly<{json?: boolean}>;
+
 /** Checks folders of service files. */
-export async function runCheck(folders: readonly string[]): Promise<void> {
-	const checked = checkFragments(await readFragments(folders), 1);
+export async function runCheck(io: CommandIo, paths: readonly string[], options: CheckOptions): Promise<ExitCode> {
+	const fragments = await readFragments(paths);
+	if (!fragments.ok) {
+		io.warn(fragments.error);
+		return exitCodes.usage;
+	}
+
+	const checked = checkFragments(fragments.value, 1);
+	if (options.json) {
+		const warnings = checked.ok ? checked.value.warnings : [];
+		io.write(JSON.stringify({ok: checked.ok, faults: checked.ok ? [] : checked.error, warnings}));
+	}
+
 	if (!checked.ok) {
-		printFaults(checked.error);
-		process.exitCode = 1;
-		return;
+		printFaults(io, checked.error);
+		return exitCodes.failed;
+	}
+
+	const {configuration, files, warnings} = checked.value;
+	printFaults(io, warnings, 'warning: ');
+	if (!options.json) {
+		io.write(`ok: ${files.size} services, ${configuration.routes.size} routes, ${configuration.pools.size} pools, ${configuration.customers.size} customers`);
 	}
 
-	const {configuration, files} = checked.value;
-	console.log(`ok: ${files.size} services, ${configuration.routes.size} routes, ${configuration.pools.size} pools, ${configuration.customers.size} customers`);
+	return exitCodes.ok;
 }
 
 /** Prints faults, one a line. */
-export function printFaults(faults: readonly ConfigurationFault[]): void {
+export function printFaults(io: CommandIo, faults: readonly ConfigurationFault[], prefix = ''): void {
 	for (const {file, field, message} of faults) {
-		console.error(field === '' ? `${file}: ${message}` : `${file}: ${field}: ${message}`);
+		io.warn(field === '' ? `${prefix}${file}: ${message}` : `${prefix}${file}: ${field}: ${message}`);
 	}
 }
--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -1,36 +1,190 @@
 /** The verbs of the command line and their options, by `commander`. */
-import {Command} from 'commander';
-import {runCheck} from './check.ts';
+import {
+	Command, CommanderError, InvalidArgumentError, Option,
+} from 'commander';
+import {runCheck, type CheckOptions} from './check.ts';
 import {runDemo} from './demo.ts';
-import {runPublish} from './publish.ts';
-import {runServe} from './serve.ts';
+import {runDigest} from './digest.ts';
+import {exitCodes, type ExitCode} from './exit-codes.ts';
+import {runExplain, type ExplainOptions} from './explain.ts';
+import type {CommandIo} from './io.ts';
+import {runLoadCommand, type LoadCommandOptions} from './load.ts';
+import {runPublish, type PublishOptions} from './publish.ts';
+import {runServe, type ServeOptions} from './serve.ts';
+import {runStatus, type StatusOptions} from './status.ts';
 import {version} from './version.ts';
+import {toMessage} from '#core';
 
-/** Creates the command line; parsing it runs the verb. */
-export function createProgram(): Command {
+const codesHelp = `
+Exit codes:
+  0  done
+  1  checked and refused, or tried and failed
+  2  wrong usage, or an input that cannot be read
+  3  the platform or an instance did not answer
+  4  another operator changed the same service
+
+Variables:
+  APRICOTDOOR_PLATFORM_TOKEN  token for the platform
+  APRICOTDOOR_ADMIN_TOKEN     operator's token for the administration API
+`;
+
+/**
+ * Runs one command line.
+ *
+ * @param args arguments after the program's name
+ * @returns the exit code; a user's mistake is explained without a stack trace
+ */
+export async function runCommandLine(args: readonly string[], io: CommandIo): Promise<ExitCode> {
+	let code: ExitCode = exitCodes.ok;
+	const program = createProgram(io, result => {
+		code = result;
+	});
+	try {
+		await program.parseAsync([...args], {from: 'user'});
+	} catch (error) {
+		if (error instanceof CommanderError) {
+			return error.exitCode === 0 ? exitCodes.ok : exitCodes.usage;
+		}
+
+		io.warn(toMessage(error));
+		return exitCodes.failed;
+	}
+
+	return code;
+}
+
+type SetCode = (code: ExitCode) => void;
+
+function createProgram(io: CommandIo, setCode: SetCode): Command {
 	const program = new Command('apricotdoor');
-	program.description('Routes language-model traffic with long shared prompts.').version(version);
+	program.description('Routes language-model traffic with long shared prompts.').version(version)
+		.exitOverride()
+		.configureOutput({
+			writeOut(text) {
+				io.write(text.trimEnd());
+			},
+			writeErr(text) {
+				io.warn(text.trimEnd());
+			},
+		})
+		.addHelpText('after', codesHelp);
+	for (const add of [addServe, addCheck, addPublish, addStatus, addExplain, addLoad, addRest]) {
+		add(program, io, setCode);
+	}
+
+	return program;
+}
+
+function addServe(program: Command, io: CommandIo, setCode: SetCode): void {
 	program.command('serve')
-		.description('Run one instance of the router.')
-		.requiredOption('--settings <file>', 'JSON settings of this instance')
-		.action(runServe);
+		.description('Run one instance of the router until SIGTERM or SIGINT.')
+		.requiredOption('--settings <file>', 'JSON settings of this instance; APRICOTDOOR_… variables override it')
+		.addHelpText('after', '\nExample:\n  apricotdoor serve --settings examples/malerlagerforening/settings/entry-1.json')
+		.action(async (options: ServeOptions) => {
+			setCode(await runServe(io, options));
+		});
+}
+
+function addCheck(program: Command, io: CommandIo, setCode: SetCode): void {
 	program.command('check')
 		.description('Check configuration files without publishing them.')
-		.argument('<dir...>', 'folders with service files (*.json)')
-		.action(runCheck);
+		.argument('<path...>', 'service files, or folders of them (*.json)')
+		.option('--json', 'print one JSON object')
+		.addHelpText('after', '\nExample:\n  apricotdoor check examples/malerlagerforening')
+		.action(async (paths: readonly string[], options: CheckOptions) => {
+			setCode(await runCheck(io, paths, options));
+		});
+}
+
+function addPublish(program: Command, io: CommandIo, setCode: SetCode): void {
 	program.command('publish')
 		.description('Check configuration files and put them into force.')
-		.argument('<dir...>', 'folders with service files (*.json)')
-		.requiredOption('--platform <origin>', 'origin of the platform, such as http://10.0.0.1:7000')
-		.option('--token <token>', 'token for the platform')
-		.action(runPublish);
+		.argument('[path...]', 'service files, or folders of them (*.json)')
+		.option('--platform <origin>', 'publish to the platform, such as http://10.0.0.3:7000')
+		.option('--admin <address...>', 'publish through an instance where --platform is absent; --wait asks these')
+		.option('--remove <service...>', 'remove services')
+		.option('--base <service=checksum...>', 'refuse if the service has changed since this checksum (none: it is new)')
+		.option('--wait', 'wait until every live instance has the generation in force')
+		.addOption(new Option('--wait-seconds <seconds>', 'longest time to wait').default(30).argParser(parsePositive))
+		.option('--json', 'print the receipt as one JSON object')
+		.addHelpText('after', `
+Examples:
+  apricotdoor publish examples/malerlagerforening --platform http://10.20.0.3:7000
+  apricotdoor publish services/ --admin 10.20.1.2:8081 --wait
+  apricotdoor publish --remove stock-ledger --admin 10.20.1.2:8081`)
+		.action(async (paths: readonly string[], options: PublishOptions) => {
+			setCode(await runPublish(io, paths, options));
+		});
+}
+
+function addStatus(program: Command, io: CommandIo, setCode: SetCode): void {
+	program.command('status')
+		.description('Show the live instances and the generation in force on each.')
+		.requiredOption('--admin <address...>', 'administration addresses to ask')
+		.option('--json', 'print one JSON object')
+		.addHelpText('after', '\nExample:\n  apricotdoor status --admin 10.20.1.2:8081')
+		.action(async (options: StatusOptions) => {
+			setCode(await runStatus(io, options));
+		});
+}
+
+function addExplain(program: Command, io: CommandIo, setCode: SetCode): void {
+	program.command('explain')
+		.description('Say which target a request would get now, and why, term by term.')
+		.requiredOption('--admin <address>', 'administration address of the instance to ask')
+		.requiredOption('--customer <name>', 'customer that would call')
+		.requiredOption('--route <name>', 'route that would be called')
+		.option('--messages <file>', 'JSON list of the chat\'s messages')
+		.option('--json', 'print one JSON object')
+		.addHelpText('after', '\nExample:\n  apricotdoor explain --admin 10.20.1.2:8081 --customer audit-office --route stock-chat --messages chat.json')
+		.action(async (options: ExplainOptions) => {
+			setCode(await runExplain(io, options));
+		});
+}
+
+function addLoad(program: Command, io: CommandIo, setCode: SetCode): void {
+	program.command('load')
+		.description('Send a seeded workload to a running instance at a given rate, and report.')
+		.requiredOption('--origin <origin>', 'instance or balancer, such as http://10.20.1.2:8080')
+		.requiredOption('--route <name>', 'route to call')
+		.requiredOption('--customers <file>', 'JSON list of {"name", "key", "share"}')
+		.addOption(new Option('--rate <number>', 'requests per second').default(10).argParser(parsePositive))
+		.addOption(new Option('--seconds <number>', 'time for which requests arrive').default(30).argParser(parsePositive))
+		.addOption(new Option('--seed <number>', 'the same seed sends the same requests').default(1).argParser(parsePositive))
+		.addOption(new Option('--promised-ms <number>', 'promised time to the first token').default(1800).argParser(parsePositive))
+		.addOption(new Option('--shift-seconds <number>', 'time after which other dossiers become hot').default(20).argParser(parsePositive))
+		.addOption(new Option('--dossiers <number>', 'dossiers of each customer').default(40).argParser(parsePositive))
+		.option('--json', 'print the report as one JSON object')
+		.addHelpText('after', '\nExample:\n  apricotdoor load --origin http://10.20.1.2:8080 --route stock-chat --customers mix.json --rate 40 --seconds 60')
+		.action(async (options: LoadCommandOptions) => {
+			setCode(await runLoadCommand(io, options));
+		});
+}
+
+function addRest(program: Command, io: CommandIo, setCode: SetCode): void {
+	program.command('digest')
+		.description('Read a key from standard input and print the digest that files hold in its place.')
+		.addHelpText('after', '\nExample:\n  openssl rand -hex 24 | tee key.txt | apricotdoor digest')
+		.action(async () => {
+			setCode(await runDigest(io));
+		});
 	program.command('demo')
 		.description('Run stand-ins and two routers on loopback and send a few requests.')
-		.action(runDemo);
+		.action(async () => {
+			setCode(await runDemo(io));
+		});
 	program.command('version')
 		.description('Print the version.')
 		.action(() => {
-			console.log(version);
+			io.write(version);
 		});
-	return program;
+}
+
+function parsePositive(text: string): number {
+	const value = Number(text);
+	if (!Number.isFinite(value) || value <= 0) {
+		throw new InvalidArgumentError('It must be a number above 0.');
+	}
+
+	return value;
 }
--- a/packages/cli/publish.ts
+++ b/packages/cli/publish.ts
@@ -1,32 +1,160 @@
 /** `apricotdoor publish`: checks the configuration and commits it to the platform. */
-import process from 'node:process';
 import {printFaults} from './check.ts';
+import {callAdmin, readAdminError} from './_admin-client.ts';
+import {exitCodes, type ExitCode} from './exit-codes.ts';
 import {readFragments} from './_fragments.ts';
-import {publishFragments} from '#configuration';
+import {hasGeneration, readFleet, waitForGeneration} from './_generations.ts';
+import type {CommandIo} from './io.ts';
+import {printFleet} from './status.ts';
+import {createSystemClock} from '#clock';
+import {
+	publishFragments, type Fragment, type PublishFailure, type PublishReceipt,
+} from '#configuration';
+import {fail, succeed, type Result} from '#core';
 import {createHttpPlatform} from '#platform';
 
 /** Options of the verb. */
-export type PublishOptions = Readonly<{platform: string; token?: string}>;
+export type PublishOptions = Readonly<{
+	platform?: string;
+	admin?: readonly string[];
+	remove?: readonly string[];
+	base?: readonly string[];
+	wait?: boolean;
+	waitSeconds: number;
+	json?: boolean;
+}>;
+
+type Change = Readonly<{fragments: readonly Fragment[]; remove: readonly string[]; bases: Readonly<Record<string, string>>}>;
+/** An exit code other than 0; the reason was printed. */
+type Failed = ExitCode;
 
 /** Publishes folders of service files. */
-export async function runPublish(folders: readonly string[], options: PublishOptions): Promise<void> {
-	const platform = createHttpPlatform(options.platform, {token: options.token});
-	const result = await publishFragments(platform, await readFragments(folders));
-	if (result.ok) {
-		console.log(`accepted as generation ${result.value.generation}: ${result.value.services.join(', ')}`);
-		return;
+export async function runPublish(io: CommandIo, paths: readonly string[], options: PublishOptions): Promise<ExitCode> {
+	const change = await readChange(io, paths, options);
+	if (!change.ok) {
+		return change.error;
+	}
+
+	const receipt = await commit(io, change.value, options);
+	if (!receipt.ok) {
+		return receipt.error;
+	}
+
+	if (options.json) {
+		io.write(JSON.stringify(receipt.value));
+	} else {
+		io.write(`accepted as generation ${receipt.value.generation}: ${receipt.value.services.join(', ')}`);
+	}
+
+	return options.wait ? waitUntilInForce(io, receipt.value.generation, options) : exitCodes.ok;
+}
+
+async function readChange(io: CommandIo, paths: readonly string[], options: PublishOptions): Promise<Result<Change, Failed>> {
+	const remove = options.remove ?? [];
+	if (paths.length === 0 && remove.length === 0) {
+		io.warn('nothing to publish; name a folder of service files, or a service with --remove');
+		return fail(exitCodes.usage);
+	}
+
+	if (options.platform === undefined && options.admin === undefined) {
+		io.warn('nowhere to publish; name the platform with --platform or an instance with --admin');
+		return fail(exitCodes.usage);
+	}
+
+	if (options.wait && options.admin === undefined) {
+		io.warn('--wait needs to ask an instance; name at least one with --admin');
+		return fail(exitCodes.usage);
+	}
+
+	const fragments = await readFragments(paths);
+	if (!fragments.ok) {
+		io.warn(fragments.error);
+		return fail(exitCodes.usage);
+	}
+
+	const bases = (options.base ?? []).map(base => base.split('='));
+	if (bases.some(base => base.length !== 2)) {
+		io.warn('--base needs SERVICE=CHECKSUM, such as language=none for a service that is new');
+		return fail(exitCodes.usage);
+	}
+
+	return succeed({fragments: fragments.value, remove, bases: Object.fromEntries(bases.map(([service = '', checksum = '']) => [service, checksum]))});
+}
+
+async function commit(io: CommandIo, change: Change, options: PublishOptions): Promise<Result<PublishReceipt, Failed>> {
+	if (options.platform === undefined) {
+		return commitThroughInstance(io, change, options.admin![0]!);
+	}
+
+	const platform = createHttpPlatform(options.platform, {token: io.environment.APRICOTDOOR_PLATFORM_TOKEN});
+	const {fragments, ...rest} = change;
+	const result = await publishFragments(platform, fragments, rest);
+	return result.ok ? result : fail(printFailure(io, result.error));
+}
+
+function printFailure(io: CommandIo, failure: PublishFailure): Failed {
+	switch (failure.kind) {
+		case 'invalid': {
+			printFaults(io, failure.faults);
+			return exitCodes.failed;
+		}
+
+		case 'conflict': {
+			const {service, base, found} = failure;
+			io.warn(`not published: another operator changed service "${service}": the change starts from ${base}, in force is ${found}; merge the two, then publish with --base ${service}=${found}`);
+			return exitCodes.conflict;
+		}
+
+		case 'platform': {
+			const {kind, detail} = failure.failure;
+			const outcome = kind === 'unknown' ? 'the outcome is unknown; read the status before publishing again' : 'not published';
+			io.warn(`${outcome}: platform: ${kind}: ${detail}`);
+			return exitCodes.unreachable;
+		}
 	}
+}
+
+const codesOfRefusals: Readonly<Record<string, ExitCode>> = {
+	admin_configuration_conflict: exitCodes.conflict,
+	admin_platform_unavailable: exitCodes.unreachable,
+	admin_outcome_unknown: exitCodes.unreachable,
+};
+
+async function commitThroughInstance(io: CommandIo, change: Change, address: string): Promise<Result<PublishReceipt, Failed>> {
+	const answer = await callAdmin({
+		address, token: io.environment.APRICOTDOOR_ADMIN_TOKEN ?? '', method: 'POST', path: '/configuration', body: change,
+	});
+	if (!answer.ok) {
+		io.warn(`${answer.error}; read the status before publishing again`);
+		return fail(exitCodes.unreachable);
+	}
+
+	if (answer.value.status === 200) {
+		return succeed(answer.value.body as PublishReceipt); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the instance runs the same version of this type
+	}
+
+	const {code, message, faults} = readAdminError(answer.value);
+	io.warn(`not published: ${message}`);
+	printFaults(io, faults);
+	return fail(codesOfRefusals[code] ?? exitCodes.failed);
+}
+
+async function waitUntilInForce(io: CommandIo, generation: number, options: PublishOptions): Promise<ExitCode> {
+	const token = io.environment.APRICOTDOOR_ADMIN_TOKEN ?? '';
+	const view = await waitForGeneration(createSystemClock(), generation, options.waitSeconds * 1000, async () => readFleet(options.admin!, token));
+	if (hasGeneration(view, generation)) {
+		if (!options.json) {
+			io.write(`generation ${generation} is in force on ${view.lines.length} instances`);
+		}
 
-	process.exitCode = 1;
-	if (result.error.kind === 'invalid') {
-		printFaults(result.error.faults);
-		return;
+		return exitCodes.ok;
 	}
 
-	if (result.error.kind === 'conflict') {
-		console.error(`not published: service "${result.error.service}" was changed by another operator; read its file again and publish anew`);
-		return;
+	io.warn(`generation ${generation} is accepted, but not yet in force everywhere after ${options.waitSeconds} s:`);
+	printFleet({...io, write: io.warn}, view);
+	for (const error of view.errors) {
+		io.warn(error);
 	}
 
-	console.error(`not published: ${result.error.failure.kind}: ${result.error.failure.detail}`);
+	return exitCodes.unreachable;
 }
--- a/packages/cli/serve.ts
+++ b/packages/cli/serve.ts
@@ -2,26 +2,44 @@
 import {once} from 'node:events';
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
+import {exitCodes, type ExitCode} from './exit-codes.ts';
+import {explainFileError} from './_fragments.ts';
+import type {CommandIo} from './io.ts';
+import {toMessage} from '#core';
 import {parseSettings, startInstance} from '#node';
 
 /** Options of the verb. */
 export type ServeOptions = Readonly<{settings: string}>;
 
 /** Serves until SIGTERM or SIGINT. */
-export async function runServe(options: ServeOptions): Promise<void> {
-	const settings = parseSettings(await readFile(options.settings, 'utf8'));
+export async function runServe(io: CommandIo, options: ServeOptions): Promise<ExitCode> {
+	let text: string;
+	try {
+		text = await readFile(options.settings, 'utf8');
+	} catch (error) {
+		io.warn(explainFileError(error));
+		return exitCodes.usage;
+	}
+
+	const settings = parseSettings(text, io.environment);
 	if (!settings.ok) {
 		for (const {field, message} of settings.error) {
-			console.error(`${options.settings}: ${field === '' ? '' : `${field}: `}${message}`);
+			io.warn(`${options.settings}: ${field === '' ? '' : `${field}: `}${message}`);
 		}
 
-		process.exitCode = 2;
-		return;
+		return exitCodes.usage;
+	}
+
+	let instance;
+	try {
+		instance = await startInstance(settings.value);
+	} catch (error) {
+		io.warn(`the instance did not start: ${toMessage(error)}`);
+		return exitCodes.failed;
 	}
 
-	const instance = await startInstance(settings.value);
 	await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
 	await instance.drain();
 	await instance.stop();
-	process.exit(); // eslint-disable-line unicorn/no-process-exit
+	return exitCodes.ok;
 }
