--- /dev/null
+++ b/packages/capacity/controller.test.ts
@@ -0,0 +1,105 @@
+import t from 'tap';
+import {CapacityController} from './controller.ts';
+import {DemandForecast} from './forecast.ts';
+import {Lease} from './lease.ts';
+import {ManualClock} from '#clock';
+import {
+	createRandom, succeed, type EngineOrder, type LoadReport, type TargetLink, type TargetPool,
+} from '#core';
+import {EngineStandin, PlatformStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+const pool: TargetPool = {
+	name: 'p', kind: 'engine', model: 'm', weights: 'v2', pieceTokens: 2000, checksFencing: false, loadsAtOnce: 1, minLoaded: 1, slots: 8,
+	targets: [{name: 'e1', address: '10.0.0.1:1', zone: 'a'}],
+};
+
+/** Starts a controller over one engine that serves v1, seen through a link that a test may change. */
+async function start(change: (clock: ManualClock, engine: EngineStandin) => Partial<TargetLink>) {
+	const clock = new ManualClock();
+	const engine = new EngineStandin(clock, {model: 'm', weights: 'v1', checksFencing: false});
+	const random = createRandom(3);
+	const telemetry = createTelemetry({level: 'silent'});
+	const platform = new PlatformStandin(clock);
+	const lease = new Lease('p', {
+		platform, clock, random, telemetry, holder: 'r1',
+	});
+	const link: TargetLink = {
+		run: (call, signal) => engine.run(call, signal),
+		readReport: async () => engine.readReport(),
+		readCacheEvents: async after => engine.readCacheEvents(after),
+		sendOrder: async order => engine.sendOrder(order),
+		close: async () => engine.close(),
+		...change(clock, engine),
+	};
+	const stopping = new AbortController();
+	const controller = new CapacityController({
+		clock, random, telemetry, lease, forecast: new DemandForecast(),
+		getPool: () => pool, getLink: () => link, countWaiting: () => 0, isCandidate: () => true,
+	});
+	void controller.run(stopping.signal);
+	return {
+		clock, engine, lease, platform, telemetry, stopping,
+	};
+}
+
+t.test('moves an engine to the configured weights', async t => {
+	const {clock, engine} = await start(() => ({}));
+	await clock.advance(3000);
+	t.equal(engine.weights, 'v2');
+	t.equal(engine.orders.length, 1);
+});
+
+t.test('sends nothing when its term ran out while it read the engines', async t => {
+	const {clock, engine, telemetry, platform} = await start((clock, engine) => ({
+		async readReport() {
+			await clock.sleep(7000);
+			return engine.readReport();
+		},
+	}));
+	await clock.advance(100);
+	platform.setDown(true);
+	await clock.advance(20_000);
+	t.equal(engine.orders.length, 0);
+	t.ok(telemetry.read('capacity_orders_total', {pool: 'p', kind: 'load', result: 'lease_too_short'}) > 0);
+});
+
+t.test('orders once although reports lag', async t => {
+	let stale: LoadReport | undefined;
+	const {clock, engine} = await start((clock, engine) => ({
+		async readReport() {
+			const report = await engine.readReport();
+			stale ??= report.ok ? report.value : undefined;
+			return clock.now() < 4000 ? succeed({...stale!, ageMs: clock.now()}) : report;
+		},
+	}));
+	await clock.advance(10_000);
+	t.equal(engine.weights, 'v2');
+	t.equal(engine.orders.length, 1);
+});
+
+t.test('gives the lease up on a newer fencing number', async t => {
+	const sent: EngineOrder[] = [];
+	const {clock, lease} = await start(() => ({
+		async sendOrder(order) {
+			sent.push(order);
+			return succeed({accepted: false, fencing: 9, lastOrderId: ''});
+		},
+	}));
+	await clock.advance(1000);
+	t.equal(sent.length, 1);
+	t.notOk(lease.isHeld);
+});
+
+t.test('releases the lease when it stops', async t => {
+	const {clock, lease, platform, stopping} = await start(() => ({}));
+	await clock.advance(1000);
+	t.ok(lease.isHeld);
+	stopping.abort();
+	await clock.advance(1000);
+	t.notOk(lease.isHeld);
+	const reading = platform.get('leases/p');
+	await clock.advance(10);
+	const stored = await reading;
+	t.match(stored.ok && stored.value?.value, /"holder":""/v);
+});
--- a/packages/scenario/_lifeline.ts
+++ b/packages/scenario/_lifeline.ts
@@ -6,18 +6,21 @@
  */
 import {setMaxListeners} from 'node:events';
 import type {Cancel, Clock} from '#clock';
-import type {
-	Result, TargetCall, TargetConnector, TargetFrame, TargetLink,
+import {
+	fail, type Result, type TargetCall, type TargetConnector, type TargetFrame, type TargetLink,
 } from '#core';
 import type {PeerBus} from '#peer-protocol';
-import type {Platform} from '#platform';
+import type {Platform, PlatformFailure} from '#platform';
 
 type State = 'running' | 'paused' | 'dead';
 
+const cutOff = fail<PlatformFailure>({kind: 'unknown', detail: 'the platform cannot be reached from here'});
+
 /** Holds back what reaches a paused or dead router. */
 export class Lifeline {
 	readonly #died = new AbortController();
 	#state: State = 'running';
+	#platformCut = false;
 	#held: Array<() => void> = [];
 
 	constructor() {
@@ -92,15 +95,25 @@
 		};
 	}
 
+	/** Cuts the router off from the platform, or connects it again; waiting watches stay silent. */
+	setPlatformCut(isCut: boolean): void {
+		this.#platformCut = isCut;
+	}
+
 	/** The platform as the router sees it. */
 	wrapPlatform(platform: Platform): Platform {
+		const reach = async <Value>(call: () => Promise<Result<Value, PlatformFailure>>) => {
+			const result = this.#platformCut ? cutOff : await call();
+			return this.hold(Promise.resolve(this.#platformCut ? cutOff : result));
+		};
+
 		return {
-			get: async key => this.hold(platform.get(key)),
-			put: async (key, value, options) => this.hold(platform.put(key, value, options)),
-			remove: async (key, options) => this.hold(platform.remove(key, options)),
-			list: async prefix => this.hold(platform.list(prefix)),
-			watch: async (prefix, revision, signal) => this.hold(platform.watch(prefix, revision, signal)),
-			listInstances: async () => this.hold(platform.listInstances()),
+			get: async key => reach(async () => platform.get(key)),
+			put: async (key, value, options) => reach(async () => platform.put(key, value, options)),
+			remove: async (key, options) => reach(async () => platform.remove(key, options)),
+			list: async prefix => reach(async () => platform.list(prefix)),
+			watch: async (prefix, revision, signal) => reach(async () => platform.watch(prefix, revision, signal)),
+			listInstances: async () => reach(async () => platform.listInstances()),
 		};
 	}
 
--- a/packages/scenario/_steps-check.ts
+++ b/packages/scenario/_steps-check.ts
@@ -86,9 +86,15 @@
 	counter: (world, step) => readCounter(world, step),
 };
 
-const bounds = new Set(['is', 'least', 'most']);
+const bounds = new Set(['is', 'least', 'most', 'same-as']);
 
 export const checkSteps: StepTable = {
+	/** `mark MARK FIGURE [words]`: keeps a figure, for `same-as=MARK`. */
+	mark(world, step) {
+		const [name = '', ...words] = step.words;
+		world.marks.set(name, getFigure({...step, words})(world, {...step, words}));
+	},
+
 	/** `expect CALL CHECK [words]`; checks: answered, exact, running, cut, refused, replayed, fast, cached, on, not-on */
 	expect(world, step) {
 		const name = getWord(step, 0, 'a call');
@@ -103,27 +109,18 @@
 		}
 	},
 
-	/** `figure NAME [words] is=N | least=N | most=N` */
+	/** `figure NAME [words] is=N | least=N | most=N | same-as=MARK` */
 	figure(world, step) {
-		const figure = figures[getWord(step, 0, 'a figure')];
-		if (!figure) {
-			throw new ScenarioError(`there is no figure "${step.words[0]!}"; there are: ${Object.keys(figures).join(', ')}`);
-		}
-
-		checkBounds(figure(world, step), step);
+		checkBounds(world, getFigure(step)(world, step), step);
 	},
 
 	/** `reach NAME [words] is=N | least=N | most=N within=TIME`: like `figure`, but waits for it. */
 	async reach(world, step) {
-		const figure = figures[getWord(step, 0, 'a figure')];
-		if (!figure) {
-			throw new ScenarioError(`there is no figure "${step.words[0]!}"; there are: ${Object.keys(figures).join(', ')}`);
-		}
-
+		const figure = getFigure(step);
 		const limitMs = parseTime(step.options.get('within') ?? '10s');
-		const inTime = await world.clock.advanceUntil(() => isWithin(figure(world, step), step), limitMs, 10);
+		const inTime = await world.clock.advanceUntil(() => isWithin(world, figure(world, step), step), limitMs, 10);
 		if (!inTime) {
-			checkBounds(figure(world, step), step);
+			checkBounds(world, figure(world, step), step);
 		}
 	},
 };
@@ -138,22 +135,37 @@
 	return calls.filter(call => isCounted(call)).length / calls.length;
 }
 
-function isWithin(value: number, step: Step): boolean {
+function getFigure(step: Step): Figure {
+	const name = getWord(step, 0, 'a figure');
+	const figure = figures[name];
+	if (!figure) {
+		throw new ScenarioError(`there is no figure "${name}"; there are: ${Object.keys(figures).join(', ')}`);
+	}
+
+	return figure;
+}
+
+function isWithin(world: World, value: number, step: Step): boolean {
 	const read = (name: string) => {
 		const text = step.options.get(name);
 		return text === undefined ? undefined : parseNumber(text);
 	};
 
-	const is = read('is');
+	const mark = step.options.get('same-as');
+	const is = mark === undefined ? read('is') : world.marks.get(mark);
+	if (mark !== undefined && is === undefined) {
+		throw new ScenarioError(`there is no mark "${mark}"; there are: ${[...world.marks.keys()].join(', ')}`);
+	}
+
 	return (is === undefined || value === is) && value >= (read('least') ?? -Infinity) && value <= (read('most') ?? Infinity);
 }
 
-function checkBounds(value: number, step: Step): void {
+function checkBounds(world: World, value: number, step: Step): void {
 	if (![...bounds].some(name => step.options.has(name))) {
-		throw new ScenarioError('a figure needs is=N, least=N or most=N');
+		throw new ScenarioError('a figure needs is=N, least=N, most=N or same-as=MARK');
 	}
 
-	if (!isWithin(value, step)) {
+	if (!isWithin(world, value, step)) {
 		throw new ScenarioError(`${step.words.join(' ')} is ${value}`);
 	}
 }
--- a/packages/scenario/_steps-fault.ts
+++ b/packages/scenario/_steps-fault.ts
@@ -114,6 +114,20 @@
 		}
 	},
 
+	/** `cut-platform ROUTER…`: the router no longer reaches the platform, while others do. */
+	'cut-platform'(world, step) {
+		for (const name of step.words) {
+			world.getRouter(name).lifeline.setPlatformCut(true);
+		}
+	},
+
+	/** `join-platform ROUTER…`: ends it. */
+	'join-platform'(world, step) {
+		for (const name of step.words) {
+			world.getRouter(name).lifeline.setPlatformCut(false);
+		}
+	},
+
 	/** `join ROUTER…`: ends a cut. */
 	join(world, step) {
 		for (const name of step.words) {
--- a/packages/scenario/world.ts
+++ b/packages/scenario/world.ts
@@ -41,6 +41,8 @@
 	readonly routers = new Map<string, RouterHost>();
 	readonly calls = new Map<string, CallerCall>();
 	readonly draft: Draft = {pools: new Map(), routes: new Map(), customers: new Map()};
+	/** Figures that the scenario keeps, by name. */
+	readonly marks = new Map<string, number>();
 	/** Generation that the last accepted publication got. */
 	generation = 0;
 	#seed = 1;
