Entry: bounded requests, stalled callers cut off, no clean end of an incomplete answer

Cause: an error after the head ended the body cleanly; a caller that stopped reading held its answer for good, and after its connection was destroyed a source without pauses starved the event loop; a body nested 5000 levels deep overflowed the stack where it was written again. Change: depth and key bounds, a bound on stalled writes, abortive close, and stated timeouts and TCP keep-alive probes of the HTTP servers.

--- a/packages/entry/_chat-answer.ts
+++ b/packages/entry/_chat-answer.ts
@@ -1,7 +1,7 @@
 /** Writes the answer to a chat, as server-sent events or as one JSON body. */
-import {once} from 'node:events';
 import type {Response} from 'express';
 import {sendRefusal, writeRefusal} from './_refusal.ts';
+import {writePatiently, type WriteOptions} from './_write.ts';
 import type {AnswerEvent, ToolCall, Usage} from '#core';
 
 /** Decodes bytes that may end inside a character. */
@@ -10,12 +10,17 @@
 type Head = Extract<AnswerEvent, {kind: 'head'}>;
 
 /**
- * Streams an answer. A complete one closes with `[DONE]`; a failure after the
- * first byte closes with an error event and no `[DONE]`.
+ * Streams an answer. Only a complete one closes with `[DONE]` and a clean end
+ * of the body; a failure after the first byte sends an error event and then
+ * cuts the connection.
  */
-export async function sendChatStream(res: Response, model: string, events: AsyncIterable<AnswerEvent>): Promise<void> {
+export async function sendChatStream(res: Response, model: string, events: AsyncIterable<AnswerEvent>, options: WriteOptions): Promise<void> {
 	const decoder = new TextDecoder();
 	for await (const event of events) {
+		if (res.destroyed) {
+			return;
+		}
+
 		if (event.kind === 'refused' && !res.headersSent) {
 			sendRefusal(res, event.refusal);
 			return;
@@ -27,16 +32,16 @@
 		}
 
 		for (const body of writeChunks(event, model, decoder)) {
-			await writeEvent(res, body);
+			await writePatiently(res, `data: ${body}\n\n`, options);
 		}
 
-		if (event.kind === 'refused') {
+		if (event.kind === 'end') {
 			res.end();
 			return;
 		}
 	}
 
-	res.end();
+	cutAfterWrites(res, options);
 }
 
 /** Collects an answer and sends it in one body. */
@@ -87,7 +92,7 @@
 }
 
 function writeHeadHeaders(head: Head): Readonly<Record<string, string>> {
-	return {'x-target': head.target, 'x-cached-tokens': String(head.cachedTokens)};
+	return {'x-target': head.target, 'x-cached-tokens': String(head.cachedTokens), ...(head.replayed ? {'x-replayed': '1'} : {})};
 }
 
 function writeChunks(event: AnswerEvent, model: string, decoder: Decoder): readonly string[] {
@@ -136,14 +141,18 @@
 	};
 }
 
-/** Writes one event, and waits while the caller reads too slowly. */
-async function writeEvent(res: Response, data: string): Promise<void> {
-	if (res.destroyed || res.write(`data: ${data}\n\n`)) {
+/** Closes the connection once what was written has left, without the end of the body. */
+function cutAfterWrites(res: Response, {clock, stallMs}: WriteOptions): void {
+	if (res.destroyed || !res.headersSent) {
+		res.destroy();
 		return;
 	}
 
-	const controller = new AbortController();
-	const options = {signal: controller.signal};
-	await Promise.race([once(res, 'drain', options), once(res, 'close', options)]);
-	controller.abort();
+	const cancel = clock.after(stallMs, () => {
+		res.destroy();
+	});
+	res.write('\n', () => {
+		cancel();
+		res.destroy();
+	});
 }
--- a/packages/entry/_refusal.ts
+++ b/packages/entry/_refusal.ts
@@ -13,7 +13,8 @@
 
 /** Answers a request with a refusal. */
 export function sendRefusal(res: Response, refusal: Refusal): void {
-	if (res.destroyed) {
+	if (res.destroyed || res.headersSent) {
+		res.destroy();
 		return;
 	}
 
--- a/packages/entry/app.ts
+++ b/packages/entry/app.ts
@@ -3,12 +3,14 @@
 import express, {
 	type Express, type NextFunction, type Request, type Response,
 } from 'express';
+import {z} from 'zod';
 import {parseChatBody, type CallerRequest} from './caller-request.ts';
 import {sendRefusal} from './_refusal.ts';
 import {sendCall} from './_call-answer.ts';
 import {sendChatStream, sendChatWhole} from './_chat-answer.ts';
+import type {Clock} from '#clock';
 import {
-	makeRefusal, toMessage, type AnswerEvent, type Refusal,
+	fail, makeRefusal, succeed, toMessage, type AnswerEvent, type Refusal, type Result,
 } from '#core';
 import {makeCloseSignal} from '#http';
 
@@ -22,54 +24,85 @@
 	countRefusal: (refusal: Refusal) => void;
 	/** Largest body accepted, in bytes. */
 	maxBodyBytes: number;
+	clock: Clock;
+}>;
+
+/** Options of {@link createEntryApp}. */
+export type EntryOptions = Readonly<{
+	/** Time after which a caller that reads nothing of its answer is cut off, in milliseconds. Default: 30 000. */
+	stallMs?: number;
 }>;
 
 /** Creates the application; it listens nowhere yet. */
-export function createEntryApp(deps: EntryDeps): Express {
+export function createEntryApp(deps: EntryDeps, options: EntryOptions = {}): Express {
+	const writing = {clock: deps.clock, stallMs: options.stallMs ?? 30_000};
 	const app = express();
 	app.disable('x-powered-by');
+	const refuse = (res: Response, refusal: Refusal) => {
+		deps.countRefusal(refusal);
+		sendRefusal(res, refusal);
+	};
+
 	app.post('/v1/chat/completions', express.json({limit: deps.maxBodyBytes}), async (req, res) => {
 		const body = parseChatBody(req.body);
-		if (!body.ok) {
-			deps.countRefusal(body.error);
-			sendRefusal(res, body.error);
+		const request = body.ok ? makeCallerRequest(req, body.value.route, body.value.work) : body;
+		if (!body.ok || !request.ok) {
+			refuse(res, request.ok ? makeRefusal('bad_request') : request.error);
 			return;
 		}
 
-		const {route, stream, work} = body.value;
-		const events = deps.handle(makeCallerRequest(req, route, work), makeCloseSignal(res));
-		await (stream ? sendChatStream(res, route, events) : sendChatWhole(res, route, events));
+		const {route, stream} = body.value;
+		const events = deps.handle(request.value, makeCloseSignal(res));
+		await (stream ? sendChatStream(res, route, events, writing) : sendChatWhole(res, route, events));
 	});
 	app.use('/services/:route', express.raw({type: () => true, limit: deps.maxBodyBytes}), async (req, res) => {
 		const body = Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0);
 		const work = {
 			kind: 'call', method: req.method, path: req.url, contentType: req.get('content-type'), body,
 		} as const;
-		const route = String(req.params.route);
-		await sendCall(res, deps.handle(makeCallerRequest(req, route, work), makeCloseSignal(res)));
+		const request = makeCallerRequest(req, String(req.params.route), work);
+		if (!request.ok) {
+			refuse(res, request.error);
+			return;
+		}
+
+		await sendCall(res, deps.handle(request.value, makeCloseSignal(res)));
 	});
 	app.use((req, res) => {
 		sendRefusal(res, makeRefusal('route_unknown', {detail: `There is no ${req.method} ${req.path}.`}));
 	});
 	app.use((error: unknown, _req: Request, res: Response, _next: NextFunction) => {
-		const refusal = classifyBodyError(error);
-		deps.countRefusal(refusal);
-		sendRefusal(res, refusal);
+		const refusal = classifyError(error);
+		if (refusal) {
+			refuse(res, refusal);
+		} else {
+			res.destroy();
+		}
 	});
 	return app;
 }
 
-function makeCallerRequest(req: Request, route: string, work: CallerRequest['work']): CallerRequest {
-	return {
-		route, authorization: req.get('authorization'), idempotencyKey: req.get('idempotency-key'), work,
-	};
+const maxKeyLength = 255;
+
+function makeCallerRequest(req: Request, route: string, work: CallerRequest['work']): Result<CallerRequest, Refusal> {
+	const idempotencyKey = req.get('idempotency-key');
+	if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > maxKeyLength)) {
+		return fail(makeRefusal('bad_request', {detail: `Idempotency-Key must have 1 to ${maxKeyLength} characters.`}));
+	}
+
+	return succeed({
+		route, authorization: req.get('authorization'), idempotencyKey, work,
+	});
 }
 
-function classifyBodyError(error: unknown): Refusal {
-	const type = error instanceof Error && 'type' in error ? String(error.type) : '';
-	if (type === 'entity.too.large') {
-		return makeRefusal('body_too_large');
+/** Recognises the errors of a request that could not be read; any other cuts the connection without a clean end. */
+function classifyError(error: unknown): Refusal | undefined {
+	const fields = z.object({status: z.number(), type: z.string().optional()}).safeParse(error);
+	if (!fields.success || fields.data.status >= 500) {
+		return undefined;
 	}
 
-	return makeRefusal('bad_request', {detail: `${toMessage(error)}.`});
+	return fields.data.type === 'entity.too.large'
+		? makeRefusal('body_too_large')
+		: makeRefusal('bad_request', {detail: `${toMessage(error)}.`});
 }
--- a/packages/entry/caller-request.ts
+++ b/packages/entry/caller-request.ts
@@ -13,6 +13,7 @@
 }>;
 
 const maxMessages = 4096;
+const maxDepth = 32;
 const maxTokensDefault = 256;
 
 const contentSchema = z.union([
@@ -32,6 +33,10 @@
 
 /** Checks the body of a chat completion request. */
 export function parseChatBody(body: unknown): Result<ChatBody, Refusal> {
+	if (isDeeper(body, maxDepth)) {
+		return fail(makeRefusal('bad_request', {detail: `The body is nested deeper than ${maxDepth} levels.`}));
+	}
+
 	const parsed = chatSchema.safeParse(body);
 	if (!parsed.success) {
 		const issue = parsed.error.issues[0]!;
@@ -46,3 +51,17 @@
 		},
 	});
 }
+
+/** Whether a parsed JSON value is nested deeper than `limit`; walks level by level, so that depth costs no stack. */
+function isDeeper(value: unknown, limit: number): boolean {
+	let level = [value];
+	for (let depth = 0; level.length > 0; depth++) {
+		if (depth > limit) {
+			return true;
+		}
+
+		level = level.flatMap(item => typeof item === 'object' && item !== null ? Object.values(item) as unknown[] : []);
+	}
+
+	return false;
+}
--- a/packages/http/server.ts
+++ b/packages/http/server.ts
@@ -15,8 +15,22 @@
 	destroy(): Promise<void>;
 }>;
 
+/** Time in which a caller must have sent its headers, and its whole request, in milliseconds. */
+const headersTimeoutMs = 10_000;
+const requestTimeoutMs = 60_000;
+
+/** Time for which an idle connection is kept, in milliseconds; longer than the usual balancer's. */
+const keepAliveTimeoutMs = 75_000;
+
+/** Idle time after which TCP keep-alive probes begin, in milliseconds; the system sets their number and interval. */
+const probeDelayMs = 15_000;
+
+const timeoutCheckMs = 2000;
+const maxHeaderBytes = 16_384;
+
 /**
- * Binds a server.
+ * Binds a server. Connections that send too slowly, stay idle or do not answer
+ * TCP keep-alive probes are closed.
  *
  * @param listener handles the requests
  * @param address `host:port`; port 0 takes a free one
@@ -24,7 +38,11 @@
  */
 export async function startHttpServer(listener: HttpListener, address: string): Promise<HttpServer> {
 	const [host, port] = address.split(':');
-	const server = createServer((req, res) => {
+	const server = createServer({
+		headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs,
+		connectionsCheckingInterval: timeoutCheckMs, maxHeaderSize: maxHeaderBytes,
+		keepAlive: true, keepAliveInitialDelay: probeDelayMs, noDelay: true,
+	}, (req, res) => {
 		listener(req, res);
 	});
 	server.listen(Number(port), host);
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -5,7 +5,7 @@
 import {defaultStop, type Settings} from './settings.ts';
 import {provideSnapshots, restoreState} from './warm-start.ts';
 import {createAdminApp} from '#admin';
-import {createSystemClock} from '#clock';
+import {createSystemClock, type Clock} from '#clock';
 import {createSystemRandom, makeRefusal, type Refusal} from '#core';
 import {createEntryApp} from '#entry';
 import {startHttpServer, type HttpServer} from '#http';
@@ -67,7 +67,7 @@
 		lifecycle.markReady();
 	});
 	const {callers, operators} = await startServers(settings, {
-		telemetry, platform, router, lifecycle, peers,
+		clock, telemetry, platform, router, lifecycle, peers,
 	});
 	const {address} = callers;
 	const {address: adminAddress} = operators;
@@ -90,16 +90,16 @@
 	};
 }
 
-type ServerDeps = Readonly<{telemetry: Telemetry; platform: Platform; router: Router; lifecycle: Lifecycle; peers: Peers}>;
+type ServerDeps = Readonly<{clock: Clock; telemetry: Telemetry; platform: Platform; router: Router; lifecycle: Lifecycle; peers: Peers}>;
 
 async function startServers(settings: Settings, deps: ServerDeps): Promise<Readonly<{callers: HttpServer; operators: HttpServer}>> {
-	const {telemetry, platform, router, lifecycle, peers} = deps;
+	const {clock, telemetry, platform, router, lifecycle, peers} = deps;
 	const countRefusal = ({reason, ran}: Refusal) => {
 		telemetry.count('refusals_total', {reason, ran});
 	};
 
 	const entry = createEntryApp({
-		handle: gateRequests(lifecycle, router.handle, countRefusal), maxBodyBytes: settings.maxBodyBytes, countRefusal,
+		handle: gateRequests(lifecycle, router.handle, countRefusal), maxBodyBytes: settings.maxBodyBytes, countRefusal, clock,
 	});
 	const admin = createAdminApp({
 		name: settings.name, zone: settings.zone, telemetry, configuration: router.configuration, countRunning: router.countRunning,
