One platform client per instance: share of the rate, priorities, breaker, counters

Cause: every part called the platform as often as it liked; an outage was met by each with its own retries, and lost answers by nobody. Change: token buckets that divide the fleet's rates by the live instances, calls served by kind, a breaker with one probe, back-off on rate_limited; the stand-in platform delays writes, lags reads and counts waiting watches. Membership's own reads of the list still go to the adapter.

--- a/packages/claims/claims.test.ts
+++ b/packages/claims/claims.test.ts
@@ -312,6 +312,8 @@
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('kill' as const), instance: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('down' as const), down: fc.boolean()})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('lose' as const), count: fc.integer({min: 1, max: 3})})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('delay' as const), count: fc.integer({min: 1, max: 3}), delayMs: fc.nat(3000)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('lag' as const), lagMs: fc.nat(2000)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('loseCall' as const), service: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('silence' as const), service: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('refuse' as const), service: fc.nat(1)})},
@@ -336,6 +338,12 @@
 	lose({platform}, {count}) {
 		platform.loseAnswers(count);
 	},
+	delay({platform}, {count, delayMs}) {
+		platform.delayWrites(count, delayMs);
+	},
+	lag({platform}, {lagMs}) {
+		platform.setReadLag(lagMs);
+	},
 	loseCall({services}, {service}) {
 		services[service]!.loseAnswers(1);
 	},
@@ -370,7 +378,7 @@
 
 		await bench.clock.advance(15_000);
 		checkLedger(bench.ledger, answers);
-	}), {seed: 11, numRuns: 150});
+	}), {seed: 11, numRuns: 300});
 	t.pass();
 });
 
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -53,6 +53,7 @@
 	const router: Router = createRouter({
 		name: settings.name, zone: settings.zone, incarnation: peers.incarnation, clock, random, telemetry, platform,
 		connector: createHttpConnector(), bus: peers.bus,
+		platformOptions: {rates: settings.platformRates, expectedInstances: settings.expectedInstances},
 		isWatcher: () => peers.isAmongFirst('configuration', watcherCount), reportPollMs: settings.reportPollMs,
 	});
 	const lifecycle: Lifecycle = new Lifecycle({
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -20,7 +20,9 @@
 import type {CallerRequest} from '#entry';
 import {Placer, TargetViews, type PlacementPolicy} from '#placement';
 import type {PeerBus} from '#peer-protocol';
-import type {InstanceEntry, Platform} from '#platform';
+import {
+	createPlatformClient, type InstanceEntry, type Platform, type PlatformClientOptions,
+} from '#platform';
 import {Quarantine, StruckTurns} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
@@ -40,6 +42,8 @@
 	isWatcher?: () => boolean;
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: number;
+	/** Default: the platform client's own. */
+	platformOptions?: PlatformClientOptions;
 	/** Default: the placement package's own. */
 	choose?: PlacementPolicy;
 }>;
@@ -64,10 +68,11 @@
 
 /** Wires a router and starts its background tasks. */
 export function createRouter(deps: RouterDeps): Router {
-	const {
-		clock, telemetry, platform, random,
-	} = deps;
-	const configuration = new ConfigurationStore(platform, clock, telemetry, {bus: deps.bus, isWatcher: deps.isWatcher});
+	const {clock, telemetry, random} = deps;
+	const platform = createPlatformClient({
+		platform: deps.platform, clock, random, telemetry, countInstances: () => deps.bus.listPeers().length + 1,
+	}, deps.platformOptions);
+	const configuration = new ConfigurationStore(platform.configuration, clock, telemetry, {bus: deps.bus, isWatcher: deps.isWatcher});
 	const views = new TargetViews();
 	const leaving = new LeavingRelay(deps.bus, views);
 	const links = new TargetLinks(deps.connector);
@@ -82,7 +87,7 @@
 		clock, random, telemetry, views, placer, links, quarantine, turns,
 	});
 	const claims = new Claims({
-		clock, random, platform, telemetry, owner: {name: deps.name, incarnation: deps.incarnation ?? random.id()},
+		clock, random, platform: platform.claims, telemetry, owner: {name: deps.name, incarnation: deps.incarnation ?? random.id()},
 		isLive: owner => deps.bus.listPeers().some(peer => peer.name === owner.name && peer.incarnation === owner.incarnation),
 	});
 	const stopping = new AbortController();
@@ -95,7 +100,7 @@
 			},
 		}, stopping.signal),
 		runCapacity({
-			name: deps.name, clock, random, telemetry, platform, bus: deps.bus, configuration,
+			name: deps.name, clock, random, telemetry, platform: platform.leases, bus: deps.bus, configuration,
 			getLink: (pool, target) => links.get(pool, target),
 			countWaiting: () => 0,
 		}, stopping.signal),
--- a/packages/node/settings.ts
+++ b/packages/node/settings.ts
@@ -45,6 +45,14 @@
 	platformOrigin: z.url(),
 	/** Token for the platform. */
 	platformToken: z.string().optional(),
+	/** Calls per second that the platform takes from all instances together. Default: 300 writes and 2000 reads. */
+	platformRates: z.strictObject({
+		writesPerSecond: z.number().min(1),
+		/** A waiting watch counts as one. */
+		readsPerSecond: z.number().min(1),
+	}).optional(),
+	/** Instances that share the platform's rates until the live ones are known. Default: 8. */
+	expectedInstances: z.number().int().min(1).optional(),
 	/** Largest request body, in bytes. */
 	maxBodyBytes: z.number().int().min(1024).max(67_108_864).default(4_194_304),
 	/** Time between polls of a target's load report, in milliseconds. */
--- a/packages/platform/mod.ts
+++ b/packages/platform/mod.ts
@@ -7,3 +7,6 @@
 } from './platform.ts';
 export {createHttpPlatform, type HttpPlatformOptions} from './http-platform.ts';
 export {commitChange, type Change, type ChangeOutcome} from './commit-change.ts';
+export {
+	createPlatformClient, type PlatformCallKind, type PlatformClient, type PlatformClientDeps, type PlatformClientOptions, type PlatformRates,
+} from './client.ts';
--- a/packages/standins/platform.ts
+++ b/packages/standins/platform.ts
@@ -13,7 +13,7 @@
 export type PlatformOptions = Readonly<{
 	/** Writes per second; a second's worth may come at once. Default: 300. */
 	writesPerSecond?: number;
-	/** Reads per second, a waiting watch counting as one. Default: 2000. */
+	/** Reads per second, less one for each waiting watch. Default: 2000. */
 	readsPerSecond?: number;
 	/** Time of a call, in milliseconds. Default: 2. */
 	latencyMs?: number;
@@ -24,9 +24,11 @@
 }>;
 
 type ListChange = Readonly<{atMs: number; entries: ReadonlyMap<string, InstanceEntry>}>;
+type StoredChange = Readonly<{atMs: number; object?: StoredObject}>;
 type CallKind = 'read' | 'write';
 
 const maxValueBytes = 1_048_576;
+const historyLength = 16;
 
 /** The object API in memory, with faults that a test switches on. */
 export class PlatformStandin implements Platform {
@@ -43,6 +45,11 @@
 	#down = false;
 	#latencyFactor = 1;
 	#answersToLose = 0;
+	#writesToDelay = 0;
+	#writeDelayMs = 0;
+	#readLagMs = 0;
+	readonly #history = new Map<string, StoredChange[]>();
+	#watching = 0;
 
 	constructor(clock: Clock, options: PlatformOptions = {}) {
 		this.#clock = clock;
@@ -67,6 +74,17 @@
 		this.#answersToLose = count;
 	}
 
+	/** The next writes take effect only after `delayMs`; their answers are lost at once. */
+	delayWrites(count: number, delayMs: number): void {
+		this.#writesToDelay = count;
+		this.#writeDelayMs = delayMs;
+	}
+
+	/** Reads of single objects and lists see the store as it was `lagMs` ago. */
+	setReadLag(lagMs: number): void {
+		this.#readLagMs = lagMs;
+	}
+
 	/** Puts an instance on the list, or changes its entry; seen after the list's lag. */
 	setInstance(entry: InstanceEntry): void {
 		this.#changeList(entries => {
@@ -85,7 +103,7 @@
 
 	async get(key: string): Promise<Result<StoredObject | undefined, PlatformFailure>> {
 		const failure = await this.#serve('read');
-		return failure ? fail(failure) : succeed(this.#objects.get(key));
+		return failure ? fail(failure) : succeed(this.#read(key));
 	}
 
 	async put(key: string, value: string, options: PutOptions = {}): Promise<Result<StoredObject, PlatformFailure>> {
@@ -98,42 +116,18 @@
 			return fail({kind: 'too_large', detail: `value of ${key} has ${value.length} bytes of at most ${maxValueBytes}`});
 		}
 
-		const version = this.#objects.get(key)?.version ?? 0;
-		if (options.ifVersion !== undefined && options.ifVersion !== version) {
-			return fail({kind: 'conflict', detail: `${key} has version ${version}, not ${options.ifVersion}`});
-		}
-
-		this.#revision++;
-		const stored: StoredObject = {
-			key, value, version: version + 1, revision: this.#revision,
-		};
-		this.#objects.set(key, stored);
-		this.#deleted.delete(key);
-		this.#wakeAll();
-		return this.#loseAnswer() ?? succeed(stored);
+		return this.#write(() => this.#put(key, value, options));
 	}
 
 	async remove(key: string, options: PutOptions = {}): Promise<Result<void, PlatformFailure>> {
 		const failure = await this.#serve('write');
-		if (failure) {
-			return fail(failure);
-		}
-
-		const version = this.#objects.get(key)?.version ?? 0;
-		if (options.ifVersion !== undefined && options.ifVersion !== version) {
-			return fail({kind: 'conflict', detail: `${key} has version ${version}, not ${options.ifVersion}`});
-		}
-
-		this.#revision++;
-		this.#objects.delete(key);
-		this.#deleted.set(key, this.#revision);
-		this.#wakeAll();
-		return this.#loseAnswer() ?? succeed(undefined);
+		return failure ? fail(failure) : this.#write(() => this.#remove(key, options));
 	}
 
 	async list(prefix: string): Promise<Result<readonly StoredObject[], PlatformFailure>> {
 		const failure = await this.#serve('read');
-		return failure ? fail(failure) : succeed([...this.#objects.values()].filter(({key}) => key.startsWith(prefix)));
+		const keys = [...this.#history.keys()].filter(key => key.startsWith(prefix));
+		return failure ? fail(failure) : succeed(keys.map(key => this.#read(key)).filter(object => object !== undefined));
 	}
 
 	async watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, PlatformFailure>> {
@@ -142,6 +136,32 @@
 			return fail(failure);
 		}
 
+		this.#watching++;
+		const batch = await this.#watch(prefix, revision, signal);
+		this.#watching--;
+		return batch;
+	}
+
+	async listInstances(): Promise<Result<readonly InstanceEntry[], PlatformFailure>> {
+		const failure = await this.#serve('read');
+		if (failure) {
+			return fail(failure);
+		}
+
+		const visibleMs = this.#clock.now() - (this.#options.listLagMs ?? 3000);
+		const visible = this.#list.findLast(change => change.atMs <= visibleMs);
+		return succeed([...(visible?.entries.values() ?? [])]);
+	}
+
+	/** Puts the whole list in view at once, as after a quiet period. */
+	settleList(): void {
+		const latest = this.#list.at(-1);
+		this.#list = latest ? [{atMs: -Infinity, entries: latest.entries}] : [];
+	}
+
+	// Internals.
+
+	async #watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, PlatformFailure>> {
 		const endMs = this.#clock.now() + (this.#options.watchMs ?? 10_000);
 		for (;;) {
 			if (this.#down) {
@@ -158,24 +178,60 @@
 		}
 	}
 
-	async listInstances(): Promise<Result<readonly InstanceEntry[], PlatformFailure>> {
-		const failure = await this.#serve('read');
-		if (failure) {
-			return fail(failure);
+	#write<Value>(apply: () => Result<Value, PlatformFailure>): Result<Value, PlatformFailure> {
+		if (this.#writesToDelay > 0) {
+			this.#writesToDelay--;
+			this.#clock.after(this.#writeDelayMs, () => {
+				apply();
+			});
+			return fail({kind: 'unknown', detail: 'the answer was lost'});
 		}
 
-		const visibleMs = this.#clock.now() - (this.#options.listLagMs ?? 3000);
-		const visible = this.#list.findLast(change => change.atMs <= visibleMs);
-		return succeed([...(visible?.entries.values() ?? [])]);
+		const result = apply();
+		return result.ok ? this.#loseAnswer() ?? result : result;
 	}
 
-	/** Puts the whole list in view at once, as after a quiet period. */
-	settleList(): void {
-		const latest = this.#list.at(-1);
-		this.#list = latest ? [{atMs: -Infinity, entries: latest.entries}] : [];
+	#put(key: string, value: string, options: PutOptions): Result<StoredObject, PlatformFailure> {
+		const version = this.#objects.get(key)?.version ?? 0;
+		if (options.ifVersion !== undefined && options.ifVersion !== version) {
+			return fail({kind: 'conflict', detail: `${key} has version ${version}, not ${options.ifVersion}`});
+		}
+
+		this.#revision++;
+		const stored: StoredObject = {
+			key, value, version: version + 1, revision: this.#revision,
+		};
+		this.#objects.set(key, stored);
+		this.#deleted.delete(key);
+		this.#remember(key, stored);
+		this.#wakeAll();
+		return succeed(stored);
 	}
 
-	// Internals.
+	#remove(key: string, options: PutOptions): Result<void, PlatformFailure> {
+		const version = this.#objects.get(key)?.version ?? 0;
+		if (options.ifVersion !== undefined && options.ifVersion !== version) {
+			return fail({kind: 'conflict', detail: `${key} has version ${version}, not ${options.ifVersion}`});
+		}
+
+		this.#revision++;
+		this.#objects.delete(key);
+		this.#deleted.set(key, this.#revision);
+		this.#remember(key);
+		this.#wakeAll();
+		return succeed(undefined);
+	}
+
+	#remember(key: string, object?: StoredObject): void {
+		const history = this.#history.get(key) ?? [];
+		history.push({atMs: this.#clock.now(), object});
+		this.#history.set(key, history.slice(-historyLength));
+	}
+
+	#read(key: string): StoredObject | undefined {
+		const seenMs = this.#clock.now() - this.#readLagMs;
+		return this.#history.get(key)?.findLast(change => change.atMs <= seenMs)?.object;
+	}
 
 	async #serve(kind: CallKind): Promise<PlatformFailure | undefined> {
 		await this.#clock.sleep((this.#options.latencyMs ?? 2) * this.#latencyFactor);
@@ -192,7 +248,7 @@
 	}
 
 	#takeToken(kind: CallKind): boolean {
-		const rate = kind === 'read' ? this.#options.readsPerSecond ?? 2000 : this.#options.writesPerSecond ?? 300;
+		const rate = kind === 'read' ? Math.max(0, (this.#options.readsPerSecond ?? 2000) - this.#watching) : this.#options.writesPerSecond ?? 300;
 		const now = this.#clock.now();
 		const budget = this.#budgets.get(kind) ?? {tokens: rate, atMs: now};
 		const tokens = Math.min(rate, budget.tokens + ((now - budget.atMs) * rate / 1000));
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -45,6 +45,7 @@
 	peers_linked: {help: 'Open connections to other instances.', labels: []},
 	capacity_wanted: {help: 'Engines that the plan wants loaded, by pool; set by the holder of the lease.', labels: ['pool']},
 	capacity_serving: {help: 'Engines that are loaded, by pool; set by the holder of the lease.', labels: ['pool']},
+	platform_breaker_open: {help: 'Whether calls to the platform are held back.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
