Rank targets by expected time to first token with its terms visible

Cause: the rank left out what was sent since the lagged report, what other targets have cached, and homes below the preamble; knowledge of caches was unbounded, blind to gaps and followed whatever incarnation spoke last. Change: bounded tables of 64-bit keys with suspect entries after gaps, left incarnations stay left, eligibility rules, terms for queue, batch place, prefill, import, distance, recomputation and distance from home, rendezvous hashing with bounded load, replicas by rate, random choice among near equals.

--- a/bench/_placement-policies.ts
+++ b/bench/_placement-policies.ts
@@ -13,6 +13,10 @@
 } as const satisfies Readonly<Record<string, PolicyFactory>>;
 
 const loadWeight = 1e6;
+const noTerms = {
+	cachedTokens: 0, suspectTokens: 0, importKeys: [], home: false, queueMs: 0, slotMs: 0, prefillMs: 0, importMs: 0, distanceMs: 0,
+	recomputeMs: 0, awayMs: 0,
+};
 
 /** Name of a policy. */
 export type PolicyName = keyof typeof policies;
@@ -21,7 +25,7 @@
 	return query.pool.targets
 		.filter(target => !query.excluded.has(target.name) && !query.views.get(target.name).leaving)
 		.map(target => ({
-			target, cachedTokens: 0, importKeys: [], prefillMs: 0, queueMs: 0, distanceMs: 0, totalMs: cost(target),
+			...noTerms, target, totalMs: cost(target),
 		}))
 		.toSorted((a, b) => a.totalMs - b.totalMs);
 }
--- a/packages/node/_explain.ts
+++ b/packages/node/_explain.ts
@@ -2,7 +2,9 @@
 import {
 	fail, succeed, type Configuration, type RefusalReason, type Result,
 } from '#core';
-import {makeChain, type Candidate, type Placer} from '#placement';
+import {
+	makeChain, type Candidate, type Exclusion, type Placer,
+} from '#placement';
 
 /** A request whose placement is asked for. */
 export type ExplainRequest = Readonly<{
@@ -19,8 +21,8 @@
 	customer: string;
 	promptTokens: number;
 	pieces: number;
-	/** Names of the pool's targets that may not be chosen at present. */
-	ineligible: readonly string[];
+	/** The pool's targets that may not be chosen at present. */
+	ineligible: ReadonlyArray<Readonly<{target: string; reason: Exclusion}>>;
 	candidates: readonly Candidate[];
 }>;
 
@@ -47,12 +49,11 @@
 	const pool = configuration.pools.get(route.pool)!;
 	const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
 	const chain = pool.kind === 'engine' ? makeChain(seed, request.messages, pool.pieceTokens) : undefined;
-	const candidates = placer.rank({pool, chain, excluded: new Set()});
-	const eligible = new Set(candidates.map(({target}) => target.name));
+	const {candidates, excluded} = placer.explain({pool, chain, excluded: new Set()});
 	return succeed({
 		generation: configuration.generation, route: route.name, pool: pool.name, customer: customer.name,
 		promptTokens: chain?.totalTokens ?? 0, pieces: chain?.keys.length ?? 0,
-		ineligible: pool.targets.map(({name}) => name).filter(name => !eligible.has(name)),
+		ineligible: excluded.map(({target, reason}) => ({target: target.name, reason})),
 		candidates,
 	});
 }
--- a/packages/node/_poll-targets.ts
+++ b/packages/node/_poll-targets.ts
@@ -70,8 +70,10 @@
 		const limited = AbortSignal.any([signal, limit.signal]);
 		const report = await link.readReport(limited);
 		if (report.ok) {
-			views.applyReport(target.name, report.value);
+			views.applyReport(target.name, report.value, clock.now());
 			deps.reported(target.name);
+		} else if (report.error.outcome === 'notSent') {
+			views.markUnreachable(target.name);
 		}
 
 		if (report.ok && pool.kind === 'engine') {
--- a/packages/node/warm-start.test.ts
+++ b/packages/node/warm-start.test.ts
@@ -2,7 +2,7 @@
 import {provideSnapshots, restoreState, type WarmStartDeps} from './warm-start.ts';
 import {ManualClock} from '#clock';
 import {ConfigurationStore, publishFragments} from '#configuration';
-import {createRandom} from '#core';
+import {prepareHash, createRandom} from '#core';
 import {TargetViews} from '#placement';
 import {PeerNetworkStandin, PlatformStandin} from '#standins';
 import {createTelemetry} from '#telemetry';
@@ -46,6 +46,8 @@
 	await published;
 }
 
+t.before(prepareHash);
+
 t.test('a restarted instance knows the targets\' caches before it is ready', async t => {
 	const {clock, platform, stopping, start} = createFleet();
 	await publish(clock, platform);
@@ -54,7 +56,8 @@
 	first.views.applyPrefill('e1', 'i1', ['k1', 'k2']);
 	const second = start(2);
 	t.ok(await clock.advanceUntil(() => second.state.isReady, 8000, 20));
-	t.same([...second.views.get('e1').cached], ['k1', 'k2']);
+	t.same(second.views.matchKeys('e1', ['k1', 'k2']), {pieces: 2, suspect: 0});
+	t.equal(second.views.entries, 2);
 	t.equal(second.views.get('e1').incarnation, 'i1');
 	stopping.abort();
 });
--- a/packages/placement/chain.ts
+++ b/packages/placement/chain.ts
@@ -11,6 +11,8 @@
 	/** Tokens of each piece. */
 	tokens: readonly number[];
 	totalTokens: number;
+	/** Number of pieces up to the end of each message; prompts share upper levels by whole messages. */
+	ends: readonly number[];
 }>;
 
 /** Identifies whose cache entries a chain may match. */
@@ -28,6 +30,7 @@
 export function makeChain(seed: ChainSeed, messages: readonly ChatMessage[], pieceTokens: number): PromptChain {
 	const keys: string[] = [];
 	const tokens: number[] = [];
+	const ends: number[] = [];
 	const pieceChars = pieceTokens * charsPerToken;
 	let previous = hash64(JSON.stringify([seed.customer, seed.model, seed.weights]));
 	for (const message of messages) {
@@ -38,7 +41,11 @@
 			keys.push(previous);
 			tokens.push(Math.max(1, Math.ceil(piece.length / charsPerToken)));
 		}
+
+		ends.push(keys.length);
 	}
 
-	return {keys, tokens, totalTokens: tokens.reduce((sum, count) => sum + count, 0)};
+	return {
+		keys, tokens, ends, totalTokens: tokens.reduce((sum, count) => sum + count, 0),
+	};
 }
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -1,92 +1,178 @@
 /**
- * Ranks the targets of a pool for a request by expected time to first token.
- * Ties fall back on rendezvous hashing (Thaler and Ravishankar, 1998) of the
- * chain's first key, so that instances which know nothing agree.
+ * Ranks the targets of a pool for a request by expected time to first token and
+ * by what the choice costs the pool: recomputation of what another target has,
+ * and a new prefix away from its home.
  */
 import type {PromptChain} from './chain.ts';
-import type {TargetViews} from './views.ts';
-import {
-	hash64, type Random, type Target, type TargetPool,
-} from '#core';
+import {findEligible, type Eligibility, type EligibilityQuery} from './eligible.ts';
+import {parseKeys, type KeyWords} from './_key-table.ts';
+import {estimateLoad, type LoadTerms} from './_load-terms.ts';
+import {pickHomes} from './rendezvous.ts';
+import type {Random, Target} from '#core';
 
 /** What a choice depends on. */
-export type PlacementQuery = Readonly<{
-	pool: TargetPool;
-	views: TargetViews;
+export type PlacementQuery = EligibilityQuery & Readonly<{
 	/** Absent for plain services. */
 	chain?: PromptChain;
-	/** Names of targets that must not be chosen. */
-	excluded: ReadonlySet<string>;
 	/** This instance's availability zone. */
 	zone: string;
 	random: Random;
 	/** Present time on the instance's monotonic clock, in milliseconds. */
 	nowMs: number;
+	/** Homes that the prompt's prefix has by its rate. Default: 1. */
+	replicas?: number;
 }>;
 
-/** A target with the terms of its rank, each in milliseconds. */
-export type Candidate = Readonly<{
+/** The terms of a target's rank, each in milliseconds. */
+export type PlacementTerms = Readonly<{
+	/** Wait for the prefill of earlier prompts. */
+	queueMs: number;
+	/** Wait for a place in the batch. */
+	slotMs: number;
+	/** Prefill of what is neither cached nor imported. */
+	prefillMs: number;
+	/** Import from the kept store. */
+	importMs: number;
+	/** Distance between availability zones. */
+	distanceMs: number;
+	/** Price of recomputing what another target has cached. */
+	recomputeMs: number;
+	/** Price of computing a new prefix away from its home. */
+	awayMs: number;
+}>;
+
+/** A target with the terms of its rank. */
+export type Candidate = PlacementTerms & Readonly<{
 	target: Target;
+	/** Tokens believed to be cached there. */
 	cachedTokens: number;
+	/** Those of them that rest on evidence from before a gap in its events. */
+	suspectTokens: number;
 	/** Piece keys to import from the kept store. */
 	importKeys: readonly string[];
-	prefillMs: number;
-	queueMs: number;
-	distanceMs: number;
+	/** Whether the target is a home of the prompt's prefix. */
+	home: boolean;
+	/** Sum of all terms. */
 	totalMs: number;
 }>;
 
-const defaultPrefillTokensPerMs = 8;
+type Prepared = Readonly<{target: Target; load: LoadTerms; cached: number; suspect: number; pieces: number}>;
+
+/** What the candidates of one query have in common. */
+type Context = Readonly<{
+	query: PlacementQuery;
+	words: KeyWords;
+	/** Most tokens that any candidate has cached. */
+	bestCached: number;
+	/** Leading pieces that the kept store is believed to hold. */
+	keptPieces: number;
+	homes: ReadonlySet<string>;
+	/** Price of a recomputed millisecond of prefill, in milliseconds. */
+	recomputePrice: number;
+}>;
+
 const otherZoneMs = 3;
-const queuedRequestMs = 50;
-const tieMs = 1;
+const suspectTrust = 0.5;
+const importTokensPerMs = 40;
+const awayPrice = 0.25;
+const leastRecomputePrice = 1;
+const mostRecomputePrice = 4;
+const fullQueueMs = 500;
+const nearMs = 5;
+const nearShare = 0.05;
 
 /**
- * Ranks all eligible targets, best first.
+ * Ranks all eligible targets, best first; those whose totals are nearly equal
+ * stand in random order, so that instances with the same lagging reports do not
+ * all choose the same one.
  *
  * @returns an empty list when no target may be chosen
  */
 export function chooseTarget(query: PlacementQuery): readonly Candidate[] {
-	const affinity = query.chain?.keys[0] ?? '';
-	return query.pool.targets
-		.filter(target => !query.excluded.has(target.name) && isUsable(query, target))
-		.map(target => ({candidate: rate(query, target), hash: hash64(`${affinity}|${target.name}`)}))
-		.toSorted((a, b) => {
-			const gap = a.candidate.totalMs - b.candidate.totalMs;
-			return Math.abs(gap) > tieMs ? gap : (a.hash < b.hash ? -1 : 1);
-		})
-		.map(({candidate}) => candidate);
+	const ranked = rankCandidates(query, findEligible(query)).toSorted((a, b) => a.totalMs - b.totalMs);
+	const best = ranked[0];
+	if (!best) {
+		return ranked;
+	}
+
+	const limitMs = best.totalMs + Math.max(nearMs, best.totalMs * nearShare);
+	let near = ranked.findIndex(({totalMs}) => totalMs > limitMs);
+	near = near === -1 ? ranked.length : near;
+	const first = query.random.below(near);
+	return first === 0 ? ranked : [ranked[first]!, ...ranked.slice(0, first), ...ranked.slice(first + 1)];
 }
 
-/** A target that leaves takes no new request, nor does an engine that reports no weights. */
-function isUsable({pool, views}: PlacementQuery, target: Target): boolean {
-	const {leaving, report} = views.get(target.name);
-	const isEmpty = pool.kind === 'engine' && report !== undefined && report.weights === undefined;
-	return !leaving && !isEmpty;
+/** Rates all eligible targets, in the order of the pool. */
+export function rankCandidates(query: PlacementQuery, {targets}: Eligibility): readonly Candidate[] {
+	const words = parseKeys(query.chain?.keys ?? []);
+	const prepared = targets.map(target => prepare(query, target, words));
+	const context: Context = {
+		query, words, bestCached: Math.max(0, ...prepared.map(({cached}) => cached)),
+		keptPieces: query.pool.keptStore === undefined ? 0 : query.views.matchKept(words),
+		homes: findHomes(query, prepared), recomputePrice: computeRecomputePrice(prepared),
+	};
+	return prepared.map(item => rate(context, item));
+}
+
+/** The key by whose hash a prompt's home is found: the end of its second message, or of the first of two. */
+export function getAffinityKey(chain: PromptChain): string {
+	const level = Math.min(2, Math.max(1, chain.ends.length - 1));
+	return chain.keys[(chain.ends[level - 1] ?? 1) - 1] ?? '';
 }
 
-function rate(query: PlacementQuery, target: Target): Candidate {
+function prepare(query: PlacementQuery, target: Target, words: KeyWords): Prepared {
 	const view = query.views.get(target.name);
-	const cachedTokens = countCachedTokens(query.chain, view);
-	const uncached = (query.chain?.totalTokens ?? 0) - cachedTokens;
-	const prefillMs = uncached / (view.report?.prefillTokensPerMs ?? defaultPrefillTokensPerMs);
-	const waiting = Math.max(0, view.inFlight + (view.report?.queued ?? 0) - query.pool.slots + 1);
-	const queueMs = waiting * queuedRequestMs;
-	const distanceMs = target.zone === query.zone ? 0 : otherZoneMs;
+	const {pieces, suspect} = view.match(words);
+	const tokens = query.chain?.tokens ?? [];
+	let cached = 0;
+	let suspectTokens = 0;
+	for (let piece = 0; piece < pieces; piece++) {
+		cached += tokens[piece]!;
+		suspectTokens += piece >= pieces - suspect ? tokens[piece]! : 0;
+	}
+
 	return {
-		target, cachedTokens, importKeys: [], prefillMs, queueMs, distanceMs, totalMs: prefillMs + queueMs + distanceMs,
+		target, load: estimateLoad(view, query.pool.slots, query.nowMs), cached, suspect: suspectTokens, pieces,
 	};
 }
 
-function countCachedTokens(chain: PromptChain | undefined, view: ReturnType<TargetViews['get']>): number {
-	let count = 0;
-	for (const [index, key] of (chain?.keys ?? []).entries()) {
-		if (!view.cached.has(key)) {
-			break;
-		}
-
-		count += chain!.tokens[index]!;
+function findHomes({chain, replicas}: PlacementQuery, prepared: readonly Prepared[]): ReadonlySet<string> {
+	if (!chain) {
+		return new Set();
 	}
 
-	return count;
+	const loads = new Map(prepared.map(({target, load}) => [target.name, load.queueMs + load.slotMs]));
+	return new Set(pickHomes([...loads.keys()], getAffinityKey(chain), {count: replicas, getLoad: name => loads.get(name)!}));
+}
+
+/** The price rises with the pool's mean queue: recomputation delays everything that waits behind it. */
+function computeRecomputePrice(prepared: readonly Prepared[]): number {
+	const sum = prepared.reduce((total, {load}) => total + load.queueMs, 0);
+	const fullness = Math.min(1, sum / Math.max(1, prepared.length) / fullQueueMs);
+	return leastRecomputePrice + ((mostRecomputePrice - leastRecomputePrice) * fullness);
+}
+
+function rate(context: Context, {target, load, cached, suspect, pieces}: Prepared): Candidate {
+	const {query, bestCached, homes, keptPieces} = context;
+	const {chain} = query;
+	const total = chain?.totalTokens ?? 0;
+	const trusted = cached - (suspect * (1 - suspectTrust));
+	const importKeys = chain?.keys.slice(pieces, keptPieces) ?? [];
+	const imported = chain?.tokens.slice(pieces, keptPieces).reduce((sum, count) => sum + count, 0) ?? 0;
+	const speed = load.prefillTokensPerMs;
+	const home = homes.has(target.name);
+	const novel = Math.max(0, total - Math.max(bestCached, cached + imported));
+	const terms: PlacementTerms = {
+		queueMs: load.queueMs,
+		slotMs: load.slotMs,
+		prefillMs: (total - trusted - imported) / speed,
+		importMs: imported / importTokensPerMs,
+		distanceMs: target.zone === query.zone ? 0 : otherZoneMs,
+		recomputeMs: context.recomputePrice * Math.max(0, bestCached - cached - imported) / speed,
+		awayMs: home ? 0 : awayPrice * novel / speed,
+	};
+	return {
+		...terms, target, cachedTokens: cached, suspectTokens: suspect, importKeys, home,
+		totalMs: Object.values(terms).reduce((sum, value) => sum + value, 0),
+	};
 }
--- /dev/null
+++ b/packages/placement/explain.ts
@@ -0,0 +1,24 @@
+/** Every term of every candidate of a request, for operators. */
+import {rankCandidates, type Candidate, type PlacementQuery} from './choose.ts';
+import {findEligible, type Exclusion} from './eligible.ts';
+import type {Target} from '#core';
+
+/** Why a request would go where. */
+export type PlacementExplanation = Readonly<{
+	/** Best first; those within a few percent of the first are chosen among at random. */
+	candidates: readonly Candidate[];
+	/** Targets that may not be chosen. */
+	excluded: ReadonlyArray<Readonly<{target: Target; reason: Exclusion}>>;
+}>;
+
+/** Explains a choice without making it. */
+export function explainPlacement(query: PlacementQuery): PlacementExplanation {
+	const eligibility = findEligible(query);
+	return {
+		candidates: rankCandidates(query, eligibility).toSorted((a, b) => a.totalMs - b.totalMs),
+		excluded: query.pool.targets.flatMap(target => {
+			const reason = eligibility.exclusions.get(target.name);
+			return reason === undefined ? [] : [{target, reason}];
+		}),
+	};
+}
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -2,9 +2,20 @@
  * Placement: the piece-key chain of a prompt, what is known of targets' caches
  * and load, and the choice of a target for a request.
  */
+export type {CachedPrefix} from './_cached-keys.ts';
 export {makeChain, type PromptChain} from './chain.ts';
-export {TargetViews, type TargetSummary, type TargetView} from './views.ts';
-export {chooseTarget, type Candidate, type PlacementQuery} from './choose.ts';
+export {
+	TargetViews, type TargetShare, type TargetSummary, type TargetView, type TargetViewsOptions,
+} from './views.ts';
+export {
+	chooseTarget, type Candidate, type PlacementQuery, type PlacementTerms,
+} from './choose.ts';
+export {
+	findEligible, type Eligibility, type EligibilityQuery, type Exclusion,
+} from './eligible.ts';
+export {explainPlacement, type PlacementExplanation} from './explain.ts';
+export {KeyRates, type KeyRatesOptions} from './key-rates.ts';
+export {pickHomes, type HomeOptions} from './rendezvous.ts';
 export {
 	judgeHead, type AnswerHead, type HeadVerdict, type JudgeContext,
 } from './judge-head.ts';
--- a/packages/placement/placer.ts
+++ b/packages/placement/placer.ts
@@ -3,8 +3,12 @@
  * when it was chosen, and what its answer says about those assumptions.
  */
 import type {PromptChain} from './chain.ts';
-import {chooseTarget, type Candidate, type PlacementQuery} from './choose.ts';
+import {
+	chooseTarget, getAffinityKey, type Candidate, type PlacementQuery,
+} from './choose.ts';
+import {explainPlacement, type PlacementExplanation} from './explain.ts';
 import {judgeHead, type AnswerHead, type HeadVerdict} from './judge-head.ts';
+import {KeyRates} from './key-rates.ts';
 import type {TargetViews} from './views.ts';
 import type {Clock} from '#clock';
 import type {Random, Target, TargetPool} from '#core';
@@ -21,6 +25,8 @@
 	zone: string;
 	/** Default: {@link chooseTarget}. */
 	choose?: PlacementPolicy;
+	/** Instances that share the load, this one included. Default: 1. */
+	countInstances?: () => number;
 }>;
 
 /** A request as far as placement is concerned. */
@@ -48,10 +54,17 @@
 	hasAlternative: boolean;
 }>;
 
+/** Requests that a target can take of one prefix, in parts of its slots, before the prefix gets another replica. */
+const replicaFill = 0.5;
+const defaultHoldMs = 500;
+
 /** Places requests on the targets of their pools. */
 export class Placer {
 	readonly #deps: PlacerDeps;
 	readonly #choose: PlacementPolicy;
+	readonly #rates = new KeyRates();
+	/** Ends of the waits for the first frames of placements. */
+	readonly #pending = new WeakMap<Placement, () => void>();
 
 	constructor(deps: PlacerDeps) {
 		this.#deps = deps;
@@ -64,7 +77,11 @@
 	 * @returns nothing when no target may be chosen
 	 */
 	place(request: PlacementRequest): Placement | undefined {
-		const ranked = this.rank(request);
+		if (request.chain) {
+			this.#rates.add(getAffinityKey(request.chain), this.#deps.clock.now());
+		}
+
+		const ranked = this.#choose(this.#makeQuery(request));
 		const best = ranked[0];
 		return best && {
 			target: best.target, chain: request.chain, incarnation: this.#deps.views.get(best.target.name).incarnation,
@@ -72,12 +89,9 @@
 		};
 	}
 
-	/** Ranks all eligible targets with every term of their rank. */
-	rank({pool, chain, excluded}: PlacementRequest): readonly Candidate[] {
-		const {views, zone, clock, random} = this.#deps;
-		return this.#choose({
-			pool, views, chain, excluded, zone, random, nowMs: clock.now(),
-		});
+	/** Explains where a request would go, with every term of every candidate. */
+	explain(request: PlacementRequest): PlacementExplanation {
+		return explainPlacement(this.#makeQuery(request));
 	}
 
 	/**
@@ -86,10 +100,14 @@
 	 * @returns a function that ends it
 	 */
 	begin(placement: Placement): () => void {
-		const {views} = this.#deps;
+		const {views, clock} = this.#deps;
 		const {name} = placement.target;
+		const uncached = (placement.chain?.totalTokens ?? 0) - placement.cachedTokens;
+		const endPending = views.addPending(name, uncached, clock.now());
+		this.#pending.set(placement, endPending);
 		views.addInFlight(name, 1);
 		return () => {
+			endPending();
 			views.addInFlight(name, -1);
 		};
 	}
@@ -101,6 +119,7 @@
 	takeHead(placement: Placement, head: AnswerHead, options: Readonly<{mayRepeat: boolean}>): HeadVerdict {
 		const {views} = this.#deps;
 		const {name} = placement.target;
+		this.#pending.get(placement)?.();
 		const verdict = judgeHead(placement, head, {known: views.get(name).incarnation, mayRepeat: options.mayRepeat});
 		if (verdict === 'trust' && placement.chain) {
 			views.applyPrefill(name, head.incarnation, placement.chain.keys);
@@ -108,4 +127,19 @@
 
 		return verdict;
 	}
+
+	#makeQuery({pool, chain, excluded}: PlacementRequest): PlacementQuery {
+		const {views, zone, clock, random} = this.#deps;
+		return {
+			pool, views, chain, excluded, zone, random, nowMs: clock.now(), replicas: chain && this.#countReplicas(pool, chain),
+		};
+	}
+
+	/** Homes that a prefix needs at its rate over all instances. */
+	#countReplicas(pool: TargetPool, chain: PromptChain): number {
+		const {clock, countInstances} = this.#deps;
+		const perSecond = this.#rates.get(getAffinityKey(chain), clock.now()) * (countInstances?.() ?? 1);
+		const running = perSecond * defaultHoldMs / 1000;
+		return Math.max(1, Math.min(pool.targets.length, Math.ceil(running / (pool.slots * replicaFill))));
+	}
 }
--- a/packages/placement/views.ts
+++ b/packages/placement/views.ts
@@ -1,83 +1,112 @@
 /** What this instance knows of each target: its last report, its cached keys, and what was sent to it since. */
+import type {CachedPrefix} from './_cached-keys.ts';
+import {KeyTable, parseKeys, type KeyWords} from './_key-table.ts';
+import {TargetState, type TargetSummary} from './_target-state.ts';
 import type {CacheEventBatch, LoadReport} from '#core';
 
+export type {TargetSummary} from './_target-state.ts';
+
 /** Knowledge of one target. */
 export type TargetView = Readonly<{
 	name: string;
+	/** Empty while unknown. */
 	incarnation: string;
 	report?: LoadReport;
-	/** Piece keys believed to be cached. */
-	cached: ReadonlySet<string>;
+	/** Time at which the report's figures were measured, on this instance's clock. */
+	measuredMs: number;
 	/** Requests that this instance has in progress there. */
 	inFlight: number;
 	leaving: boolean;
+	/** Whether the last read found that nothing listens there. */
+	unreachable: boolean;
+	/** Uncached tokens that this instance sent there after `sinceMs` and that have not begun to answer. */
+	countPendingTokens(sinceMs?: number): number;
+	/** What peers lately said they have in progress there. */
+	sumPeers(nowMs: number): Readonly<{requests: number; tokens: number}>;
+	/** The longest prefix of a chain's parsed keys that is believed to be cached. */
+	match(words: KeyWords): CachedPrefix;
 }>;
 
-/** What one instance tells another about a target. */
-export type TargetSummary = Readonly<{
-	target: string;
-	incarnation: string;
-	leaving: boolean;
-	/** Number of the newest cache event that is covered. */
-	sequence: number;
-	/** Piece keys believed to be cached. */
-	keys: readonly string[];
+/** What this instance has in progress on a target. */
+export type TargetShare = Readonly<{target: string; requests: number; tokens: number}>;
+
+/** Options of {@link TargetViews}. */
+export type TargetViewsOptions = Readonly<{
+	/** Most cache entries kept for one target. Default: 2048, which take 24 KB. */
+	maxEntriesPerTarget?: number;
 }>;
 
-type Entry = {
-	name: string;
-	incarnation: string;
-	report?: LoadReport;
-	cached: Set<string>;
-	sequence: number;
-	inFlight: number;
-	leaving: boolean;
-};
+const defaultMaxEntries = 2048;
+const maxKeptEntries = 65_536;
 
 /** Views of all targets by name. */
 export class TargetViews {
-	readonly #entries = new Map<string, Entry>();
+	/** Event batches that had gaps. */
+	gaps = 0;
+	readonly #states = new Map<string, TargetState>();
+	readonly #sharesOfPeers = new Map<string, readonly string[]>();
+	/** Keys that some target has computed, which the kept store therefore may hold. */
+	readonly #kept = new KeyTable(maxKeptEntries);
+	readonly #maxEntries: number;
+
+	constructor(options: TargetViewsOptions = {}) {
+		this.#maxEntries = options.maxEntriesPerTarget ?? defaultMaxEntries;
+	}
+
+	/** Cache entries over all targets. */
+	get entries(): number {
+		return this.#sum(state => state.cache.size);
+	}
+
+	/** Bytes that the cache entries take. */
+	get bytes(): number {
+		return this.#kept.bytes + this.#sum(state => state.cache.bytes);
+	}
 
 	get(name: string): TargetView {
 		return this.#find(name);
 	}
 
-	/** Takes in a load report; a new incarnation drops all cached keys. */
-	applyReport(name: string, report: LoadReport): void {
-		const entry = this.#find(name);
-		this.#setIncarnation(entry, report.incarnation);
-		entry.report = report;
-		entry.leaving ||= report.leaving;
+	/** The longest prefix of a chain's keys that a target is believed to have cached. */
+	matchKeys(name: string, keys: readonly string[]): CachedPrefix {
+		return this.#find(name).match(parseKeys(keys));
+	}
+
+	/** Takes in a load report; another incarnation or other weights drop all cached keys. */
+	applyReport(name: string, report: LoadReport, nowMs = 0): void {
+		this.#find(name).applyReport(report, nowMs);
 	}
 
-	/** Takes in cache events in order. */
+	/** Takes in cache events; missing ones make the present entries suspect. */
 	applyEvents(name: string, batch: CacheEventBatch): void {
-		const entry = this.#find(name);
-		this.#setIncarnation(entry, batch.incarnation);
+		this.gaps += this.#find(name).applyEvents(batch) ? 1 : 0;
 		for (const event of batch.events) {
-			if (event.kind === 'cleared') {
-				entry.cached.clear();
-			}
-
-			for (const key of event.keys) {
-				if (event.kind === 'stored') {
-					entry.cached.add(key);
-				} else {
-					entry.cached.delete(key);
-				}
+			if (event.kind === 'stored') {
+				this.#keep(parseKeys(event.keys));
 			}
 		}
-
-		entry.sequence = batch.sequence;
 	}
 
 	/** Records that a prompt was prefilled on a target of the given incarnation. */
 	applyPrefill(name: string, incarnation: string, keys: readonly string[]): void {
-		const entry = this.#find(name);
-		this.#setIncarnation(entry, incarnation);
-		for (const key of keys) {
-			entry.cached.add(key);
-		}
+		const words = parseKeys(keys);
+		this.#find(name).applyPrefill(incarnation, words);
+		this.#keep(words);
+	}
+
+	/** Forgets the pieces of a chain that an answer showed not to be cached, from a piece on. */
+	dropKeys(name: string, keys: readonly string[], fromPiece: number): void {
+		this.#find(name).cache.drop(parseKeys(keys), fromPiece);
+	}
+
+	/** Makes a target's entries suspect. */
+	suspect(name: string): void {
+		this.#find(name).cache.suspectAll();
+	}
+
+	/** Records that nothing listens at a target: its process and its cache are gone. */
+	markUnreachable(name: string): void {
+		this.#find(name).lose();
 	}
 
 	/**
@@ -86,32 +115,21 @@
 	 * @param maxKeys most keys in all; each target gets an equal part
 	 */
 	exportSummaries(maxKeys: number): readonly TargetSummary[] {
-		const known = [...this.#entries.values()].filter(({incarnation}) => incarnation !== '');
+		const known = [...this.#states.values()].filter(({incarnation}) => incarnation !== '');
 		const share = Math.floor(maxKeys / Math.max(1, known.length));
-		return known.map(({name, incarnation, leaving, sequence, cached}) => ({
-			target: name, incarnation, leaving, sequence, keys: [...cached].slice(0, share),
+		return known.map(({name, incarnation, leaving, cache}) => ({
+			target: name, incarnation, leaving, sequence: cache.sequence, keys: cache.list(share),
 		}));
 	}
 
 	/** Takes in a summary, unless this instance has heard of the target's other incarnation or of newer cache events. */
 	importSummary(summary: TargetSummary): void {
-		const entry = this.#find(summary.target);
-		const isOther = entry.incarnation !== '' && entry.incarnation !== summary.incarnation;
-		if (isOther || entry.sequence > summary.sequence) {
-			return;
-		}
-
-		entry.incarnation = summary.incarnation;
-		entry.sequence = summary.sequence;
-		entry.leaving ||= summary.leaving;
-		for (const key of summary.keys) {
-			entry.cached.add(key);
-		}
+		this.#find(summary.target).applySummary(summary);
 	}
 
 	/** Sequence number after which the next cache events are wanted. */
 	getSequence(name: string): number {
-		return this.#find(name).sequence;
+		return this.#find(name).cache.sequence;
 	}
 
 	/** Counts a request in progress. */
@@ -119,32 +137,77 @@
 		this.#find(name).inFlight += by;
 	}
 
+	/**
+	 * Counts uncached tokens as sent until the answer begins.
+	 *
+	 * @returns a function that ends it
+	 */
+	addPending(name: string, tokens: number, nowMs: number): () => void {
+		return this.#find(name).addPending(tokens, nowMs);
+	}
+
 	/** Marks a target as leaving; the mark stays for the incarnation. */
 	markLeaving(name: string): void {
 		this.#find(name).leaving = true;
 	}
 
-	#find(name: string): Entry {
-		let entry = this.#entries.get(name);
-		if (!entry) {
-			entry = {
-				name, incarnation: '', cached: new Set(), sequence: 0, inFlight: 0, leaving: false,
-			};
-			this.#entries.set(name, entry);
+	/** What this instance has in progress, target by target. */
+	listShares(): readonly TargetShare[] {
+		return [...this.#states.values()]
+			.filter(state => state.inFlight > 0)
+			.map(state => ({target: state.name, requests: state.inFlight, tokens: state.countPendingTokens()}));
+	}
+
+	/** Takes in what a peer has in progress; it replaces what that peer said before. */
+	applyPeerShares(peer: string, shares: readonly TargetShare[], nowMs: number): void {
+		for (const name of this.#sharesOfPeers.get(peer) ?? []) {
+			this.#find(name).deletePeerShare(peer);
+		}
+
+		this.#sharesOfPeers.set(peer, shares.map(({target}) => target));
+		for (const {target, requests, tokens} of shares) {
+			this.#find(target).setPeerShare(peer, {atMs: nowMs, requests, tokens});
+		}
+	}
+
+	/** Forgets a peer that left. */
+	forgetPeer(peer: string): void {
+		this.applyPeerShares(peer, [], 0);
+		this.#sharesOfPeers.delete(peer);
+	}
+
+	/** Leading pieces of a chain that the kept store is believed to hold. */
+	matchKept(words: KeyWords): number {
+		let pieces = 0;
+		while (pieces * 2 < words.length && this.#kept.getEpoch(words[pieces * 2]!, words[(pieces * 2) + 1]!) !== -1) {
+			pieces++;
+		}
+
+		return pieces;
+	}
+
+	#keep(words: KeyWords): void {
+		for (let index = 0; index < words.length; index += 2) {
+			this.#kept.set(words[index]!, words[index + 1]!, 0);
+		}
+	}
+
+	#find(name: string): TargetState {
+		let state = this.#states.get(name);
+		if (!state) {
+			state = new TargetState(name, this.#maxEntries);
+			this.#states.set(name, state);
 		}
 
-		return entry;
+		return state;
 	}
 
-	#setIncarnation(entry: Entry, incarnation: string): void {
-		if (entry.incarnation === incarnation) {
-			return;
+	#sum(read: (state: TargetState) => number): number {
+		let sum = 0;
+		for (const state of this.#states.values()) {
+			sum += read(state);
 		}
 
-		entry.incarnation = incarnation;
-		entry.cached.clear();
-		entry.sequence = 0;
-		entry.leaving = false;
-		entry.report = undefined;
+		return sum;
 	}
 }
