--- a/packages/scenario/_host.ts
+++ b/packages/scenario/_host.ts
@@ -2,7 +2,9 @@
 import {Lifeline} from './_lifeline.ts';
 import type {Clock} from '#clock';
 import {createRandom, type TargetLink} from '#core';
-import {createRouter, type Router} from '#node';
+import {
+	createRouter, provideSnapshots, restoreState, type Router,
+} from '#node';
 import type {PlatformStandin, PeerNetworkStandin} from '#standins';
 import {createTelemetry, type Telemetry} from '#telemetry';
 
@@ -28,21 +30,37 @@
 
 const reportPollMs = 100;
 
+/** Time between heartbeats, which tell the peers the generation in force, in milliseconds. */
+const heartbeatMs = 1000;
+
 /** Starts a router. */
 export function startHost(deps: HostDeps): RouterHost {
 	const lifeline = new Lifeline();
 	const telemetry = createTelemetry({level: 'silent'});
 	const incarnation = `${deps.name}-${deps.seed}`;
+	const clock = lifeline.wrapClock(deps.clock);
+	const random = createRandom(deps.seed);
+	const bus = lifeline.wrapBus(deps.network.join({name: deps.name, zone: deps.zone, incarnation}));
 	const router = createRouter({
 		name: deps.name,
 		zone: deps.zone,
-		random: createRandom(deps.seed),
+		incarnation,
+		random,
 		telemetry,
 		reportPollMs,
-		clock: lifeline.wrapClock(deps.clock),
+		clock,
 		platform: lifeline.wrapPlatform(deps.platform),
 		connector: lifeline.wrapConnector({open: (_pool, target) => deps.getLink(target.name)}),
-		bus: lifeline.wrapBus(deps.network.join({name: deps.name, zone: deps.zone, incarnation})),
+		bus,
+	});
+	const {configuration, views} = router;
+	const warmStart = {
+		clock, random, telemetry, bus, configuration, views, isReady: () => configuration.current !== undefined,
+	};
+	provideSnapshots(warmStart);
+	void restoreState(warmStart, true, lifeline.died);
+	clock.subscribe(heartbeatMs, () => {
+		bus.sample({kind: 'generation', generation: configuration.current?.generation ?? 0});
 	});
 	return {
 		name: deps.name, zone: deps.zone, router, telemetry, lifeline,
--- a/packages/scenario/_steps-check.ts
+++ b/packages/scenario/_steps-check.ts
@@ -42,6 +42,7 @@
 		const least = parseNumber(getWord(step, 2, 'a number of tokens'));
 		return call.cachedTokens >= least ? undefined : `${call.cachedTokens} tokens were cached`;
 	},
+	uncached: call => call.state === 'answered' && call.cachedTokens === 0 ? undefined : `${describeCall(call)}, ${call.cachedTokens} tokens were cached`,
 	on(call, step) {
 		const names = getWord(step, 2, 'a target').split('|');
 		return names.includes(call.target) ? undefined : `it ran on ${call.target}`;
