--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Benches by name: `npm run -s bench -- NAME [--json]`. */
 import process from 'node:process';
 import {Command} from 'commander';
+import {registerOverheadBench} from './overhead.ts';
 import {registerPlacementBench} from './placement.ts';
 import {prepareHash} from '#core';
 
@@ -8,6 +9,7 @@
 function createBenchProgram(): Command {
 	const program = new Command('bench');
 	program.description('Measurements; figures of time live here and not in tests.');
+	registerOverheadBench(program);
 	registerPlacementBench(program);
 	return program;
 }
