Peers say what they have in progress on targets

Cause: with eight routers a load report that lags by up to 750 ms leaves out what the other seven sent.

--- a/bench/_placement-policies.ts
+++ b/bench/_placement-policies.ts
@@ -14,7 +14,7 @@
 
 const loadWeight = 1e6;
 const noTerms = {
-	cachedTokens: 0, suspectTokens: 0, importKeys: [], home: false, queueMs: 0, slotMs: 0, prefillMs: 0, importMs: 0, distanceMs: 0,
+	cachedTokens: 0, suspectTokens: 0, home: false, queueMs: 0, slotMs: 0, prefillMs: 0, importMs: 0, distanceMs: 0,
 	recomputeMs: 0, awayMs: 0,
 };
 
@@ -25,7 +25,7 @@
 	return query.pool.targets
 		.filter(target => !query.excluded.has(target.name) && !query.views.get(target.name).leaving)
 		.map(target => ({
-			...noTerms, target, totalMs: cost(target),
+			...noTerms, target, importKeys: query.pool.keptStore === undefined ? [] : query.chain?.keys ?? [], totalMs: cost(target),
 		}))
 		.toSorted((a, b) => a.totalMs - b.totalMs);
 }
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -18,7 +18,9 @@
 } from '#core';
 import {Dispatcher, TargetLinks} from '#dispatch';
 import type {CallerRequest} from '#entry';
-import {Placer, TargetViews, type PlacementPolicy} from '#placement';
+import {
+	runShareExchange, Placer, TargetViews, type PlacementPolicy,
+} from '#placement';
 import type {PeerBus} from '#peer-protocol';
 import {
 	createPlatformClient, type InstanceEntry, type Platform, type PlatformClientOptions,
@@ -77,7 +79,7 @@
 	const leaving = new LeavingRelay(deps.bus, views);
 	const links = new TargetLinks(deps.connector);
 	const placer = new Placer({
-		views, clock, random, zone: deps.zone, choose: deps.choose,
+		views, clock, random, zone: deps.zone, choose: deps.choose, countInstances: () => deps.bus.listPeers().length + 1,
 	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus: deps.bus,
@@ -99,6 +101,7 @@
 				leaving.check(target);
 			},
 		}, stopping.signal),
+		runShareExchange({views, bus: deps.bus, clock}, stopping.signal),
 		runCapacity({
 			name: deps.name, clock, random, telemetry, platform: platform.leases, bus: deps.bus, configuration,
 			getLink: (pool, target) => links.get(pool, target),
--- a/packages/placement/_cached-keys.ts
+++ b/packages/placement/_cached-keys.ts
@@ -52,7 +52,7 @@
 		const fresh = batch.events.filter(({sequence}) => sequence > this.#sequence);
 		const hasGap = fresh.length < batch.sequence - this.#sequence;
 		if (hasGap) {
-			this.suspectAll();
+			this.markSuspect();
 		}
 
 		for (const event of fresh) {
@@ -78,7 +78,7 @@
 	}
 
 	/** Makes all present entries suspect. */
-	suspectAll(): void {
+	markSuspect(): void {
 		this.#epoch = (this.#epoch + 1) % epochs;
 	}
 
--- a/packages/placement/_load-terms.ts
+++ b/packages/placement/_load-terms.ts
@@ -22,7 +22,7 @@
 export function estimateLoad(view: TargetView, slots: number, nowMs: number): LoadTerms {
 	const {report, measuredMs, inFlight} = view;
 	const prefillTokensPerMs = report?.prefillTokensPerMs ?? defaultPrefillTokensPerMs;
-	const peers = view.sumPeers(nowMs);
+	const peers = view.countPeers(nowMs);
 	const drained = report ? (nowMs - measuredMs) * prefillTokensPerMs : 0;
 	const reported = Math.max(0, (report?.queuedTokens ?? 0) - drained) + view.countPendingTokens(measuredMs);
 	const said = view.countPendingTokens() + peers.tokens;
--- a/packages/placement/_target-state.ts
+++ b/packages/placement/_target-state.ts
@@ -126,7 +126,7 @@
 	}
 
 	/** What the peers have in progress there, as far as they said so lately. */
-	sumPeers(nowMs: number): Readonly<{requests: number; tokens: number}> {
+	countPeers(nowMs: number): Readonly<{requests: number; tokens: number}> {
 		let requests = 0;
 		let tokens = 0;
 		for (const share of this.#peers.values()) {
@@ -158,7 +158,7 @@
 		}
 
 		if (this.incarnation !== '') {
-			this.#retire(this.incarnation);
+			this.#dropIncarnation(this.incarnation);
 			this.cache.clear();
 			this.leaving = false;
 			this.report = undefined;
@@ -169,7 +169,7 @@
 		return true;
 	}
 
-	#retire(incarnation: string): void {
+	#dropIncarnation(incarnation: string): void {
 		this.#retired.add(incarnation);
 		if (this.#retired.size > maxRetired) {
 			const [oldest] = this.#retired;
--- a/packages/placement/choose.test.ts
+++ b/packages/placement/choose.test.ts
@@ -58,7 +58,7 @@
 t.test('counts suspect entries for less', async t => {
 	const views = new TargetViews();
 	views.applyPrefill('e4', 'i1', chain().keys);
-	views.suspect('e4');
+	views.markSuspect('e4');
 	views.applyPrefill('e5', 'i1', chain().keys);
 	t.equal(pick(views), 'e5');
 });
--- a/packages/placement/judge-head.ts
+++ b/packages/placement/classify-head.ts
@@ -11,8 +11,8 @@
  */
 export type HeadVerdict = 'trust' | 'notForCache' | 'placeAgain';
 
-/** What {@link judgeHead} depends on besides the answer. */
-export type JudgeContext = Readonly<{
+/** What {@link classifyHead} depends on besides the answer. */
+export type HeadContext = Readonly<{
 	/** Incarnation by which the target is known now; empty when unknown. */
 	known: string;
 	/** Whether no byte was delivered and the request may run again. */
@@ -24,7 +24,7 @@
  * now is either newer, then its report is about to say so, or older, then its
  * entries are gone; in both cases its cache figures are left out.
  */
-export function judgeHead(placement: Placement, head: AnswerHead, context: JudgeContext): HeadVerdict {
+export function classifyHead(placement: Placement, head: AnswerHead, context: HeadContext): HeadVerdict {
 	const hasOtherWeights = placement.weights !== undefined && head.weights !== placement.weights;
 	if (hasOtherWeights) {
 		return context.mayRepeat && placement.hasAlternative ? 'placeAgain' : 'notForCache';
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -15,10 +15,11 @@
 } from './eligible.ts';
 export {explainPlacement, type PlacementExplanation} from './explain.ts';
 export {KeyRates, type KeyRatesOptions} from './key-rates.ts';
+export {runShareExchange, type ShareExchangeDeps, type ShareExchangeOptions} from './share-exchange.ts';
 export {pickHomes, type HomeOptions} from './rendezvous.ts';
 export {
-	judgeHead, type AnswerHead, type HeadVerdict, type JudgeContext,
-} from './judge-head.ts';
+	classifyHead, type AnswerHead, type HeadVerdict, type HeadContext,
+} from './classify-head.ts';
 export {
 	Placer, type Placement, type PlacementPolicy, type PlacementRequest, type PlacerDeps,
 } from './placer.ts';
--- a/packages/placement/placer.ts
+++ b/packages/placement/placer.ts
@@ -7,7 +7,7 @@
 	chooseTarget, getAffinityKey, type Candidate, type PlacementQuery,
 } from './choose.ts';
 import {explainPlacement, type PlacementExplanation} from './explain.ts';
-import {judgeHead, type AnswerHead, type HeadVerdict} from './judge-head.ts';
+import {classifyHead, type AnswerHead, type HeadVerdict} from './classify-head.ts';
 import {KeyRates} from './key-rates.ts';
 import type {TargetViews} from './views.ts';
 import type {Clock} from '#clock';
@@ -120,7 +120,7 @@
 		const {views} = this.#deps;
 		const {name} = placement.target;
 		this.#pending.get(placement)?.();
-		const verdict = judgeHead(placement, head, {known: views.get(name).incarnation, mayRepeat: options.mayRepeat});
+		const verdict = classifyHead(placement, head, {known: views.get(name).incarnation, mayRepeat: options.mayRepeat});
 		if (verdict === 'trust' && placement.chain) {
 			views.applyPrefill(name, head.incarnation, placement.chain.keys);
 		}
--- a/packages/placement/rendezvous.ts
+++ b/packages/placement/rendezvous.ts
@@ -36,7 +36,7 @@
 	const [high = 0, low = 0] = parseKeys([key]);
 	const best: Array<{name: string; score: number}> = [];
 	for (const name of open) {
-		const score = mixHash(hashName(name) ^ high, low);
+		const score = hashWords(hashName(name) ^ high, low);
 		if (best.length < count || score > best.at(-1)!.score) {
 			best.push({name, score});
 			best.sort((a, b) => b.score - a.score);
@@ -57,7 +57,7 @@
 }
 
 /** The 32-bit finalizer of MurmurHash3 over two words. */
-function mixHash(a: number, b: number): number {
+function hashWords(a: number, b: number): number {
 	let hash = Math.imul(a ^ (a >>> 16), firstMultiplier) ^ b;
 	hash = Math.imul(hash ^ (hash >>> 16), firstMultiplier);
 	hash = Math.imul(hash ^ (hash >>> 13), secondMultiplier);
--- /dev/null
+++ b/packages/placement/share-exchange.test.ts
@@ -0,0 +1,59 @@
+import t from 'tap';
+import {runShareExchange} from './share-exchange.ts';
+import {TargetViews} from './views.ts';
+import {ManualClock} from '#clock';
+import {PeerNetworkStandin} from '#standins';
+
+function start() {
+	const clock = new ManualClock();
+	const network = new PeerNetworkStandin(clock);
+	const stopping = new AbortController();
+	const join = (name: string) => {
+		const views = new TargetViews();
+		void runShareExchange({views, clock, bus: network.join({name, zone: 'esbjerg', incarnation: name})}, stopping.signal);
+		return views;
+	};
+
+	return {
+		clock, network, stopping, a: join('r1'), b: join('r2'),
+	};
+}
+
+t.test('peers hear what an instance has in progress, and that it ended', async t => {
+	const {clock, network, stopping, a, b} = start();
+	const end = a.addPending('e1', 3000, 0);
+	a.addInFlight('e1', 1);
+	await clock.advance(200);
+	t.same(b.get('e1').countPeers(clock.now()), {requests: 1, tokens: 3000});
+	end();
+	await clock.advance(200);
+	t.same(b.get('e1').countPeers(clock.now()), {requests: 1, tokens: 0});
+	a.addInFlight('e1', -1);
+	await clock.advance(200);
+	t.same(b.get('e1').countPeers(clock.now()), {requests: 0, tokens: 0});
+	t.equal(network.delivered.get('sent'), 3);
+	stopping.abort();
+});
+
+t.test('a lost message is repeated', async t => {
+	const {clock, network, stopping, a, b} = start();
+	network.setCut('r1', true);
+	a.addInFlight('e1', 1);
+	await clock.advance(200);
+	network.setCut('r1', false);
+	t.equal(b.get('e1').countPeers(clock.now()).requests, 0);
+	await clock.advance(1500);
+	t.equal(b.get('e1').countPeers(clock.now()).requests, 1);
+	stopping.abort();
+});
+
+t.test('what a silent peer said ages', async t => {
+	const {clock, network, stopping, a, b} = start();
+	a.addInFlight('e1', 1);
+	await clock.advance(200);
+	network.leave('r1');
+	network.setCut('r1', true);
+	await clock.advance(3000);
+	t.equal(b.get('e1').countPeers(clock.now()).requests, 0);
+	stopping.abort();
+});
--- a/packages/placement/views.test.ts
+++ b/packages/placement/views.test.ts
@@ -116,10 +116,10 @@
 	const views = start();
 	views.applyPeerShares('r2', [{target: 'e1', requests: 2, tokens: 4000}], 0);
 	views.applyPeerShares('r3', [{target: 'e1', requests: 1, tokens: 1000}], 0);
-	t.same(views.get('e1').sumPeers(100), {requests: 3, tokens: 5000});
+	t.same(views.get('e1').countPeers(100), {requests: 3, tokens: 5000});
 	views.applyPeerShares('r2', [], 100);
-	t.same(views.get('e1').sumPeers(100), {requests: 1, tokens: 1000});
-	t.same(views.get('e1').sumPeers(5000), {requests: 0, tokens: 0});
+	t.same(views.get('e1').countPeers(100), {requests: 1, tokens: 1000});
+	t.same(views.get('e1').countPeers(5000), {requests: 0, tokens: 0});
 });
 
 t.test('entries stay within their bound', async t => {
--- a/packages/placement/views.ts
+++ b/packages/placement/views.ts
@@ -22,7 +22,7 @@
 	/** Uncached tokens that this instance sent there after `sinceMs` and that have not begun to answer. */
 	countPendingTokens(sinceMs?: number): number;
 	/** What peers lately said they have in progress there. */
-	sumPeers(nowMs: number): Readonly<{requests: number; tokens: number}>;
+	countPeers(nowMs: number): Readonly<{requests: number; tokens: number}>;
 	/** The longest prefix of a chain's parsed keys that is believed to be cached. */
 	match(words: KeyWords): CachedPrefix;
 }>;
@@ -82,7 +82,7 @@
 		this.gaps += this.#find(name).applyEvents(batch) ? 1 : 0;
 		for (const event of batch.events) {
 			if (event.kind === 'stored') {
-				this.#keep(parseKeys(event.keys));
+				this.#storeKept(parseKeys(event.keys));
 			}
 		}
 	}
@@ -91,7 +91,7 @@
 	applyPrefill(name: string, incarnation: string, keys: readonly string[]): void {
 		const words = parseKeys(keys);
 		this.#find(name).applyPrefill(incarnation, words);
-		this.#keep(words);
+		this.#storeKept(words);
 	}
 
 	/** Forgets the pieces of a chain that an answer showed not to be cached, from a piece on. */
@@ -100,8 +100,8 @@
 	}
 
 	/** Makes a target's entries suspect. */
-	suspect(name: string): void {
-		this.#find(name).cache.suspectAll();
+	markSuspect(name: string): void {
+		this.#find(name).cache.markSuspect();
 	}
 
 	/** Records that nothing listens at a target: its process and its cache are gone. */
@@ -170,10 +170,15 @@
 		}
 	}
 
-	/** Forgets a peer that left. */
-	forgetPeer(peer: string): void {
-		this.applyPeerShares(peer, [], 0);
-		this.#sharesOfPeers.delete(peer);
+	/** Forgets all peers but these. */
+	forgetPeersExcept(names: readonly string[]): void {
+		const kept = new Set(names);
+		for (const peer of this.#sharesOfPeers.keys()) {
+			if (!kept.has(peer)) {
+				this.applyPeerShares(peer, [], 0);
+				this.#sharesOfPeers.delete(peer);
+			}
+		}
 	}
 
 	/** Leading pieces of a chain that the kept store is believed to hold. */
@@ -186,7 +191,7 @@
 		return pieces;
 	}
 
-	#keep(words: KeyWords): void {
+	#storeKept(words: KeyWords): void {
 		for (let index = 0; index < words.length; index += 2) {
 			this.#kept.set(words[index]!, words[index + 1]!, 0);
 		}
--- a/packages/standins/_engine-worker.ts
+++ b/packages/standins/_engine-worker.ts
@@ -81,7 +81,7 @@
 	end(): void {
 		this.#ended = true;
 		for (const generation of this.#generations.values()) {
-			generation.breakConnection();
+			generation.cut();
 			generation.cancel();
 		}
 
--- a/packages/standins/_generation.ts
+++ b/packages/standins/_generation.ts
@@ -36,7 +36,7 @@
 	}
 
 	/** Connects a reader and sends it all frames after its offset. */
-	attach(call: TargetCall): Channel<TargetFrame> {
+	connect(call: TargetCall): Channel<TargetFrame> {
 		const sink = new Channel<TargetFrame>();
 		this.#sink = sink;
 		this.#attemptId = call.attemptId;
@@ -56,7 +56,7 @@
 	}
 
 	/** Resets the connection; the generation goes on. */
-	breakConnection(): void {
+	cut(): void {
 		this.#sink?.push({kind: 'fault', outcome: 'unknown', detail: 'ECONNRESET'});
 		this.#sink?.close();
 		this.#sink = undefined;
@@ -68,7 +68,7 @@
 	}
 
 	/** Closes a reader's connection; cancels the generation when it was the present one. */
-	disconnect(sink: Channel<TargetFrame>): void {
+	closeReader(sink: Channel<TargetFrame>): void {
 		if (this.#sink === sink) {
 			this.#sink = undefined;
 			this.cancel();
--- a/packages/standins/engine.ts
+++ b/packages/standins/engine.ts
@@ -114,7 +114,7 @@
 	/** Breaks every open connection; generations go on for a while. */
 	breakConnections(): void {
 		for (const generation of this.#worker.generations) {
-			generation.breakConnection();
+			generation.cut();
 			generation.expire(this.#clock, this.#settings.resumeHoldMs);
 		}
 	}
@@ -166,9 +166,9 @@
 
 		this.runs.push(call.requestId);
 		const generation = this.#worker.open(call);
-		const sink = generation.attach(call);
+		const sink = generation.connect(call);
 		const abort = () => {
-			generation.disconnect(sink);
+			generation.closeReader(sink);
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
