--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {registerOverheadBench} from './overhead.ts';
+import {registerCapacityBench} from './capacity.ts';
 import {registerPlacementBench} from './placement.ts';
 import {prepareHash} from '#core';
 
@@ -10,6 +11,7 @@
 	const program = new Command('bench');
 	program.description('Measurements; figures of time live here and not in tests.');
 	registerOverheadBench(program);
+	registerCapacityBench(program);
 	registerPlacementBench(program);
 	return program;
 }
--- a/packages/scenario/mod.ts
+++ b/packages/scenario/mod.ts
@@ -4,4 +4,5 @@
  * docs/SCENARIOS.md lists the steps.
  */
 export {parseScenario, type Step} from './parse.ts';
-export {runScenario, type ScenarioFault} from './run.ts';
+export {runScenario, runSteps, type ScenarioFault} from './run.ts';
+export {World} from './world.ts';
--- a/packages/scenario/run.ts
+++ b/packages/scenario/run.ts
@@ -28,24 +28,29 @@
  * @param text its steps
  */
 export async function runScenario(file: string, text: string): Promise<Result<void, ScenarioFault>> {
+	const world = new World();
+	try {
+		return await runSteps(world, file, text);
+	} finally {
+		await world.end();
+	}
+}
+
+/** Runs steps in a world that the caller keeps. */
+export async function runSteps(world: World, file: string, text: string): Promise<Result<void, ScenarioFault>> {
 	const steps = parseScenario(text);
 	if (!steps.ok) {
 		return fail({file, ...steps.error});
 	}
 
-	const world = new World();
-	try {
-		for (const step of steps.value) {
-			const message = await runStep(world, step);
-			if (message !== undefined) {
-				return fail({file, line: step.line, message});
-			}
+	for (const step of steps.value) {
+		const message = await runStep(world, step);
+		if (message !== undefined) {
+			return fail({file, line: step.line, message});
 		}
-
-		return succeed(undefined);
-	} finally {
-		await world.end();
 	}
+
+	return succeed(undefined);
 }
 
 async function runStep(world: World, step: Step): Promise<string | undefined> {
