Ask for every piece from the kept store

Cause: what this instance knows of the kept store is less than what it holds, and a wrong belief about the first pieces cuts the import off. Change: the call names all pieces where the pool has a kept store; the rank still counts only those known to be kept.

--- a/packages/placement/choose.test.ts
+++ b/packages/placement/choose.test.ts
@@ -115,8 +115,9 @@
 	const keys = chain().keys.slice(0, -1);
 	views.applyPrefill('e4', 'i1', keys);
 	const kept = chooseTarget(makeQuery(views, {pool: {...pool, keptStore: '10.0.1.1:1'}, excluded: new Set(['e4'])}))[0]!;
-	t.same(kept.importKeys, keys);
+	t.same(kept.importKeys, chain().keys);
 	t.ok(kept.prefillMs < 1);
+	t.ok(kept.importMs > 0);
 	t.same(chooseTarget(makeQuery(views, {excluded: new Set(['e4'])}))[0]!.importKeys, []);
 });
 
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -48,7 +48,7 @@
 	cachedTokens: number;
 	/** Those of them that rest on evidence from before a gap in its events. */
 	suspectTokens: number;
-	/** Piece keys to import from the kept store. */
+	/** Piece keys to import from the kept store where the target does not have them cached. */
 	importKeys: readonly string[];
 	/** Whether the target is a home of the prompt's prefix. */
 	home: boolean;
@@ -157,7 +157,7 @@
 	const {chain} = query;
 	const total = chain?.totalTokens ?? 0;
 	const trusted = cached - (suspect * (1 - suspectTrust));
-	const importKeys = chain?.keys.slice(pieces, keptPieces) ?? [];
+	const importKeys = query.pool.keptStore === undefined ? [] : chain?.keys ?? [];
 	const imported = chain?.tokens.slice(pieces, keptPieces).reduce((sum, count) => sum + count, 0) ?? 0;
 	const speed = load.prefillTokensPerMs;
 	const home = homes.has(target.name);
