Price imports of what another target has cached

Cause: with a kept store requests left the target that had their prompt for a short queue elsewhere, and each import took room in another cache. Change: what is imported although another target has it costs the same price per millisecond as recomputation.

--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -35,7 +35,7 @@
 	importMs: number;
 	/** Distance between availability zones. */
 	distanceMs: number;
-	/** Price of recomputing what another target has cached. */
+	/** Price of recomputing or importing what another target has cached. */
 	recomputeMs: number;
 	/** Price of computing a new prefix away from its home. */
 	awayMs: number;
@@ -161,6 +161,8 @@
 	const imported = chain?.tokens.slice(pieces, keptPieces).reduce((sum, count) => sum + count, 0) ?? 0;
 	const speed = load.prefillTokensPerMs;
 	const home = homes.has(target.name);
+	const missing = Math.max(0, bestCached - cached);
+	const importedAgain = Math.min(imported, missing);
 	const novel = Math.max(0, total - Math.max(bestCached, cached + imported));
 	const terms: PlacementTerms = {
 		queueMs: load.queueMs,
@@ -168,7 +170,7 @@
 		prefillMs: (total - trusted - imported) / speed,
 		importMs: imported / importTokensPerMs,
 		distanceMs: target.zone === query.zone ? 0 : otherZoneMs,
-		recomputeMs: context.recomputePrice * Math.max(0, bestCached - cached - imported) / speed,
+		recomputeMs: context.recomputePrice * (((missing - importedAgain) / speed) + (importedAgain / importTokensPerMs)),
 		awayMs: home ? 0 : awayPrice * novel / speed,
 	};
 	return {
