Admission: shares of limits over all instances, fair queue before each pool

Cause: customers' limits stood in the configuration and nobody enforced them; one customer could fill every engine's queue. Change: each instance owns an even part of every limit and lends what it does not need for 2 s, counted from the asker's own asking; a gate for each pool queues by start-time fair queueing and by deadline, and refuses at once what the promised time cannot bear.

--- /dev/null
+++ b/packages/admission/shares.test.ts
@@ -0,0 +1,113 @@
+import fc from 'fast-check';
+import t from 'tap';
+import {Shares, type Amount} from './shares.ts';
+import {ManualClock} from '#clock';
+import {PeerNetworkStandin} from '#standins';
+
+const limit: Amount = {requestsPerSecond: 100, concurrent: 21};
+const names = ['r1', 'r2', 'r3', 'r4', 'r5'];
+
+function start(latencyMs = 1) {
+	const clock = new ManualClock();
+	const network = new PeerNetworkStandin(clock, {latencyMs});
+	const shares = names.map(name => new Shares({
+		clock, name, incarnation: `${name}!`, getLimit: () => limit,
+		bus: network.join({name, zone: 'a', incarnation: `${name}!`}),
+	}));
+	for (const each of shares) {
+		each.readList(names);
+	}
+
+	const sum = () => {
+		const parts = shares.map(each => each.read('c', limit));
+		return {
+			requestsPerSecond: parts.reduce((total, part) => total + part.requestsPerSecond, 0),
+			concurrent: parts.reduce((total, part) => total + part.concurrent, 0),
+		};
+	};
+
+	return {
+		clock, network, shares, sum,
+	};
+}
+
+async function drive(clock: ManualClock, shares: Shares, seconds: number): Promise<void> {
+	for (let step = 0; step < seconds * 10; step++) {
+		for (let index = 0; index < 10; index++) {
+			shares.record('c', 18);
+		}
+
+		await clock.advance(100);
+	}
+}
+
+t.test('divides a limit wholly', async t => {
+	const {sum} = start();
+	t.same(sum(), limit);
+});
+
+t.test('follows demand', async t => {
+	const {clock, shares, sum} = start();
+	await drive(clock, shares[0]!, 5);
+	const busy = shares[0]!.read('c', limit);
+	t.ok(busy.requestsPerSecond > 85);
+	t.ok(busy.concurrent >= 18);
+	t.ok(sum().requestsPerSecond <= 100.001);
+});
+
+t.test('gives back', async t => {
+	const {clock, shares} = start();
+	await drive(clock, shares[0]!, 5);
+	await drive(clock, shares[1]!, 8);
+	t.ok(shares[1]!.read('c', limit).requestsPerSecond > 60);
+});
+
+t.test('keeps the parts of peers out of reach', async t => {
+	const {clock, network, shares} = start();
+	network.setCut('r1', true);
+	await drive(clock, shares[0]!, 5);
+	await clock.advance(120_000);
+	t.equal(shares[0]!.read('c', limit).requestsPerSecond, 20);
+});
+
+t.test('takes over the part of a leaver', async t => {
+	const {clock, network, shares} = start();
+	const readPart = () => shares[0]!.read('c', limit).requestsPerSecond;
+	network.leave('r5');
+	await clock.advance(120_000);
+	t.equal(readPart(), 20);
+	for (let second = 0; second < 70; second++) {
+		shares[0]!.readList(names.slice(0, 4));
+		await clock.advance(1000);
+	}
+
+	t.equal(readPart(), 25);
+});
+
+t.test('never adds up to more than the limit', async t => {
+	const step = fc.record({
+		instance: fc.nat(4), action: fc.constantFrom('use', 'use', 'use', 'cut', 'join'), burst: fc.nat(40), waitMs: fc.nat(900),
+	});
+	await fc.assert(fc.asyncProperty(fc.array(step, {maxLength: 40}), fc.integer({min: 1, max: 2500}), async (steps, latencyMs) => {
+		const {clock, network, shares, sum} = start(latencyMs);
+		for (const {instance, action, burst, waitMs} of steps) {
+			if (action === 'use') {
+				for (let index = 0; index < burst; index++) {
+					shares[instance]!.record('c', burst);
+				}
+			} else {
+				network.setCut(names[instance]!, action === 'cut');
+			}
+
+			const endMs = clock.now() + waitMs;
+			while (clock.now() < endMs) {
+				await clock.advance(50);
+				const {requestsPerSecond, concurrent} = sum();
+				if (requestsPerSecond > 100.001 || concurrent > 21) {
+					throw new Error(`${requestsPerSecond} requests/s and ${concurrent} at once`);
+				}
+			}
+		}
+	}), {seed: 23, numRuns: 150});
+	t.pass();
+});
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -7,7 +7,7 @@
 import {pollTargets} from './_poll-targets.ts';
 import {LeavingRelay} from './_relay-leaving.ts';
 import {isRepeatable} from './_repeatable.ts';
-import {authenticate} from '#admission';
+import {Admission, authenticate} from '#admission';
 import {Claims} from '#claims';
 import {runCapacity} from '#capacity';
 import type {Clock} from '#clock';
@@ -88,8 +88,13 @@
 	const dispatcher = new Dispatcher({
 		clock, random, telemetry, views, placer, links, quarantine, turns,
 	});
+	const incarnation = deps.incarnation ?? random.id();
+	const admission = new Admission({
+		clock, bus: deps.bus, telemetry, name: deps.name, incarnation, getConfiguration: () => configuration.current,
+		countTargets: pool => pool.targets.filter(target => !views.get(target.name).leaving).length,
+	}, {expectedInstances: deps.platformOptions?.expectedInstances});
 	const claims = new Claims({
-		clock, random, platform: platform.claims, telemetry, owner: {name: deps.name, incarnation: deps.incarnation ?? random.id()},
+		clock, random, platform: platform.claims, telemetry, owner: {name: deps.name, incarnation},
 		isLive: owner => deps.bus.listPeers().some(peer => peer.name === owner.name && peer.incarnation === owner.incarnation),
 	});
 	const stopping = new AbortController();
@@ -105,7 +110,7 @@
 		runCapacity({
 			name: deps.name, clock, random, telemetry, platform: platform.leases, bus: deps.bus, configuration,
 			getLink: (pool, target) => links.get(pool, target),
-			countWaiting: () => 0,
+			countWaiting: pool => admission.countWaiting(pool),
 		}, stopping.signal),
 	];
 	let running = 0;
@@ -132,9 +137,17 @@
 		const labels = {route: route.name, customer: customer.name};
 		telemetry.count('requests_total', labels);
 		telemetry.set('requests_running', ++running);
+		const admitted = await admission.admit(ready, signal);
+		if (!admitted.ok) {
+			telemetry.set('requests_running', --running);
+			yield countRefused(telemetry, {kind: 'refused', refusal: admitted.error});
+			return;
+		}
+
 		try {
 			yield * watchAnswer(claims.run(ready, signal, limited => dispatcher.run(ready, limited)), ready);
 		} finally {
+			admitted.value.release();
 			telemetry.set('requests_running', --running);
 		}
 	}
@@ -163,9 +176,11 @@
 		countRunning: () => running,
 		readList(entries) {
 			leaving.readList(entries);
+			admission.readList(entries.filter(entry => entry.kind === 'router').map(entry => entry.name));
 		},
 		async stop() {
 			await claims.stop();
+			admission.close();
 			stopping.abort();
 			quarantine.close();
 			turns.close();
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -33,10 +33,17 @@
 	z.object({
 		kind: z.literal('turn'), turn: nameSchema, fingerprint: nameSchema, target: nameSchema, order: z.number().int().min(0), runs: z.boolean(),
 	}),
-	/** Demand and use of customers at the sender. */
+	/** What the sender needs of shared limits beyond its own share, at its monotonic time `sentMs`. */
 	z.object({
-		kind: z.literal('demand'),
-		customers: z.array(z.object({customer: nameSchema, requestsPerSecond: z.number(), concurrent: z.number()})).max(maxEntries),
+		kind: z.literal('demand'), sentMs: z.number(),
+		limits: z.array(z.object({key: nameSchema, requestsPerSecond: z.number(), concurrent: z.number()})).max(maxEntries),
+	}),
+	/** Parts of the sender's shares that others may use for a time from when they asked. */
+	z.object({
+		kind: z.literal('lend'),
+		grants: z.array(z.object({
+			key: nameSchema, to: nameSchema, askedMs: z.number(), requestsPerSecond: z.number(), concurrent: z.number(),
+		})).max(maxEntries),
 	}),
 	/** Requests that wait at the sender, by pool. */
 	z.object({
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -45,12 +45,14 @@
 	peers_linked: {help: 'Open connections to other instances.', labels: []},
 	capacity_wanted: {help: 'Engines that the plan wants loaded, by pool; set by the holder of the lease.', labels: ['pool']},
 	capacity_serving: {help: 'Engines that are loaded, by pool; set by the holder of the lease.', labels: ['pool']},
+	admission_waiting: {help: 'Requests that wait for a pool on this instance.', labels: ['pool']},
 	platform_breaker_open: {help: 'Whether calls to the platform are held back.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
 /** Histograms by name. */
 export const histogramRules = {
+	admission_wait_ms: {help: 'Time that admitted requests waited for their pool, in milliseconds.', labels: ['pool'], buckets: latencyBucketsMs},
 	first_token_ms: {help: 'Time to the first token, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
 	answer_ms: {help: 'Time to the whole answer, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
 } as const satisfies Readonly<Record<string, HistogramRule>>;
