--- a/bench/_fleet-world.ts
+++ b/bench/_fleet-world.ts
@@ -65,6 +65,14 @@
 	}
 }
 
+/** Bundles the product once, for all worlds of a run. */
+export function buildProgram(): string {
+	const program = path.resolve('dist', 'run', `fleet-${process.pid}.cjs`);
+	const build = `import {bundle} from './scripts/bundle.mjs'; await bundle('packages/cli/main.ts', ${JSON.stringify(program)})`;
+	execFileSync(process.execPath, ['--input-type=module', '-e', build]);
+	return program;
+}
+
 /** Stand-ins and processes; {@link FleetWorld.close} ends all of them. */
 export class FleetWorld {
 	readonly clock = createSystemClock();
@@ -74,18 +82,18 @@
 	readonly #options: WorldOptions;
 	readonly #servers: HttpServer[] = [];
 	readonly #folder = mkdtempSync(path.join(tmpdir(), 'apricotdoor-fleet-'));
-	readonly #program = path.join(this.#folder, 'apricotdoor.cjs');
+	readonly #program: string;
 	#platformOrigin = '';
 	#addresses: readonly string[] = [];
 
-	constructor(options: WorldOptions) {
+	/** @param program bundle of the product, made by {@link buildProgram} */
+	constructor(program: string, options: WorldOptions) {
+		this.#program = program;
 		this.#options = options;
 	}
 
 	/** Starts everything and waits until each instance is ready. */
 	async start(): Promise<void> {
-		const build = `import {bundle} from './scripts/bundle.mjs'; await bundle('packages/cli/main.ts', ${JSON.stringify(this.#program)})`;
-		execFileSync(process.execPath, ['--input-type=module', '-e', build]);
 		const {instances, targets, eventsPerSecond} = this.#options;
 		const platform = await startPlatformServer(this.platform);
 		this.#servers.push(platform);
--- a/packages/membership/neighbours.ts
+++ b/packages/membership/neighbours.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link chooseNeighbours}. */
 export type NeighbourOptions = Readonly<{
-	/** Up to this many others, all are neighbours. Default: 15. */
+	/** Up to this many others, all are neighbours. Default: 11. */
 	allUpTo?: number;
 	/** Successors on the ring of all instances. Default: 2. */
 	ring?: number;
@@ -28,7 +28,7 @@
  * @param others the live instances besides it
  */
 export function chooseNeighbours(self: PeerIdentity, others: readonly PeerIdentity[], options: NeighbourOptions = {}): readonly PeerIdentity[] {
-	const {allUpTo = 15, ring = 2, zoneRing = 1, chance = 2} = options;
+	const {allUpTo = 11, ring = 2, zoneRing = 1, chance = 2} = options;
 	if (others.length <= allUpTo) {
 		return others;
 	}
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -60,7 +60,8 @@
 		clock, telemetry, countRunning: router.countRunning, ...(settings.stop ?? defaultStop),
 	});
 	const warmStart = {
-		clock, random, telemetry, bus: peers.bus, configuration: router.configuration, views: router.views, isReady: () => lifecycle.isReady,
+		clock, random, telemetry, bus: peers.bus, configuration: router.configuration, views: router.views, quarantine: router.quarantine,
+		isReady: () => lifecycle.isReady,
 	};
 	provideSnapshots(warmStart);
 	const starting = new AbortController();
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -8,5 +8,5 @@
 	Lifecycle, type HandOver, type LifecycleDeps, type Phase,
 } from './lifecycle.ts';
 export {
-	provideSnapshots, restoreState, type StrikeRecord, type WarmStartDeps,
+	provideSnapshots, restoreState, type WarmStartDeps,
 } from './warm-start.ts';
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -54,6 +54,7 @@
 export type Router = Readonly<{
 	configuration: ConfigurationStore;
 	views: TargetViews;
+	quarantine: Quarantine;
 	/** Runs a caller's request. */
 	handle(request: CallerRequest, signal: AbortSignal): AsyncIterable<AnswerEvent>;
 	/** Says where a request would be sent and why. */
@@ -171,7 +172,7 @@
 	}
 
 	return {
-		configuration, views, handle,
+		configuration, views, quarantine, handle,
 		explain: request => explainPlacement(configuration.current, placer, request),
 		countRunning: () => running,
 		readList(entries) {
--- a/packages/node/warm-start.ts
+++ b/packages/node/warm-start.ts
@@ -7,13 +7,11 @@
 import type {Clock} from '#clock';
 import type {ConfigurationStore} from '#configuration';
 import type {Random} from '#core';
-import type {PeerBus, PeerResponseOf} from '#peer-protocol';
+import type {PeerBus} from '#peer-protocol';
 import type {TargetViews} from '#placement';
+import type {Quarantine} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
-/** A crash that happened while a request was in flight. */
-export type StrikeRecord = PeerResponseOf<'snapshot'>['strikes'][number];
-
 /** What takes part in a snapshot. */
 export type WarmStartDeps = Readonly<{
 	clock: Clock;
@@ -24,12 +22,11 @@
 	views: TargetViews;
 	/** Whether this instance is ready, and so has something to give. */
 	isReady: () => boolean;
-	/** Strikes to give and to take. Default: none. */
-	exportStrikes?: () => readonly StrikeRecord[];
-	importStrikes?: (strikes: readonly StrikeRecord[]) => void;
+	quarantine: Quarantine;
 }>;
 
 const maxKeys = 32_768;
+const maxStrikes = 128;
 const snapshotsPerSecond = 4;
 const jitterMs = 300;
 const neighbourWaitMs = 1500;
@@ -54,7 +51,7 @@
 
 		return {
 			kind: 'snapshot', targets: deps.views.exportSummaries(maxKeys).map(summary => ({...summary, keys: [...summary.keys]})),
-			strikes: [...deps.exportStrikes?.() ?? []],
+			strikes: [...deps.quarantine.exportStrikes(maxStrikes)],
 		};
 	});
 }
@@ -98,7 +95,7 @@
 				deps.views.importSummary(summary);
 			}
 
-			deps.importStrikes?.(answer.value.strikes);
+			deps.quarantine.importStrikes(answer.value.strikes);
 			return;
 		}
 	}
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -17,6 +17,12 @@
 	leaving: z.boolean(),
 });
 
+/** Crashes of targets while a request with this fingerprint was in flight there, and those that a completed run has cleared. */
+export const strikeSchema = z.object({
+	kind: z.literal('strike'), fingerprint: nameSchema, crashes: z.array(nameSchema).max(maxCrashes), cleared: z.array(nameSchema).max(maxCrashes),
+	untilWallMs: z.number(),
+});
+
 /** Schema of every message. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
 	/** What the sender has in progress on targets. */
@@ -24,11 +30,7 @@
 		kind: z.literal('sent'),
 		targets: z.array(z.object({target: nameSchema, requests: z.number(), tokens: z.number()})).max(maxEntries),
 	}),
-	/** Crashes of targets while a request with this fingerprint was in flight there, and those that a completed run has cleared. */
-	z.object({
-		kind: z.literal('strike'), fingerprint: nameSchema, crashes: z.array(nameSchema).max(maxCrashes), cleared: z.array(nameSchema).max(maxCrashes),
-		untilWallMs: z.number(),
-	}),
+	strikeSchema,
 	/** A struck request begins, goes on with or ends its turn on a target. */
 	z.object({
 		kind: z.literal('turn'), turn: nameSchema, fingerprint: nameSchema, target: nameSchema, order: z.number().int().min(0), runs: z.boolean(),
--- a/packages/peer-protocol/requests.ts
+++ b/packages/peer-protocol/requests.ts
@@ -1,10 +1,11 @@
 /** The closed set of questions that an instance asks a peer, and their answers. */
 import {z} from 'zod';
+import {strikeSchema} from './messages.ts';
 
 const maxNameLength = 200;
 const maxServices = 4096;
 const maxFragmentLength = 1_048_576;
-const maxStrikes = 4096;
+const maxStrikes = 1024;
 const maxTargets = 4096;
 const maxKeysPerTarget = 4096;
 
@@ -34,7 +35,7 @@
 		targets: z.array(z.object({
 			target: nameSchema, incarnation: nameSchema, leaving: z.boolean(), sequence: z.number(), keys: z.array(nameSchema).max(maxKeysPerTarget),
 		})).max(maxTargets),
-		strikes: z.array(z.object({fingerprint: nameSchema, strikes: z.number().int().min(0), untilWallMs: z.number()})).max(maxStrikes),
+		strikes: z.array(strikeSchema).max(maxStrikes),
 	}),
 ]);
 
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -124,6 +124,19 @@
 		};
 	}
 
+	/** The newest entries, for an instance that starts. */
+	exportStrikes(maxStrikes: number): ReadonlyArray<PeerMessageOf<'strike'>> {
+		const fingerprints = [...this.#entries.keys()].filter(fingerprint => this.#find(fingerprint));
+		return fingerprints.slice(-maxStrikes).map(fingerprint => this.#write(fingerprint, this.#entries.get(fingerprint)!));
+	}
+
+	/** Takes in what a peer exported. */
+	importStrikes(strikes: ReadonlyArray<PeerMessageOf<'strike'>>): void {
+		for (const strike of strikes) {
+			this.#merge(strike);
+		}
+	}
+
 	/** Stops listening and repeating. */
 	close(): void {
 		for (const cancel of this.#cancels) {
