--- a/packages/scenario/_host.ts
+++ b/packages/scenario/_host.ts
@@ -53,9 +53,9 @@
 		connector: lifeline.wrapConnector({open: (_pool, target) => deps.getLink(target.name)}),
 		bus,
 	});
-	const {configuration, views} = router;
+	const {configuration, views, quarantine} = router;
 	const warmStart = {
-		clock, random, telemetry, bus, configuration, views, isReady: () => configuration.current !== undefined,
+		clock, random, telemetry, bus, configuration, views, quarantine, isReady: () => configuration.current !== undefined,
 	};
 	provideSnapshots(warmStart);
 	void restoreState(warmStart, true, lifeline.died);
