An answer with less cached than assumed makes entries suspect

Cause: lost cache events showed only as gaps; an answer that computed what was believed to be cached changed nothing. Change: it makes the target's older entries suspect.

--- a/packages/placement/placer.ts
+++ b/packages/placement/placer.ts
@@ -122,6 +122,10 @@
 		this.#pending.get(placement)?.();
 		const verdict = classifyHead(placement, head, {known: views.get(name).incarnation, mayRepeat: options.mayRepeat});
 		if (verdict === 'trust' && placement.chain) {
+			if (head.cachedTokens < placement.cachedTokens) {
+				views.markSuspect(name);
+			}
+
 			views.applyPrefill(name, head.incarnation, placement.chain.keys);
 		}
 
