--- a/packages/admin/app.ts
+++ b/packages/admin/app.ts
@@ -50,7 +50,7 @@
 	app.disable('x-powered-by');
 	addOpenPaths(app, deps);
 	app.use((req, res, next) => {
-		const reason = authorize(req, deps.operatorTokenDigests);
+		const reason = findDenial(req, deps.operatorTokenDigests);
 		if (reason) {
 			sendAdminRefusal(res, telemetry, {reason});
 			return;
@@ -110,7 +110,7 @@
 	});
 }
 
-function authorize(req: Request, digests: readonly string[]): AdminRefusalReason | undefined {
+function findDenial(req: Request, digests: readonly string[]): AdminRefusalReason | undefined {
 	if (digests.length === 0) {
 		return 'admin_no_operators';
 	}
--- /dev/null
+++ b/packages/cli/_pages.ts
@@ -0,0 +1,61 @@
+/** The pages docs/METRICS.md and docs/REFUSALS.md, written from the closed lists. `npm run generate` writes them. */
+import {adminRefusalRules} from '#admin';
+import {refusalRules} from '#core';
+import {causeRules} from '#dispatch';
+import {
+	counterRules, gaugeRules, histogramRules, type SeriesRule,
+} from '#telemetry';
+
+/** Writes the page of all metric series. */
+export function makeMetricsPage(): string {
+	const section = (title: string, rules: Readonly<Record<string, SeriesRule>>) => [
+		`## ${title}`,
+		'',
+		...makeTable(['Name', 'Labels', 'Meaning'], Object.entries(rules).map(([name, {labels, help}]) => [`\`apricotdoor_${name}\``, labels.join(', '), help])),
+		'',
+	];
+	return [
+		'# Metrics',
+		'',
+		'`GET /metrics` of the administration address answers in the Prometheus text format. Written by `npm run generate`; a test keeps it current.',
+		'',
+		...section('Counters', counterRules),
+		...section('Gauges', gaugeRules),
+		...section('Histograms', histogramRules),
+	].join('\n');
+}
+
+/** Writes the page of all refusal and retry reasons. */
+export function makeRefusalsPage(): string {
+	const callers = Object.entries(refusalRules).map(([reason, {status, ran, message}]) => [`\`${reason}\``, String(status), ran, message]);
+	const operators = Object.entries(adminRefusalRules).map(([reason, {status, message}]) => [`\`${reason}\``, String(status), message]);
+	const retries = Object.entries(causeRules).map(([cause, {outcome, reason, place}]) => [`\`${cause}\``, outcome, place, `\`${reason}\``]);
+	return [
+		'# Refusals and retries',
+		'',
+		'Written by `npm run generate`; a test keeps it current.',
+		'',
+		'## What callers are told',
+		'',
+		'The body is `{"error": {"code", "message", "ran", "retryAfterMs"}}`. `ran` says whether the request ran: `not_run` is only said when that is proved. The column shows what a reason says unless the attempts prove otherwise. Counter: `apricotdoor_refusals_total{reason, ran}`.',
+		'',
+		...makeTable(['Code', 'Status', 'Ran', 'Message'], callers),
+		'',
+		'## What operators are told',
+		'',
+		'Counter: `apricotdoor_admin_refusals_total{reason}`.',
+		'',
+		...makeTable(['Code', 'Status', 'Message'], operators),
+		'',
+		'## Why a request is tried again',
+		'',
+		'Counter: `apricotdoor_retries_total{reason}`. A request that may not be repeated is only tried again after `notSent` and `refused`.',
+		'',
+		...makeTable(['Cause', 'Outcome of the attempt', 'Next target', 'Refusal if it is the last'], retries),
+		'',
+	].join('\n');
+}
+
+function makeTable(head: readonly string[], rows: ReadonlyArray<readonly string[]>): readonly string[] {
+	return [head, head.map(() => '---'), ...rows].map(row => `| ${row.join(' | ')} |`);
+}
--- a/packages/configuration/explain-issues.ts
+++ b/packages/configuration/explain-issues.ts
@@ -30,7 +30,7 @@
 function explainIssue(issue: Issue, document: JsonSchema): readonly FieldFault[] {
 	if (issue.code === 'unrecognized_keys') {
 		const known = Object.keys(getSchemaAt(document, issue.path)?.properties ?? {});
-		return issue.keys.map(key => ({field: joinPath([...issue.path, key]), message: `unknown key; ${suggest(key, known)}`}));
+		return issue.keys.map(key => ({field: joinPath([...issue.path, key]), message: `unknown key; ${writeSuggestion(key, known)}`}));
 	}
 
 	const field = joinPath(issue.path);
@@ -50,7 +50,7 @@
  *
  * @param known names to choose from
  */
-export function suggest(name: string, known: Iterable<string>): string {
+export function writeSuggestion(name: string, known: Iterable<string>): string {
 	const names = [...known];
 	const nearest = findNearest(name, names);
 	if (nearest !== undefined) {
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -5,7 +5,7 @@
 export {serviceFileSchema, type ServiceFile} from './service-file.ts';
 export {checkFragments, type CheckedFragments} from './check.ts';
 export {maxFragmentBytes, type ConfigurationFault, type Fragment} from './fragment.ts';
-export {explainIssues, suggest, type FieldFault} from './explain-issues.ts';
+export {explainIssues, writeSuggestion, type FieldFault} from './explain-issues.ts';
 export {
 	noBase, publishFragments, type PublishFailure, type PublishOptions, type PublishReceipt,
 } from './publish.ts';
--- a/packages/configuration/publish.ts
+++ b/packages/configuration/publish.ts
@@ -11,7 +11,7 @@
 } from './fragment.ts';
 import {readHead, type Head, type VersionedHead} from './head.ts';
 import {headKey, makeFragmentKey} from './keys.ts';
-import {suggest} from './explain-issues.ts';
+import {writeSuggestion} from './explain-issues.ts';
 import {fail, succeed, type Result} from '#core';
 import type {Platform, PlatformFailure} from '#platform';
 
@@ -162,7 +162,7 @@
 function checkWhole(change: Change, others: readonly Fragment[], head: Head): readonly ConfigurationFault[] {
 	const unknown = change.removed.filter(service => head.fragments[service] === undefined);
 	if (unknown.length > 0) {
-		return unknown.map(service => ({file: `service ${service}`, field: '', message: `is not configured; ${suggest(service, Object.keys(head.fragments))}`}));
+		return unknown.map(service => ({file: `service ${service}`, field: '', message: `is not configured; ${writeSuggestion(service, Object.keys(head.fragments))}`}));
 	}
 
 	const parsed = others.map(fragment => parseFragment(fragment));
--- a/packages/load/workload.ts
+++ b/packages/load/workload.ts
@@ -69,8 +69,8 @@
 	}
 
 	const count = options.dossiers ?? 40;
-	const popularity = accumulate(Array.from({length: count}, (_, rank) => (rank + 1) ** -(options.skew ?? 1.1)));
-	const shares = accumulate(options.customers.map(customer => customer.share));
+	const popularity = makeSums(Array.from({length: count}, (_, rank) => (rank + 1) ** -(options.skew ?? 1.1)));
+	const shares = makeSums(options.customers.map(customer => customer.share));
 	const texts = new Map<string, string>();
 	let atMs = 0;
 	let serial = 0;
@@ -111,7 +111,7 @@
 	return sentence.repeat(Math.ceil(tokens * charsPerToken / sentence.length)).slice(0, tokens * charsPerToken);
 }
 
-function accumulate(weights: readonly number[]): readonly number[] {
+function makeSums(weights: readonly number[]): readonly number[] {
 	let sum = 0;
 	return weights.map(weight => {
 		sum += weight;
--- a/packages/node/settings.ts
+++ b/packages/node/settings.ts
@@ -1,7 +1,7 @@
 /** The settings of one instance: a JSON file, checked. */
 import {isIPv4} from 'node:net';
 import {z} from 'zod';
-import {explainIssues, suggest, type FieldFault} from '#configuration';
+import {explainIssues, writeSuggestion, type FieldFault} from '#configuration';
 import {
 	fail, succeed, toMessage, type Result,
 } from '#core';
@@ -124,7 +124,7 @@
 
 		const key = keys.get(variable);
 		if (key === undefined) {
-			faults.push({field: variable, message: `unknown variable; ${suggest(variable, keys.keys())}`});
+			faults.push({field: variable, message: `unknown variable; ${writeSuggestion(variable, keys.keys())}`});
 		} else {
 			values[key] = readValue(key, value);
 		}
--- a/packages/telemetry/telemetry.ts
+++ b/packages/telemetry/telemetry.ts
@@ -50,7 +50,7 @@
 	const registry = new Registry();
 	const counters = createFamilies(counterRules, (name, rule, family) => {
 		const counter: Counter = new Counter({
-			...describe(name, rule, registry), collect() {
+			...makeMetricOptions(name, rule, registry), collect() {
 				counter.reset();
 				for (const {labels, value} of family.values()) {
 					counter.inc({...labels}, value);
@@ -60,7 +60,7 @@
 	});
 	const gauges = createFamilies(gaugeRules, (name, rule, family) => {
 		const gauge: Gauge = new Gauge({
-			...describe(name, rule, registry), collect() {
+			...makeMetricOptions(name, rule, registry), collect() {
 				gauge.reset();
 				for (const {labels, value} of family.values()) {
 					gauge.set({...labels}, value);
@@ -70,7 +70,7 @@
 	});
 	const histograms = new Map<string, Histogram>();
 	for (const [name, rule] of Object.entries(histogramRules)) {
-		histograms.set(name, new Histogram({...describe(name, rule, registry), buckets: [...rule.buckets]}));
+		histograms.set(name, new Histogram({...makeMetricOptions(name, rule, registry), buckets: [...rule.buckets]}));
 	}
 
 	const logger = createLogger(options);
@@ -108,7 +108,7 @@
 	return families;
 }
 
-function describe(name: string, rule: SeriesRule, registry: Registry) {
+function makeMetricOptions(name: string, rule: SeriesRule, registry: Registry) {
 	return {
 		name: prefix + name, help: rule.help, labelNames: [...rule.labels], registers: [registry],
 	};
