--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -7,61 +7,12 @@
 import type {Duplex} from 'node:stream';
 import {Links} from './links.ts';
 import {MemberTable} from './member-table.ts';
-import {chooseNeighbours, sortByHash} from './neighbours.ts';
-import type {Clock} from '#clock';
-import type {Random} from '#core';
+import {sortByHash} from './neighbours.ts';
+import type {InstanceStatus, MembershipDeps, MembershipOptions} from './types.ts';
+import {listWanted} from './_wanted.ts';
 import {
-	PeerLink, type Envelope, type LinkEnd, type LinkLimits, type MemberRecord, type Peer, type PeerBus, type PeerIdentity,
-	type PeerStatus, type PeerTransport,
+	PeerLink, type Envelope, type LinkEnd, type MemberRecord, type Peer, type PeerBus,
 } from '#peer-protocol';
-import type {Telemetry} from '#telemetry';
-
-/** Bounds and intervals of {@link Membership}. */
-export type MembershipOptions = Readonly<{
-	/** Addresses to begin with. Default: none. */
-	seeds?: readonly string[];
-	/** Time that a suspect instance has to refute, in milliseconds. Default: 3000. */
-	suspectMs?: number;
-	/** Time between looks at which connections are wanted, in milliseconds. Default: 500. */
-	reviewMs?: number;
-	/** Longest time to connect, in milliseconds. Default: 1500. */
-	connectMs?: number;
-	/** Shortest and longest time before a peer is dialled again, in milliseconds. Default: 200 and 5000. */
-	minRedialMs?: number;
-	maxRedialMs?: number;
-	/** Time for which gone instances are remembered and now and then dialled, in milliseconds. Default: 900 000. */
-	goneMs?: number;
-	/** Bounds of each link. Default: those of the link. */
-	limits?: LinkLimits;
-}>;
-
-/** What membership works with. */
-export type MembershipDeps = Readonly<{
-	self: PeerIdentity;
-	clock: Clock;
-	random: Random;
-	telemetry: Telemetry;
-	transport: PeerTransport;
-	/** Shared by all instances. */
-	secret: string;
-	/** State that the heartbeats carry. */
-	readStatus: () => Omit<PeerStatus, 'membersDigest'>;
-	/** Called with each heartbeat of a neighbour. */
-	heard?: (peer: Peer, status: PeerStatus) => void;
-	options?: MembershipOptions;
-}>;
-
-/** A live instance as operators see it. */
-export type InstanceStatus = Readonly<{
-	name: string;
-	zone: string;
-	address: string;
-	incarnation: string;
-	state: MemberRecord['state'];
-	leaving: boolean;
-	/** Newest state heard in a heartbeat; absent without a connection. */
-	status?: Readonly<{generation: number; ready: boolean; running: number}>;
-}>;
 
 const defaults: Required<MembershipOptions> = {
 	seeds: [], suspectMs: 3000, reviewMs: 500, connectMs: 1500, minRedialMs: 200, maxRedialMs: 5000, goneMs: 900_000, limits: {},
@@ -69,10 +20,6 @@
 const flushMs = 50;
 const resyncMs = 5000;
 const maxRecordsPerMessage = 512;
-const fewOthers = 11;
-const strangersAtOnce = 3;
-const goneAtOnce = 2;
-const slotMs = 10_000;
 const suspectAgainMs = 30_000;
 
 /** Keeps the table, the connections and the bus of one instance. */
@@ -241,7 +188,9 @@
 	/** Starts and ends the tasks that keep connections. */
 	#review(): void {
 		this.#table.prune(this.#deps.clock.now() - this.#options.goneMs);
-		const wanted = new Set(this.#listWanted());
+		const wanted = new Set(listWanted({
+			self: this.#deps.self, records: this.#table.list(), seeds: this.#seeds, nowMs: this.#deps.clock.now(),
+		}));
 		for (const [address, controller] of this.#dialling) {
 			if (!wanted.has(address)) {
 				controller.abort();
@@ -264,23 +213,6 @@
 		}
 	}
 
-	/** Neighbours, and a few addresses of instances that are unknown or were given up, changing with time. */
-	#listWanted(): readonly string[] {
-		const {self, clock} = this.#deps;
-		const live = this.#listLive().map(({peer}) => peer);
-		const liveAddresses = new Set([self.address, ...live.map(({address}) => address)]);
-		const slot = Math.floor(clock.now() / slotMs);
-		const strangers = [...this.#seeds].filter(address => !liveAddresses.has(address));
-		const gone = this.#table.list().filter(({state, leaving}) => state === 'gone' && !leaving)
-			.map(({peer}) => peer.address).filter(address => !liveAddresses.has(address) && !this.#seeds.has(address));
-		const few = strangers.length + live.length <= fewOthers;
-		return [
-			...chooseNeighbours(self, live).map(({address}) => address),
-			...(few ? strangers : rotate(strangers, slot, strangersAtOnce)),
-			...rotate([...new Set(gone)], slot, goneAtOnce),
-		];
-	}
-
 	/** Keeps a connection to one address until it is no longer wanted. The task of one peer. */
 	async #keepPeer(address: string, signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.#deps;
@@ -401,9 +333,3 @@
 		});
 	}
 }
-
-/** Takes `count` items in turn, others in each slot. */
-function rotate<Item>(items: readonly Item[], slot: number, count: number): readonly Item[] {
-	const start = items.length === 0 ? 0 : (slot * count) % items.length;
-	return [...items.slice(start), ...items.slice(0, start)].slice(0, count);
-}
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -2,9 +2,8 @@
  * Membership: which instances are live, suspect, leaving or gone, the
  * connections between them, and the bus over these connections.
  */
-export {
-	Membership, type InstanceStatus, type MembershipDeps, type MembershipOptions,
-} from './membership.ts';
+export {Membership} from './membership.ts';
+export type {InstanceStatus, MembershipDeps, MembershipOptions} from './types.ts';
 export {MemberTable, mergeRecords} from './member-table.ts';
 export {chooseNeighbours, type NeighbourOptions} from './neighbours.ts';
 export {followList, type FollowListDeps} from './follow-list.ts';
