Targets: complete only what says so, refusals with a time to come back, bounded events

Cause: a body without a length that closed early passed as complete, an answer to HEAD passed as truncated, an endless event grew without bound, and the time at which a target wants to be asked again was dropped. Change: the end of an answer must be stated; engine events are bounded; the attempt's id must be echoed where it is stated. Conclusion: tests over real sockets bring each about; undici sent a request once when its reused connection was reset, GET and POST alike (service-link.test.ts).

--- a/packages/targets/_http.ts
+++ b/packages/targets/_http.ts
@@ -1,4 +1,5 @@
 /** What both HTTP adapters share: connection pools, outcome of a transport error, JSON reads. */
+import type {IncomingHttpHeaders} from 'node:http';
 import {Agent, errors, Pool} from 'undici';
 import {z} from 'zod';
 import type {HttpConnectorOptions} from './http-connector.ts';
@@ -35,10 +36,21 @@
 export function classifyError(error: unknown): TargetFailure {
 	const code = error instanceof Error && 'code' in error ? String(error.code) : '';
 	const detail = toMessage(error);
-	const unsent = unsentCodes.has(code) || error instanceof errors.ConnectTimeoutError;
+	const isConnect = error instanceof Error && 'syscall' in error && error.syscall === 'connect';
+	const unsent = isConnect || unsentCodes.has(code) || error instanceof errors.ConnectTimeoutError;
 	return {outcome: unsent ? 'notSent' : 'unknown', detail: code === '' ? detail : `${code}: ${detail}`};
 }
 
+/**
+ * Reads a `Retry-After` header in its form of seconds (RFC 9110, section 10.2.3).
+ *
+ * @returns milliseconds
+ */
+export function readRetryAfterMs(headers: IncomingHttpHeaders): number | undefined {
+	const seconds = Number(headers['retry-after'] ?? Number.NaN);
+	return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined;
+}
+
 /** Turns a transport error into the frame that closes an attempt. */
 export function makeFault(error: unknown): TargetFrame {
 	return {kind: 'fault', ...classifyError(error)};
--- /dev/null
+++ b/packages/targets/engine-link.test.ts
@@ -0,0 +1,60 @@
+import t from 'tap';
+import {createHttpConnector} from './http-connector.ts';
+import type {TargetCall, TargetFrame, TargetPool} from '#core';
+import {startHttpServer, type HttpListener} from '#http';
+
+const pool: TargetPool = {
+	name: 'language', kind: 'engine', pieceTokens: 1, checksFencing: true, loadsAtOnce: 1, minLoaded: 1, slots: 1, targets: [],
+};
+const call: TargetCall = {
+	attemptId: 'a1', requestId: 'q1', customer: 'c', chain: [], pieceTokens: [], priority: 0, remainingMs: 1000, resumeOffset: 0, deliveredText: '',
+	freshConnection: false, importKeys: [], work: {
+		kind: 'chat', messages: [{role: 'user', content: 'x'}], maxTokens: 1, extra: {},
+	},
+};
+
+async function run(listener: HttpListener): Promise<readonly TargetFrame[]> {
+	const server = await startHttpServer(listener, '127.0.0.1:0');
+	const link = createHttpConnector().open(pool, {name: 'e1', address: server.address, zone: 'z'});
+	const frames: TargetFrame[] = [];
+	for await (const frame of link.run(call, new AbortController().signal)) {
+		frames.push(frame);
+	}
+
+	await link.close();
+	await server.destroy();
+	return frames;
+}
+
+const list = (frames: readonly TargetFrame[]) => frames.map(frame => frame.kind === 'fault' ? frame.outcome : frame.kind).join(' ');
+const stream = (...texts: readonly string[]): HttpListener => (_req, res) => {
+	res.writeHead(200, {'content-type': 'text/event-stream'});
+	for (const text of texts) {
+		res.write(text);
+	}
+
+	res.end();
+};
+
+const data = 'data: {"type":"data","attempt":"a1","offset":0,"base64":"YQ=="}\n\n';
+
+t.test('ends the attempt at a broken event', async t => {
+	t.equal(list(await run(stream(data, 'data: {"type":\n\n', data))), 'data unknown');
+	t.equal(list(await run(stream('data: {"type":"data","attempt":"a1","offset":"x"}\n\n'))), 'unknown');
+	t.equal(list(await run(stream(data))), 'data unknown', 'a clean close is no end');
+	t.equal(list(await run(stream(data, 'data: {"type":"end","attempt":"a1","finish":"stop"}\n\n', data))), 'data end');
+});
+
+t.test('bounds the size of an event', async t => {
+	const chunk = 'x'.repeat(1_000_000);
+	const frames = await run(stream('data: ', ...Array.from({length: 20}, () => chunk)));
+	t.equal(list(frames), 'unknown');
+	t.match(frames, [{detail: /more than/v}]);
+});
+
+t.test('reads when an engine that refuses wants to be asked again', async t => {
+	const frames = await run((_req, res) => {
+		res.writeHead(503, {'retry-after': '2'}).end();
+	});
+	t.match(frames, [{kind: 'fault', outcome: 'refused', retryAfterMs: 2000}]);
+});
--- a/packages/targets/engine-link.ts
+++ b/packages/targets/engine-link.ts
@@ -3,7 +3,7 @@
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {z} from 'zod';
 import {
-	createHttpLink, eventsSchema, makeFault, readJson, receiptSchema, reportSchema, type HttpLink,
+	createHttpLink, eventsSchema, makeFault, readJson, readRetryAfterMs, receiptSchema, reportSchema, type HttpLink,
 } from './_http.ts';
 import type {HttpConnectorOptions} from './http-connector.ts';
 import type {
@@ -46,6 +46,12 @@
 	};
 }
 
+/** Statuses by which an engine says that it did not run the request. */
+const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+/** Largest event of an engine, in UTF-16 code units. */
+const maxEventSize = 4_194_304;
+
 async function * runChat(link: HttpLink, call: TargetCall, signal: AbortSignal): AsyncGenerator<TargetFrame> {
 	const {work} = call;
 	if (work.kind !== 'chat') {
@@ -74,7 +80,10 @@
 		});
 		if (answer.statusCode !== 200) {
 			await answer.body.dump();
-			yield {kind: 'fault', outcome: answer.statusCode === 503 || answer.statusCode === 429 ? 'refused' : 'failed', detail: `engine answered ${answer.statusCode}`};
+			yield {
+				kind: 'fault', outcome: refusalStatuses.has(answer.statusCode) ? 'refused' : 'failed', detail: `engine answered ${answer.statusCode}`,
+				retryAfterMs: readRetryAfterMs(answer.headers),
+			};
 			return;
 		}
 
@@ -88,10 +97,15 @@
 
 async function * readFrames(body: AsyncIterable<Uint8Array>): AsyncGenerator<TargetFrame> {
 	const pending: EventSourceMessage[] = [];
+	let isOverflown = false;
 	const parser = createParser({
+		maxBufferSize: maxEventSize,
 		onEvent(event) {
 			pending.push(event);
 		},
+		onError({type}) {
+			isOverflown ||= type === 'max-buffer-size-exceeded';
+		},
 	});
 	const decoder = new TextDecoder();
 	for await (const chunk of body) {
@@ -103,6 +117,11 @@
 				return;
 			}
 		}
+
+		if (isOverflown) {
+			yield {kind: 'fault', outcome: 'unknown', detail: `the engine sent an event of more than ${maxEventSize} characters`};
+			return;
+		}
 	}
 
 	yield {kind: 'fault', outcome: 'unknown', detail: 'the stream closed without its end'};
--- /dev/null
+++ b/packages/targets/service-link.test.ts
@@ -0,0 +1,123 @@
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import t from 'tap';
+import {createHttpConnector} from './http-connector.ts';
+import type {TargetCall, TargetFrame, TargetPool} from '#core';
+
+type Answer = (socket: Socket, count: number) => void;
+
+const pool: TargetPool = {
+	name: 'ledger', kind: 'service', pieceTokens: 1, checksFencing: true, loadsAtOnce: 1, minLoaded: 1, slots: 1, targets: [],
+};
+
+/** A server that counts requests and answers each by hand. */
+async function start(answer: Answer) {
+	const seen = {requests: 0, connections: 0};
+	const server = createServer(socket => {
+		seen.connections++;
+		socket.on('error', () => {
+			// Resets are part of the tests.
+		});
+		socket.on('data', chunk => {
+			if (/^(GET|POST|HEAD) /v.test(chunk.toString('latin1'))) {
+				seen.requests++;
+				answer(socket, seen.requests);
+			}
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const bound = server.address();
+	const address = typeof bound === 'object' && bound ? `127.0.0.1:${bound.port}` : '';
+	const link = createHttpConnector({connections: 1}).open(pool, {name: 's1', address, zone: 'z'});
+	t.teardown(() => {
+		server.close();
+	});
+	const run = async (method = 'GET', freshConnection = false): Promise<string> => {
+		const call: TargetCall = {
+			attemptId: 'a1', requestId: 'q1', customer: 'c', chain: [], pieceTokens: [], priority: 0, remainingMs: 1000, resumeOffset: 0, deliveredText: '',
+			freshConnection, importKeys: [], work: {
+				kind: 'call', method, path: '/', body: new Uint8Array(method === 'POST' ? 3 : 0),
+			},
+		};
+		const frames: TargetFrame[] = [];
+		for await (const frame of link.run(call, new AbortController().signal)) {
+			frames.push(frame);
+		}
+
+		return frames.map(frame => frame.kind === 'fault' ? frame.outcome : frame.kind).join(' ');
+	};
+
+	return {
+		seen, server, link, run,
+	};
+}
+
+const write = (head: string, body = ''): Answer => socket => {
+	socket.write(`HTTP/1.1 ${head}\r\n\r\n${body}`);
+};
+
+const whole = write('200 OK\r\ncontent-length: 2', 'ok');
+
+t.test('sends a request once when a reused connection is reset', async t => {
+	for (const method of ['GET', 'POST']) {
+		const {seen, link, run} = await start((socket, count) => {
+			if (count === 1) {
+				whole(socket, count);
+			} else {
+				socket.resetAndDestroy();
+			}
+		});
+		t.equal(await run(method), 'head data end');
+		t.equal(await run(method), 'unknown');
+		t.same(seen, {requests: 2, connections: 1}, 'the second request used the same connection and was not sent again');
+		await link.close();
+	}
+});
+
+t.test('uses a new connection for each call that may not be repeated', async t => {
+	const {seen, server, link, run} = await start(whole);
+	await run('POST', true);
+	await run('POST', true);
+	t.equal(seen.connections, 2);
+	server.close();
+	t.equal(await run('POST', true), 'notSent', 'a refused connect proves that nothing was sent');
+	await link.close();
+});
+
+t.test('never takes a truncated answer for a complete one', async t => {
+	const cut = (head: string, body: string): Answer => socket => {
+		socket.end(`HTTP/1.1 ${head}\r\n\r\n${body}`);
+	};
+
+	const cases: ReadonlyArray<readonly [Answer, string]> = [
+		[cut('200 OK\r\ncontent-length: 9', 'part'), 'head data unknown'],
+		[cut('200 OK\r\ntransfer-encoding: chunked', '4\r\npart\r\n'), 'head data unknown'],
+		[cut('200 OK\r\nconnection: close', 'part'), 'head data unknown'],
+		[cut('200 OK\r\ntransfer-encoding: chunked', '4\r\npart\r\n0\r\n\r\n'), 'head data end'],
+		[cut('200 OK\r\ncontent-length: 2\r\nx-attempt-id: a1', 'ok'), 'head data end'],
+	];
+	for (const [answer, expected] of cases) {
+		const {link, run} = await start(answer);
+		t.equal(await run(), expected);
+		await link.close();
+	}
+});
+
+t.test('takes an answer without a body as complete', async t => {
+	const {link, run} = await start(write('204 No Content'));
+	t.equal(await run('POST'), 'head end');
+	await link.close();
+	const other = await start(write('200 OK\r\ncontent-length: 7'));
+	t.equal(await other.run('HEAD'), 'head end');
+	await other.link.close();
+});
+
+t.test('believes a refusal only by its header', async t => {
+	const {link, run} = await start(write('503 Busy\r\nx-not-run: 1\r\nretry-after: 2\r\ncontent-length: 0'));
+	t.equal(await run(), 'refused');
+	await link.close();
+	const other = await start(write('503 Busy\r\ncontent-length: 0'));
+	t.equal(await other.run(), 'head end');
+	await other.link.close();
+});
--- a/packages/targets/service-link.ts
+++ b/packages/targets/service-link.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import {
-	createHttpLink, makeFault, readJson, reportSchema, type HttpLink,
+	createHttpLink, makeFault, readJson, readRetryAfterMs, reportSchema, type HttpLink,
 } from './_http.ts';
 import type {HttpConnectorOptions} from './http-connector.ts';
 import {
@@ -41,7 +41,7 @@
 			body: work.body.length > 0 ? work.body : null,
 			signal,
 		});
-		yield * readAnswer(call.attemptId, answer);
+		yield * readAnswer(call.attemptId, work.method, answer);
 	} catch (error) {
 		yield makeFault(error);
 	} finally {
@@ -49,18 +49,18 @@
 	}
 }
 
-async function * readAnswer(attemptId: string, answer: Dispatcher.ResponseData): AsyncGenerator<TargetFrame> {
+async function * readAnswer(attemptId: string, method: string, answer: Dispatcher.ResponseData): AsyncGenerator<TargetFrame> {
 	const {headers, statusCode: status} = answer;
 	if (readHeader(headers, 'x-not-run') === '1') {
 		await answer.body.dump();
-		yield {kind: 'fault', outcome: 'refused', detail: `service answered ${status}, not run`};
+		yield {
+			kind: 'fault', outcome: 'refused', detail: `service answered ${status}, not run`, retryAfterMs: readRetryAfterMs(headers),
+		};
 		return;
 	}
 
-	const echoed = readHeader(headers, 'x-attempt-id') ?? '';
-	const length = readHeader(headers, 'content-length');
 	yield {
-		kind: 'head', attemptId: echoed === '' ? attemptId : echoed, status, contentType: readHeader(headers, 'content-type'),
+		kind: 'head', attemptId: readHeader(headers, 'x-attempt-id') ?? attemptId, status, contentType: readHeader(headers, 'content-type'),
 		incarnation: readHeader(headers, 'x-incarnation') ?? '', promptTokens: 0, cachedTokens: 0,
 	};
 	let offset = 0;
@@ -71,12 +71,27 @@
 		offset += chunk.length;
 	}
 
-	if (length !== undefined && Number(length) !== offset) {
-		yield {kind: 'fault', outcome: 'unknown', detail: `the answer closed after ${offset} of ${length} bytes`};
-		return;
+	const fault = findMissingEnd(headers, hasBody(method, status), offset);
+	yield fault === undefined ? {kind: 'end', attemptId, finish: 'stop'} : {kind: 'fault', outcome: 'unknown', detail: fault};
+}
+
+/** Whether an answer has a body by its method and status (RFC 9112, section 6.3). */
+function hasBody(method: string, status: number): boolean {
+	return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
+/** Says why an answer cannot be known to be complete: its length must be stated, or its body chunked. */
+function findMissingEnd(headers: IncomingHttpHeaders, expectsBody: boolean, received: number): string | undefined {
+	if (!expectsBody) {
+		return undefined;
+	}
+
+	const length = readHeader(headers, 'content-length');
+	if (length !== undefined) {
+		return Number(length) === received ? undefined : `the answer closed after ${received} of ${length} bytes`;
 	}
 
-	yield {kind: 'end', attemptId, finish: 'stop'};
+	return readHeader(headers, 'transfer-encoding') === undefined ? 'the answer states no length' : undefined;
 }
 
 function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
