--- a/packages/dispatch/_frame-reader.ts
+++ b/packages/dispatch/_frame-reader.ts
@@ -7,6 +7,9 @@
 
 const recheckMs = 30_000;
 
+/** Shortest timer; a shorter one can vanish in the rounding of the clock's time. */
+const leastTimerMs = 1;
+
 /** Pulls from the iteration of one attempt. */
 export class FrameReader {
 	readonly #frames: AsyncIterator<TargetFrame>;
@@ -53,7 +56,7 @@
 					return;
 				}
 
-				cancel = this.#clock.after(Math.min(leftMs, recheckMs), watch);
+				cancel = this.#clock.after(Math.min(Math.max(leftMs, leastTimerMs), recheckMs), watch);
 			};
 
 			this.#signal.addEventListener('abort', abort, {once: true});
--- a/packages/targets/engine-link.test.ts
+++ b/packages/targets/engine-link.test.ts
@@ -1,7 +1,9 @@
 import t from 'tap';
 import {createHttpConnector} from './http-connector.ts';
 import type {TargetCall, TargetFrame, TargetPool} from '#core';
-import {startHttpServer, type HttpListener} from '#http';
+import {startHttpServer} from '#http';
+
+type HttpListener = Parameters<typeof startHttpServer>[0];
 
 const pool: TargetPool = {
 	name: 'language', kind: 'engine', pieceTokens: 1, checksFencing: true, loadsAtOnce: 1, minLoaded: 1, slots: 1, targets: [],
