--- a/packages/claims/mod.ts
+++ b/packages/claims/mod.ts
@@ -7,3 +7,4 @@
 export {
 	claimPrefix, makeClaimKey, makeFingerprint, parseRecord, type ClaimOwner, type ClaimRecord,
 } from './record.ts';
+export {sweepClaims, type SweepDeps, type SweepOptions} from './sweep.ts';
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -8,7 +8,7 @@
 import {LeavingRelay} from './_relay-leaving.ts';
 import {isRepeatable} from './_repeatable.ts';
 import {Admission, authenticate} from '#admission';
-import {Claims} from '#claims';
+import {Claims, sweepClaims} from '#claims';
 import {runCapacity} from '#capacity';
 import type {Clock} from '#clock';
 import {ConfigurationStore} from '#configuration';
@@ -108,6 +108,9 @@
 			},
 		}, stopping.signal),
 		runShareExchange({views, bus: deps.bus, clock}, stopping.signal),
+		sweepClaims({
+			clock, platform: platform.status, telemetry, incarnation, listPeers: () => deps.bus.listPeers().map(peer => peer.incarnation),
+		}, stopping.signal),
 		runCapacity({
 			name: deps.name, clock, random, telemetry, platform: platform.leases, bus: deps.bus, configuration,
 			getLink: (pool, target) => links.get(pool, target),
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -37,6 +37,7 @@
 	claim_writes_total: {help: 'Attempts to record what became of a claim, by result.', labels: ['result']},
 	capacity_orders_total: {help: 'Orders to engines, by pool, kind and result.', labels: ['pool', 'kind', 'result']},
 	lease_changes_total: {help: 'Leases taken, released and superseded, by lease.', labels: ['lease', 'event']},
+	claim_removals_total: {help: 'Removals of expired records of claims, by result.', labels: ['result']},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, SeriesRule>>;
 
