--- a/packages/scenario/_steps-check.ts
+++ b/packages/scenario/_steps-check.ts
@@ -83,6 +83,11 @@
 		const limitMs = parseTime(getWord(step, 2, 'a time'));
 		return shareOf(world, step, call => call.state === 'answered' && (call.firstByteMs ?? Infinity) - call.startedMs <= limitMs);
 	},
+	/** `figure late FLOW TIME …`: share of a flow's calls that were answered, but began too late. */
+	late(world, step) {
+		const limitMs = parseTime(getWord(step, 2, 'a time'));
+		return shareOf(world, step, call => call.state === 'answered' && (call.firstByteMs ?? Infinity) - call.startedMs > limitMs);
+	},
 	/** `figure counter ROUTER NAME [label=value…] …` */
 	counter: (world, step) => readCounter(world, step),
 };
--- /dev/null
+++ b/packages/scenario/customers.test.ts
@@ -0,0 +1,4 @@
+import t from 'tap';
+import {testFolder} from './_test-folder.ts';
+
+testFolder(t, 'customers');
