A prompt's keys follow the weights that engines serve, not only those configured

Cause: keys were seeded with the configured weights. Ruled out: the engine's own cache, which is cleared when weights change. Change: placement picks the version that a request may run on (the configured one where any target serves it, else the one that most report), seeds the keys with it and sends it along; an engine matches and stores nothing for a call that states other weights.

--- a/packages/dispatch/_attempt.ts
+++ b/packages/dispatch/_attempt.ts
@@ -52,7 +52,7 @@
 		cause, answered, incarnation, retryAfterMs,
 	});
 	const getLimitMs = () => computeSilenceMs(views.get(target.name), {
-		request: progress.request, promptTokens: progress.chain?.totalTokens ?? 0, begun: answered,
+		request: progress.request, promptTokens: placement.chain?.totalTokens ?? 0, begun: answered,
 	});
 	const finish = placer.begin(placement);
 	progress.answer.beginAttempt(target.name);
@@ -94,10 +94,11 @@
 }
 
 function makeCall({clock, random}: AttemptDeps, placement: Placement, progress: Progress): TargetCall {
-	const {request, chain, answer} = progress;
+	const {request, answer} = progress;
+	const {chain} = placement;
 	return {
 		attemptId: random.id(), requestId: request.id, customer: request.customer.name, work: request.work,
-		model: request.pool.model, weights: request.pool.weights, incarnation: placement.incarnation,
+		model: request.pool.model, weights: placement.weights, incarnation: placement.incarnation,
 		chain: chain?.keys ?? [], pieceTokens: chain?.tokens ?? [], priority: request.customer.priority,
 		remainingMs: request.deadlineMs - clock.now(), resumeOffset: answer.readOffset(),
 		deliveredText: answer.readText(), freshConnection: progress.needsFresh, importKeys: placement.importKeys,
--- a/packages/dispatch/_crash-guard.ts
+++ b/packages/dispatch/_crash-guard.ts
@@ -88,12 +88,12 @@
 		return {placement, recall: recall.signal, leave};
 	}
 
-	async #takeTurn(wanted: Placement, {fingerprint, request, chain, excluded}: Progress, signal: AbortSignal) {
+	async #takeTurn(wanted: Placement, {fingerprint, request, makeChain, excluded}: Progress, signal: AbortSignal) {
 		const {turns, placer} = this.#deps;
 		return turns.take({
 			fingerprint,
 			nameOf: ({target}: Placement) => target.name,
-			choose: busy => busy.has(wanted.target.name) ? placer.place({pool: request.pool, chain, excluded: new Set([...excluded, ...busy])}) : wanted,
+			choose: busy => busy.has(wanted.target.name) ? placer.place({pool: request.pool, makeChain, excluded: new Set([...excluded, ...busy])}) : wanted,
 		}, signal);
 	}
 }
--- a/packages/dispatch/_progress.ts
+++ b/packages/dispatch/_progress.ts
@@ -4,7 +4,7 @@
 	causeRules, classifyRun, mergeRunStates, type AttemptCause,
 } from './retry.ts';
 import type {RefusalReason, RoutedRequest, RunState} from '#core';
-import type {PromptChain} from '#placement';
+import type {ChainMaker} from '#placement';
 import {makeFingerprint} from '#quarantine';
 
 /** How an attempt ended. */
@@ -25,7 +25,8 @@
 /** State of one request. */
 export class Progress {
 	readonly request: RoutedRequest;
-	readonly chain: PromptChain | undefined;
+	/** Makes the prompt's chain for a weights version; absent for plain services. */
+	readonly makeChain: ChainMaker | undefined;
 	readonly answer: Answer;
 	/** Recognises the request when it is sent again. */
 	readonly fingerprint: string;
@@ -42,9 +43,9 @@
 	#rounds = 0;
 	#offset = 0;
 
-	constructor(request: RoutedRequest, chain: PromptChain | undefined, answer: Answer) {
+	constructor(request: RoutedRequest, makeChain: ChainMaker | undefined, answer: Answer) {
 		this.request = request;
-		this.chain = chain;
+		this.makeChain = makeChain;
 		this.answer = answer;
 		this.fingerprint = makeFingerprint(request);
 		this.needsFresh = !request.repeatable;
--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -14,7 +14,7 @@
 import {
 	makeRefusal, type AnswerEvent, type Refusal, type RoutedRequest,
 } from '#core';
-import {makeChain, type Placement, type PromptChain} from '#placement';
+import {createChainMaker, type ChainMaker, type Placement} from '#placement';
 
 /** What a dispatcher works with. */
 export type DispatcherDeps = AttemptDeps & GuardDeps & Readonly<{
@@ -80,7 +80,7 @@
 	#makeProgress(request: RoutedRequest): Progress {
 		const limits = {maxBytes: this.#maxBytes};
 		const answer = request.work.kind === 'chat' ? new ChatAnswer(limits) : new CallAnswer(limits);
-		return new Progress(request, makeRequestChain(request), answer);
+		return new Progress(request, prepareChain(request), answer);
 	}
 
 	async * #runAttempts(progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, Refusal | undefined> {
@@ -140,8 +140,8 @@
 		return makeRefusal(reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? refusalRetryMs});
 	}
 
-	#choose({request, chain, excluded}: Progress): Placement | undefined {
-		return this.#deps.placer.place({pool: request.pool, chain, excluded});
+	#choose({request, makeChain, excluded}: Progress): Placement | undefined {
+		return this.#deps.placer.place({pool: request.pool, makeChain, excluded});
 	}
 
 	/** Decides whether and where a further attempt runs, waits until it is due, and counts what was decided. */
@@ -211,11 +211,10 @@
 	}
 }
 
-function makeRequestChain({work, pool, customer}: RoutedRequest): PromptChain | undefined {
+function prepareChain({work, pool, customer}: RoutedRequest): ChainMaker | undefined {
 	if (work.kind !== 'chat') {
 		return undefined;
 	}
 
-	const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
-	return makeChain(seed, work.messages, pool.pieceTokens);
+	return createChainMaker({customer: customer.name, model: pool.model ?? ''}, work.messages, pool.pieceTokens);
 }
--- a/packages/node/_explain.ts
+++ b/packages/node/_explain.ts
@@ -3,7 +3,7 @@
 	fail, succeed, type Configuration, type RefusalReason, type Result,
 } from '#core';
 import {
-	makeChain, type Candidate, type Exclusion, type Placer,
+	createChainMaker, type Candidate, type Exclusion, type Placer,
 } from '#placement';
 
 /** A request whose placement is asked for. */
@@ -47,9 +47,10 @@
 	}
 
 	const pool = configuration.pools.get(route.pool)!;
-	const seed = {customer: customer.name, model: pool.model ?? '', weights: pool.weights ?? ''};
-	const chain = pool.kind === 'engine' ? makeChain(seed, request.messages, pool.pieceTokens) : undefined;
-	const {candidates, excluded} = placer.explain({pool, chain, excluded: new Set()});
+	const makeChain = pool.kind === 'engine'
+		? createChainMaker({customer: customer.name, model: pool.model ?? ''}, request.messages, pool.pieceTokens)
+		: undefined;
+	const {candidates, excluded, chain} = placer.explain({pool, makeChain, excluded: new Set()});
 	return succeed({
 		generation: configuration.generation, route: route.name, pool: pool.name, customer: customer.name,
 		promptTokens: chain?.totalTokens ?? 0, pieces: chain?.keys.length ?? 0,
--- a/packages/placement/chain.ts
+++ b/packages/placement/chain.ts
@@ -15,6 +15,9 @@
 	ends: readonly number[];
 }>;
 
+/** Makes the chain of a prompt for a weights version. */
+export type ChainMaker = (weights: string) => PromptChain;
+
 /** Identifies whose cache entries a chain may match. */
 export type ChainSeed = Readonly<{customer: string; model: string; weights: string}>;
 
@@ -49,3 +52,19 @@
 		keys, tokens, ends, totalTokens: tokens.reduce((sum, count) => sum + count, 0),
 	};
 }
+
+/**
+ * Prepares the chains of a chat: one for each weights version that is asked
+ * for, computed once.
+ *
+ * @param seed customer and model
+ * @param pieceTokens size of a piece in tokens
+ */
+export function createChainMaker(seed: Omit<ChainSeed, 'weights'>, messages: readonly ChatMessage[], pieceTokens: number): ChainMaker {
+	const chains = new Map<string, PromptChain>();
+	return weights => {
+		const chain = chains.get(weights) ?? makeChain({...seed, weights}, messages, pieceTokens);
+		chains.set(weights, chain);
+		return chain;
+	};
+}
--- a/packages/placement/eligible.ts
+++ b/packages/placement/eligible.ts
@@ -11,6 +11,8 @@
 	views: TargetViews;
 	/** Names of targets that must not be chosen. */
 	excluded: ReadonlySet<string>;
+	/** Weights version that the request assumes. Default: the pool's. */
+	weights?: string;
 }>;
 
 type Rule = Readonly<{reason: Exclusion; applies: (view: TargetView, target: Target, query: EligibilityQuery) => boolean}>;
@@ -26,12 +28,19 @@
 /** Overruled when they would leave no target. */
 const softRules: readonly Rule[] = [
 	{reason: 'unreachable', applies: ({unreachable}) => unreachable},
-	{reason: 'other_weights', applies: ({report}, _target, {pool}) => pool.weights !== undefined && report !== undefined && report.weights !== pool.weights},
+	{reason: 'other_weights', applies: ({report}, _target, {pool, weights = pool.weights}) => weights !== undefined && report !== undefined && report.weights !== weights},
 ];
 
 /** Targets that may be chosen, and the reason for each other one by name. */
 export type Eligibility = Readonly<{targets: readonly Target[]; exclusions: ReadonlyMap<string, Exclusion>}>;
 
+/** Targets that may be chosen whatever weights they serve. */
+export function findCandidates(query: EligibilityQuery): readonly Target[] {
+	const targets = applyRules(query.pool.targets, hardRules, query, new Map());
+	const reachable = targets.filter(({name}) => !query.views.get(name).unreachable);
+	return reachable.length > 0 ? reachable : targets;
+}
+
 /** Decides which targets may be chosen. */
 export function findEligible(query: EligibilityQuery): Eligibility {
 	const exclusions = new Map<string, Exclusion>();
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -3,7 +3,10 @@
  * and load, and the choice of a target for a request.
  */
 export type {CachedPrefix} from './_cached-keys.ts';
-export {makeChain, type PromptChain} from './chain.ts';
+export {
+	createChainMaker, makeChain, type ChainMaker, type PromptChain,
+} from './chain.ts';
+export {pickWeights} from './weights.ts';
 export {
 	TargetViews, type TargetShare, type TargetSummary, type TargetView, type TargetViewsOptions,
 } from './views.ts';
--- a/packages/placement/placer.test.ts
+++ b/packages/placement/placer.test.ts
@@ -24,26 +24,26 @@
 		{role: 'system', content: 'preamble '.repeat(400)}, {role: 'user', content: 'dossier '.repeat(400)}, {role: 'user', content: 'question'},
 	], pool.pieceTokens);
 	return {
-		clock, views, telemetry, placer, request: {pool, chain, excluded: new Set<string>()},
+		clock, views, telemetry, placer, chain, request: {pool, makeChain: () => chain, excluded: new Set<string>()},
 	};
 }
 
 t.test('an answer that is trusted leaves entries, another one none', async t => {
-	const {views, telemetry, placer, request} = start();
+	const {views, telemetry, placer, request, chain} = start();
 	const placement = placer.place(request)!;
 	const head = {incarnation: 'i1', weights: 'v1', cachedTokens: 0};
 	const {name} = placement.target;
 	t.equal(placer.takeHead(placement, {...head, weights: 'v0'}, {mayRepeat: true}), 'placeAgain');
-	t.equal(views.matchKeys(name, request.chain.keys).pieces, 0);
+	t.equal(views.matchKeys(name, chain.keys).pieces, 0);
 	t.equal(placer.takeHead(placement, head, {mayRepeat: true}), 'trust');
-	t.equal(views.matchKeys(name, request.chain.keys).pieces, request.chain.keys.length);
+	t.equal(views.matchKeys(name, chain.keys).pieces, chain.keys.length);
 	t.equal(placer.takeHead(placement, {...head, incarnation: 'i0'}, {mayRepeat: true}), 'notForCache');
 	t.equal(views.get(name).incarnation, 'i1');
 	t.equal(telemetry.read('answer_heads_total', {pool: 'language', verdict: 'notForCache'}), 1);
 });
 
 t.test('an answer with less cached than assumed makes the target\'s entries suspect', async t => {
-	const {views, placer, request} = start();
+	const {views, placer, request, chain} = start();
 	const first = placer.place(request)!;
 	const {name} = first.target;
 	const head = {incarnation: 'i1', weights: 'v1', cachedTokens: 0};
@@ -53,15 +53,15 @@
 	t.equal(second.target.name, name);
 	placer.takeHead(second, head, {mayRepeat: true});
 	t.equal(views.matchKeys(name, ['other']).suspect, 1);
-	t.equal(views.matchKeys(name, request.chain.keys).suspect, 0);
+	t.equal(views.matchKeys(name, chain.keys).suspect, 0);
 });
 
 t.test('waiting tokens count until the answer begins', async t => {
-	const {views, placer, request} = start();
+	const {views, placer, request, chain} = start();
 	const placement = placer.place(request)!;
 	const {name} = placement.target;
 	const finish = placer.begin(placement);
-	t.equal(views.get(name).countPendingTokens(), request.chain.totalTokens);
+	t.equal(views.get(name).countPendingTokens(), chain.totalTokens);
 	placer.takeHead(placement, {incarnation: 'i1', weights: 'v1', cachedTokens: 0}, {mayRepeat: true});
 	t.equal(views.get(name).countPendingTokens(), 0);
 	t.equal(views.get(name).inFlight, 1);
--- a/packages/placement/placer.ts
+++ b/packages/placement/placer.ts
@@ -2,7 +2,7 @@
  * Placement as the dispatcher sees it: a target for a request, what was assumed
  * when it was chosen, and what its answer says about those assumptions.
  */
-import type {PromptChain} from './chain.ts';
+import type {ChainMaker, PromptChain} from './chain.ts';
 import {
 	chooseTarget, getAffinityKey, type Candidate, type PlacementQuery,
 } from './choose.ts';
@@ -10,6 +10,7 @@
 import {classifyHead, type AnswerHead, type HeadVerdict} from './classify-head.ts';
 import {KeyRates} from './key-rates.ts';
 import type {TargetViews} from './views.ts';
+import {pickWeights} from './weights.ts';
 import type {Clock} from '#clock';
 import type {Random, Target, TargetPool} from '#core';
 import type {Telemetry} from '#telemetry';
@@ -34,8 +35,8 @@
 /** A request as far as placement is concerned. */
 export type PlacementRequest = Readonly<{
 	pool: TargetPool;
-	/** Absent for plain services. */
-	chain?: PromptChain;
+	/** Makes the prompt's chain for a weights version; absent for plain services. */
+	makeChain?: ChainMaker;
 	/** Names of targets that must not be chosen. */
 	excluded: ReadonlySet<string>;
 }>;
@@ -80,15 +81,17 @@
 	 * @returns nothing when no target may be chosen
 	 */
 	place(request: PlacementRequest): Placement | undefined {
-		if (request.chain) {
-			this.#rates.add(getAffinityKey(request.chain), this.#deps.clock.now());
+		const query = this.#makeQuery(request);
+		const {chain, weights} = query;
+		if (chain) {
+			this.#rates.add(getAffinityKey(chain), this.#deps.clock.now());
 		}
 
-		const ranked = this.#choose(this.#makeQuery(request));
+		const ranked = this.#choose(query);
 		const best = ranked[0];
 		return best && {
-			target: best.target, pool: request.pool, chain: request.chain, incarnation: this.#deps.views.get(best.target.name).incarnation,
-			weights: request.pool.weights, cachedTokens: best.cachedTokens, importKeys: best.importKeys, hasAlternative: ranked.length > 1,
+			target: best.target, pool: request.pool, chain, incarnation: this.#deps.views.get(best.target.name).incarnation,
+			weights, cachedTokens: best.cachedTokens, importKeys: best.importKeys, hasAlternative: ranked.length > 1,
 		};
 	}
 
@@ -136,10 +139,12 @@
 		return verdict;
 	}
 
-	#makeQuery({pool, chain, excluded}: PlacementRequest): PlacementQuery {
+	#makeQuery({pool, makeChain, excluded}: PlacementRequest): PlacementQuery {
 		const {views, zone, clock, random} = this.#deps;
+		const weights = pickWeights({pool, views, excluded});
+		const chain = makeChain?.(weights ?? '');
 		return {
-			pool, views, chain, excluded, zone, random, nowMs: clock.now(), replicas: chain && this.#countReplicas(pool, chain),
+			pool, views, weights, chain, excluded, zone, random, nowMs: clock.now(), replicas: chain && this.#countReplicas(pool, chain),
 		};
 	}
 
--- a/packages/standins/_engine-worker.ts
+++ b/packages/standins/_engine-worker.ts
@@ -141,7 +141,7 @@
 		const {clock, settings, incarnation} = this.#host;
 		const {call, totalTokens} = generation;
 		generation.stage = 'prefill';
-		const cached = this.cache.match(call.chain);
+		const cached = this.cache.match(this.#listKeys(call));
 		const imported = this.#countImported(call, cached);
 		const computed = totalTokens - cached - imported;
 		const durationMs = (imported / settings.importTokensPerMs) + (computed / settings.prefillTokensPerMs);
@@ -161,13 +161,21 @@
 			return;
 		}
 
-		this.#keep(call, cached + imported);
+		if (this.#listKeys(call).length > 0) {
+			this.#keep(call, cached + imported);
+		}
+
 		generation.produce({
 			kind: 'head', attemptId: '', status: 200, incarnation, weights: this.#host.getWeights(),
 			promptTokens: totalTokens, cachedTokens: cached + imported,
 		});
 	}
 
+	/** Keys that may be matched and stored: none of a call that assumes other weights. */
+	#listKeys({chain, weights}: TargetCall): readonly string[] {
+		return weights === undefined || weights === this.#host.getWeights() ? chain : [];
+	}
+
 	/** Stores a prompt in the prefix cache and in the kept store. */
 	#keep({chain, pieceTokens}: TargetCall, cachedTokens: number): void {
 		const {clock, settings} = this.#host;
@@ -191,7 +199,7 @@
 	#countImported(call: TargetCall, cached: number): number {
 		let position = 0;
 		let imported = 0;
-		for (const [index, key] of call.chain.entries()) {
+		for (const [index, key] of this.#listKeys(call).entries()) {
 			const tokens = call.pieceTokens[index]!;
 			if (position >= cached) {
 				if (!call.importKeys.includes(key) || !this.#host.settings.keptStore?.has(key)) {
