Copies of one request meet on one target

Cause: among near-equal targets each instance chose by chance, so copies of a new request that crashes targets, sent through several instances at once, ran on several targets before any instance had heard of a crash. Of 40 seeds of packages/quarantine/fleet.test.ts, 13 ended three engines, where two are promised; the one seed that the test used happened to end two. Ruled out: the relay of strikes, which arrives 1 ms after the first crash. Change: the hash of the whole prompt picks among near-equal targets. The test that equal choices are spread now asks it of different questions, and that copies meet. Left: copies that arrive while the targets' loads differ may still part.

--- a/packages/placement/choose.test.ts
+++ b/packages/placement/choose.test.ts
@@ -20,11 +20,11 @@
 	ageMs: 0, leaving: false, cacheSequence: 0, loading: false,
 };
 
-function chain(customer = 'a', dossier = 'd') {
+function chain(customer = 'a', dossier = 'd', question = 'question') {
 	return makeChain({customer, model: 'm', weights: 'v1'}, [
 		{role: 'system', content: 'preamble '.repeat(400)},
 		{role: 'user', content: `${dossier} `.repeat(4000)},
-		{role: 'user', content: 'question'},
+		{role: 'user', content: question},
 	], pool.pieceTokens);
 }
 
@@ -121,13 +121,28 @@
 	t.same(chooseTarget(makeQuery(views, {excluded: new Set(['e4'])}))[0]!.importKeys, []);
 });
 
-t.test('spreads equal choices at random', async t => {
+t.test('spreads the questions of a dossier over equal targets', async t => {
 	const views = new TargetViews();
 	for (const {name} of pool.targets) {
 		views.applyPrefill(name, 'i1', chain().keys);
 	}
 
-	const random = createRandom(5);
-	const chosen = new Set(Array.from({length: 100}, () => pick(views, {random})));
-	t.equal(chosen.size, pool.targets.length);
+	const counts = new Map<string | undefined, number>();
+	for (let index = 0; index < 100; index++) {
+		const name = pick(views, {chain: chain('a', 'd', `question ${index}`)});
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	t.equal(counts.size, pool.targets.length);
+	t.ok(Math.max(...counts.values()) <= 2.5 * 100 / pool.targets.length, `${[...counts.values()].join(' ')}`);
+});
+
+t.test('copies of a request at several instances meet on one target', async t => {
+	const views = new TargetViews();
+	for (const {name} of pool.targets) {
+		views.applyPrefill(name, 'i1', chain().keys);
+	}
+
+	const chosen = new Set(Array.from({length: 100}, (_, seed) => pick(views, {random: createRandom(seed)})));
+	t.equal(chosen.size, 1);
 });
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -86,9 +86,10 @@
 const nearShare = 0.05;
 
 /**
- * Ranks all eligible targets, best first; those whose totals are nearly equal
- * stand in random order, so that instances with the same lagging reports do not
- * all choose the same one.
+ * Ranks all eligible targets, best first. Among those whose totals are nearly
+ * equal the prompt's own hash picks the first one, so that instances with the
+ * same lagging reports do not all choose the same one, while copies of one
+ * request that arrive at several instances meet on one target.
  *
  * @returns an empty list when no target may be chosen
  */
@@ -102,10 +103,21 @@
 	const limitMs = best.totalMs + Math.max(nearMs, best.totalMs * nearShare);
 	let near = ranked.findIndex(({totalMs}) => totalMs > limitMs);
 	near = near === -1 ? ranked.length : near;
-	const first = query.random.below(near);
+	const first = pickNear(query, ranked.slice(0, near));
 	return first === 0 ? ranked : [ranked[first]!, ...ranked.slice(0, first), ...ranked.slice(first + 1)];
 }
 
+/** Index of the candidate to put first; by chance where there is no prompt. */
+function pickNear({chain, random}: PlacementQuery, near: readonly Candidate[]): number {
+	const prompt = chain?.keys.at(-1);
+	if (prompt === undefined) {
+		return random.below(near.length);
+	}
+
+	const [home] = pickHomes(near.map(({target}) => target.name), prompt, {count: 1, getLoad: () => 0});
+	return Math.max(0, near.findIndex(({target}) => target.name === home));
+}
+
 /** Rates all eligible targets, in the order of the pool. */
 export function rankCandidates(query: PlacementQuery, {targets}: Eligibility): readonly Candidate[] {
 	const parsed = parseChain(query.chain);
--- a/packages/quarantine/fleet.test.ts
+++ b/packages/quarantine/fleet.test.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {digestKey} from '#admission';
 import {ManualClock} from '#clock';
 import {publishFragments} from '#configuration';
@@ -14,6 +14,8 @@
 
 t.before(prepareHash);
 
+/** Seeds 41, 71 and 111 ended three targets while equal targets were chosen by chance. */
+const seeds = [1, 41, 71, 111, 181, 191];
 const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
 const file = {
 	service: 'stock',
@@ -26,18 +28,18 @@
 	}],
 };
 
-async function start(count: number) {
+async function start(count: number, seed: number) {
 	const clock = new ManualClock();
 	const platform = new PlatformStandin(clock);
 	const network = new PeerNetworkStandin(clock);
-	const engines = new Map(names.map((name, index) => [name, new EngineStandin(clock, {seed: index + 1, model: 'm', weights: 'v1'})]));
+	const engines = new Map(names.map((name, index) => [name, new EngineStandin(clock, {seed: seed + index, model: 'm', weights: 'v1'})]));
 	const publishing = publishFragments(platform, [{file: 'stock.json', text: JSON.stringify(file)}]);
 	await clock.advance(100);
 	await publishing;
 	const routers = Array.from({length: count}, (_, index) => {
 		const name = `r${index}`;
 		return createRouter({
-			name, zone: 'esbjerg', clock, random: createRandom(index + 1), platform, reportPollMs: 100, telemetry: createTelemetry({level: 'silent'}),
+			name, zone: 'esbjerg', clock, random: createRandom(seed + index), platform, reportPollMs: 100, telemetry: createTelemetry({level: 'silent'}),
 			bus: network.join({name, zone: 'esbjerg', incarnation: name}),
 			connector: {open: (_pool, target): TargetLink => engines.get(target.name)!},
 		});
@@ -66,8 +68,8 @@
 
 const readBytes = (events: readonly AnswerEvent[]) => Buffer.concat(events.flatMap(event => event.kind === 'data' ? [event.bytes] : []));
 
-t.test('a request that crashes targets ends two of them at most, and the innocent are answered', async t => {
-	const {clock, send, countCrashes} = await start(3);
+async function checkFleet(t: Test, seed: number): Promise<void> {
+	const {clock, send, countCrashes} = await start(3, seed);
 	const innocent = Array.from({length: 24}, (_, index) => send(index % 3, `question ${index}`));
 	const poisonous = [0, 1, 2].map(router => send(router, 'open the gate !!crash!!'));
 	await clock.advance(20);
@@ -88,4 +90,10 @@
 		t.equal(events.at(-1)?.kind, 'end');
 		t.same(readBytes(events), Buffer.concat(writeAnswerText(work)));
 	}
-});
+}
+
+for (const seed of seeds) {
+	t.test(`a request that crashes targets ends two of them at most, and the innocent are answered (seed ${seed})`, async t => {
+		await checkFleet(t, seed);
+	});
+}
