--- a/packages/entry/_chat-answer.ts
+++ b/packages/entry/_chat-answer.ts
@@ -15,7 +15,7 @@
  * cuts the connection.
  */
 export async function sendChatStream(res: Response, model: string, events: AsyncIterable<AnswerEvent>, options: WriteOptions): Promise<void> {
-	const decoder = new TextDecoder();
+	const decoder = new TextDecoder('utf-8', {ignoreBOM: true});
 	for await (const event of events) {
 		if (res.destroyed) {
 			return;
@@ -46,7 +46,7 @@
 
 /** Collects an answer and sends it in one body. */
 export async function sendChatWhole(res: Response, model: string, events: AsyncIterable<AnswerEvent>): Promise<void> {
-	const decoder = new TextDecoder();
+	const decoder = new TextDecoder('utf-8', {ignoreBOM: true});
 	const tools: ToolCall[] = [];
 	let text = '';
 	let usage: Usage | undefined;
--- a/packages/entry/app.test.ts
+++ b/packages/entry/app.test.ts
@@ -75,6 +75,15 @@
 	t.ok(text.endsWith('data: [DONE]\n\n'));
 });
 
+t.test('keeps a byte order mark that the answer begins with', async t => {
+	const marked: AnswerEvent = {kind: 'data', bytes: new Uint8Array([0xEF, 0xBB, 0xBF, 0x68])};
+	for (const stream of [false, true]) {
+		const {send} = await start(play(head, marked, end));
+		const answer = await send({...chat, stream});
+		t.match(await answer.body.text(), '"content":"\uFEFFh"');
+	}
+});
+
 t.test('says when to come back', async t => {
 	const {send} = await start(play(refused));
 	for (const stream of [false, true]) {
