One wait for the end of a signal in place of three

The copies in the readers of targets and in capacity control never ended when the signal had aborted before they were reached; the shared one does.

--- a/packages/capacity/run-capacity.ts
+++ b/packages/capacity/run-capacity.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '#clock';
 import type {ConfigurationStore} from '#configuration';
 import {
-	createRandom, hash64, type Random, type Target, type TargetLink, type TargetPool,
+	createRandom, hash64, waitForAbort, type Random, type Target, type TargetLink, type TargetPool,
 } from '#core';
 import type {PeerBus} from '#peer-protocol';
 import type {Platform} from '#platform';
@@ -57,11 +57,7 @@
 	const unsubscribe = deps.configuration.events.on('changed', follow);
 	const unsubscribePressure = pressures.start();
 	follow();
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
+	await waitForAbort(signal);
 	unsubscribe();
 	unsubscribePressure();
 	for (const controller of controllers.values()) {
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -21,3 +21,4 @@
 export {createRandom, createSystemRandom, type Random} from './random.ts';
 export {Channel} from './channel.ts';
 export {hash64, prepareHash} from './hash.ts';
+export {waitForAbort} from './wait-for-abort.ts';
--- a/packages/node/_poll-targets.ts
+++ b/packages/node/_poll-targets.ts
@@ -1,7 +1,7 @@
 /** Reads load reports and cache events of all configured targets, one task per target. */
 import type {Clock} from '#clock';
 import type {ConfigurationStore} from '#configuration';
-import type {Target, TargetPool} from '#core';
+import {waitForAbort, type Target, type TargetPool} from '#core';
 import type {TargetLinks} from '#dispatch';
 import type {TargetViews} from '#placement';
 import type {Telemetry} from '#telemetry';
@@ -50,11 +50,7 @@
 
 	const unsubscribe = deps.configuration.events.on('changed', follow);
 	follow();
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
+	await waitForAbort(signal);
 	unsubscribe();
 	for (const controller of readers.values()) {
 		controller.abort();
--- a/packages/standins/service.ts
+++ b/packages/standins/service.ts
@@ -1,7 +1,7 @@
 /** A stand-in for a plain service, such as a stock ledger, whose calls may not be repeated. */
 import type {Clock} from '#clock';
 import {
-	createRandom, fail, succeed, type CacheEventBatch, type LoadReport, type OrderReceipt, type Random, type Result,
+	createRandom, fail, succeed, waitForAbort, type CacheEventBatch, type LoadReport, type OrderReceipt, type Random, type Result,
 	type ServiceWork, type TargetCall, type TargetFailure, type TargetFrame, type TargetLink,
 } from '#core';
 
@@ -148,15 +148,3 @@
 		// The stand-in holds no connection.
 	}
 }
-
-async function waitForAbort(signal: AbortSignal): Promise<void> {
-	if (signal.aborted) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
-}
