--- a/packages/capacity/lease.test.ts
+++ b/packages/capacity/lease.test.ts
@@ -14,6 +14,15 @@
 	});
 }
 
+/** Two instances that may hold the lease. */
+function start() {
+	const clock = new ManualClock();
+	const platform = new PlatformStandin(clock);
+	return {
+		clock, platform, a: makeLease(clock, platform, 'a'), b: makeLease(clock, platform, 'b', 2),
+	};
+}
+
 async function refresh(clock: ManualClock, lease: Lease): Promise<void> {
 	const done = lease.refresh(true);
 	await clock.advance(50);
@@ -29,10 +38,7 @@
 });
 
 t.test('a successor waits the term and the guard', async t => {
-	const clock = new ManualClock();
-	const platform = new PlatformStandin(clock);
-	const a = makeLease(clock, platform, 'a');
-	const b = makeLease(clock, platform, 'b', 2);
+	const {clock, a, b} = start();
 	await refresh(clock, a);
 	await refresh(clock, b);
 	await clock.advance(7800);
@@ -45,10 +51,7 @@
 });
 
 t.test('a released lease is taken at once', async t => {
-	const clock = new ManualClock();
-	const platform = new PlatformStandin(clock);
-	const a = makeLease(clock, platform, 'a');
-	const b = makeLease(clock, platform, 'b', 2);
+	const {clock, a, b} = start();
 	await refresh(clock, a);
 	const released = a.release();
 	await clock.advance(50);
@@ -60,18 +63,14 @@
 });
 
 t.test('a lost answer to the taking is recognised', async t => {
-	const clock = new ManualClock();
-	const platform = new PlatformStandin(clock);
-	const a = makeLease(clock, platform, 'a');
+	const {clock, platform, a} = start();
 	platform.loseAnswers(1);
 	await refresh(clock, a);
 	t.ok(a.isHeld);
 });
 
 t.test('an outage lets the term run out', async t => {
-	const clock = new ManualClock();
-	const platform = new PlatformStandin(clock);
-	const a = makeLease(clock, platform, 'a');
+	const {clock, platform, a} = start();
 	await refresh(clock, a);
 	platform.setDown(true);
 	await clock.advance(5900);
@@ -81,10 +80,7 @@
 });
 
 t.test('a holder that has lapsed does not renew over its successor', async t => {
-	const clock = new ManualClock();
-	const platform = new PlatformStandin(clock);
-	const a = makeLease(clock, platform, 'a');
-	const b = makeLease(clock, platform, 'b', 2);
+	const {clock, a, b} = start();
 	await refresh(clock, a);
 	await refresh(clock, b);
 	await clock.advance(8100);
