--- /dev/null
+++ b/bench/_fleet-world.ts
@@ -0,0 +1,201 @@
+/** The fleet bench's world: stand-ins in this process, instances as processes of their own. */
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {once} from 'node:events';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {FleetProcess, type InstancePlan} from './_fleet-process.ts';
+import {digestKey} from '#admission';
+import {createSystemClock, type Clock} from '#clock';
+import {publishFragments} from '#configuration';
+import {
+	succeed, type CacheEvent, type CacheEventBatch, type Result,
+} from '#core';
+import type {HttpServer} from '#http';
+import {
+	EngineStandin, PlatformStandin, startEngineServer, startPlatformServer,
+} from '#standins';
+
+/** Size of the world. */
+export type WorldOptions = Readonly<{
+	instances: number;
+	targets: number;
+	customers: number;
+	/** Cache events that each target publishes in a second, beside those of its prompts. */
+	eventsPerSecond: number;
+}>;
+
+/** Key of the customer that the load uses. */
+export const benchKey = 'bench-key';
+
+const zones = ['esbjerg', 'kolding', 'aarhus'];
+const readyLimitMs = 40_000;
+const balancerMs = 600;
+const seedsPerInstance = 2;
+const maxEventsPerRead = 5000;
+
+/** An engine that publishes a steady stream of cache events. */
+class BusyEngine extends EngineStandin {
+	readonly #clock: Clock;
+	readonly #perSecond: number;
+
+	constructor(clock: Clock, seed: number, perSecond: number) {
+		super(clock, {
+			seed, model: 'm', weights: 'v1', tokenGapMs: 4,
+		});
+		this.#clock = clock;
+		this.#perSecond = perSecond;
+	}
+
+	override async readCacheEvents(after: number): ReturnType<EngineStandin['readCacheEvents']> {
+		if (this.#perSecond === 0) {
+			return super.readCacheEvents(after);
+		}
+
+		const sequence = Math.floor(this.#clock.now() * this.#perSecond / 1000);
+		const from = Math.max(after + 1, sequence - maxEventsPerRead + 1);
+		const events = Array.from({length: Math.max(0, sequence - from + 1)}, (_, index): CacheEvent => {
+			const number = from + index;
+			return {sequence: number, kind: number % 2 === 0 ? 'stored' : 'evicted', keys: [Math.floor(number / 2).toString(16).padStart(16, '0')]};
+		});
+		const batch: CacheEventBatch = {incarnation: this.incarnation, events, sequence};
+		return succeed(batch) satisfies Result<CacheEventBatch, never>;
+	}
+}
+
+/** Stand-ins and processes; {@link FleetWorld.close} ends all of them. */
+export class FleetWorld {
+	readonly clock = createSystemClock();
+	readonly platform = new PlatformStandin(this.clock, {writesPerSecond: 2000, readsPerSecond: 5000});
+	readonly engines: EngineStandin[] = [];
+	processes: FleetProcess[] = [];
+	readonly #options: WorldOptions;
+	readonly #servers: HttpServer[] = [];
+	readonly #folder = mkdtempSync(path.join(tmpdir(), 'apricotdoor-fleet-'));
+	readonly #program = path.join(this.#folder, 'apricotdoor.cjs');
+	#platformOrigin = '';
+	#addresses: readonly string[] = [];
+
+	constructor(options: WorldOptions) {
+		this.#options = options;
+	}
+
+	/** Starts everything and waits until each instance is ready. */
+	async start(): Promise<void> {
+		const build = `import {bundle} from './scripts/bundle.mjs'; await bundle('packages/cli/main.ts', ${JSON.stringify(this.#program)})`;
+		execFileSync(process.execPath, ['--input-type=module', '-e', build]);
+		const {instances, targets, eventsPerSecond} = this.#options;
+		const platform = await startPlatformServer(this.platform);
+		this.#servers.push(platform);
+		this.#platformOrigin = `http://${platform.address}`;
+		for (let index = 0; index < targets; index++) {
+			const engine = new BusyEngine(this.clock, index + 1, eventsPerSecond);
+			this.engines.push(engine);
+			this.#servers.push(await startEngineServer(engine));
+		}
+
+		this.#addresses = this.#servers.slice(1).map(({address}) => address);
+		await this.publish(1);
+		const plans = await this.#makePlans(instances);
+		for (const {name, zone, peerAddress} of plans) {
+			this.platform.setInstance({
+				name, kind: 'router', pool: '', address: peerAddress, zone, leaving: false,
+			});
+		}
+
+		this.platform.settleList();
+		this.processes = plans.map(plan => this.spawn(plan));
+		await this.waitForReady();
+	}
+
+	/** Starts one process. */
+	spawn(plan: InstancePlan): FleetProcess {
+		return new FleetProcess(plan, {
+			clock: this.clock, program: this.#program, folder: this.#folder, balancerMs,
+		});
+	}
+
+	/** Publishes a configuration that differs by `version`; resolves when it is accepted. */
+	async publish(version: number): Promise<number> {
+		const {customers} = this.#options;
+		const published = await publishFragments(this.platform, [
+			{file: 'bench.json', text: JSON.stringify(makeServiceFile(this.#addresses, version))},
+			...(version === 1 ? [{file: 'customers.json', text: JSON.stringify(makeCustomersFile(customers))}] : []),
+		]);
+		if (!published.ok) {
+			throw new Error(`the configuration was not accepted: ${JSON.stringify(published.error)}`);
+		}
+
+		return published.value.generation;
+	}
+
+	async waitForReady(): Promise<void> {
+		await this.waitFor(async () => {
+			const ready = await Promise.all(this.processes.map(async instance => instance.isReady()));
+			return ready.every(Boolean);
+		}, readyLimitMs, 'every instance is ready');
+	}
+
+	/** @throws {Error} when the condition does not hold in time */
+	async waitFor(condition: () => boolean | Promise<boolean>, limitMs: number, what: string): Promise<void> {
+		const endMs = this.clock.now() + limitMs;
+		while (!await condition()) {
+			if (this.clock.now() > endMs) {
+				throw new Error(`not within ${limitMs} ms: ${what}`);
+			}
+
+			await this.clock.sleep(20);
+		}
+	}
+
+	/** Ends every process by its own id, and the stand-ins. */
+	async close(): Promise<void> {
+		await Promise.all(this.processes.map(async instance => instance.kill()));
+		await Promise.all(this.#servers.map(async server => server.destroy()));
+		rmSync(this.#folder, {recursive: true, force: true});
+	}
+
+	async #makePlans(count: number): Promise<readonly InstancePlan[]> {
+		const ports = await findFreePorts(3 * count);
+		const peerAddresses = Array.from({length: count}, (_, index) => `127.0.0.1:${ports[(3 * index) + 2]}`);
+		return Array.from({length: count}, (_, index): InstancePlan => ({
+			name: `router-${index + 1}`, zone: zones[index % zones.length]!, platformOrigin: this.#platformOrigin,
+			address: `127.0.0.1:${ports[3 * index]}`, adminAddress: `127.0.0.1:${ports[(3 * index) + 1]}`, peerAddress: peerAddresses[index]!,
+			seeds: peerAddresses.slice(0, seedsPerInstance),
+		}));
+	}
+}
+
+async function findFreePorts(count: number): Promise<readonly number[]> {
+	const servers = Array.from({length: count}, () => createServer().listen(0, '127.0.0.1'));
+	await Promise.all(servers.map(async server => once(server, 'listening')));
+	const ports = servers.map(server => {
+		const address = server.address();
+		return typeof address === 'object' && address ? address.port : 0;
+	});
+	await Promise.all(servers.map(async server => once(server.close(), 'close')));
+	return ports;
+}
+
+function makeServiceFile(addresses: readonly string[], version: number): unknown {
+	return {
+		service: 'bench',
+		pools: [{
+			name: 'language', kind: 'engine', model: 'm', weights: 'v1',
+			targets: addresses.map((address, index) => ({name: `engine-${index + 1}`, address, zone: zones[index % zones.length]})),
+		}],
+		routes: [{name: 'chat', pool: 'language', timeoutMs: 30_000 + version}],
+	};
+}
+
+function makeCustomersFile(count: number): unknown {
+	return {
+		service: 'customers',
+		customers: Array.from({length: count}, (_, index) => ({
+			name: `customer-${index + 1}`, keyDigests: [digestKey(index === 0 ? benchKey : `key-${index}`)], routes: ['chat'],
+			limit: {requestsPerSecond: 1000, burst: 1000, concurrent: 512},
+		})),
+	};
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import {Command} from 'commander';
 import {registerOverheadBench} from './overhead.ts';
 import {registerCapacityBench} from './capacity.ts';
+import {registerFleetBench} from './fleet.ts';
 import {registerPlacementBench} from './placement.ts';
 import {prepareHash} from '#core';
 
@@ -12,6 +13,7 @@
 	program.description('Measurements; figures of time live here and not in tests.');
 	registerOverheadBench(program);
 	registerCapacityBench(program);
+	registerFleetBench(program);
 	registerPlacementBench(program);
 	return program;
 }
--- a/packages/node/_relay-leaving.ts
+++ b/packages/node/_relay-leaving.ts
@@ -6,17 +6,20 @@
 import type {PeerBus} from '#peer-protocol';
 import type {TargetViews} from '#placement';
 import type {InstanceEntry} from '#platform';
+import type {Telemetry} from '#telemetry';
 
 /** Marks and tells leaving targets. */
 export class LeavingRelay {
 	readonly #bus: PeerBus;
 	readonly #views: TargetViews;
+	readonly #telemetry: Telemetry;
 	/** Incarnation by target, of those that were told to be leaving. */
 	readonly #told = new Map<string, string>();
 	/** Incarnation by target, of those that the platform's list names. */
 	readonly #listed = new Map<string, string>();
 
-	constructor(bus: PeerBus, views: TargetViews) {
+	constructor(bus: PeerBus, views: TargetViews, telemetry: Telemetry) {
+		this.#telemetry = telemetry;
 		this.#bus = bus;
 		this.#views = views;
 		bus.subscribe('leaving', ({name, incarnation}) => {
@@ -59,6 +62,7 @@
 
 		if (leaving && !isTold) {
 			this.#told.set(target, incarnation);
+			this.#telemetry.log('target leaving', {target, incarnation});
 			this.#bus.relay({kind: 'leaving', name: target, incarnation});
 		}
 	}
--- a/packages/node/relay-leaving.test.ts
+++ b/packages/node/relay-leaving.test.ts
@@ -4,13 +4,14 @@
 import type {LoadReport} from '#core';
 import {TargetViews} from '#placement';
 import {PeerNetworkStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
 
 function createFleet() {
 	const clock = new ManualClock();
 	const network = new PeerNetworkStandin(clock);
 	const instances = ['r1', 'r2'].map(name => {
 		const views = new TargetViews();
-		return {views, relay: new LeavingRelay(network.join({name, zone: 'esbjerg', incarnation: name}), views)};
+		return {views, relay: new LeavingRelay(network.join({name, zone: 'esbjerg', incarnation: name}), views, createTelemetry({level: 'silent'}))};
 	});
 	return {clock, first: instances[0]!, second: instances[1]!};
 }
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -76,7 +76,7 @@
 	}, deps.platformOptions);
 	const configuration = new ConfigurationStore(platform.configuration, clock, telemetry, {bus: deps.bus, isWatcher: deps.isWatcher});
 	const views = new TargetViews();
-	const leaving = new LeavingRelay(deps.bus, views);
+	const leaving = new LeavingRelay(deps.bus, views, telemetry);
 	const links = new TargetLinks(deps.connector);
 	const placer = new Placer({
 		views, clock, random, zone: deps.zone, choose: deps.choose, countInstances: () => deps.bus.listPeers().length + 1,
