--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import {registerCapacityBench} from './capacity.ts';
 import {registerFleetBench} from './fleet.ts';
 import {registerPlacementBench} from './placement.ts';
+import {registerPlacementCostBench} from './placement-cost.ts';
 import {prepareHash} from '#core';
 
 /** Creates the command line; each bench registers itself here. */
@@ -15,6 +16,7 @@
 	registerCapacityBench(program);
 	registerFleetBench(program);
 	registerPlacementBench(program);
+	registerPlacementCostBench(program);
 	return program;
 }
 
--- a/packages/node/_poll-targets.ts
+++ b/packages/node/_poll-targets.ts
@@ -4,6 +4,7 @@
 import type {Target, TargetPool} from '#core';
 import type {TargetLinks} from '#dispatch';
 import type {TargetViews} from '#placement';
+import type {Telemetry} from '#telemetry';
 
 /** What the readers work with. */
 export type PollDeps = Readonly<{
@@ -11,6 +12,7 @@
 	views: TargetViews;
 	links: TargetLinks;
 	clock: Clock;
+	telemetry: Telemetry;
 	/** Time between reads of one target, in milliseconds. */
 	pollMs: number;
 	/** Called when a target's report was taken in. */
@@ -60,7 +62,9 @@
 }
 
 async function readTarget(deps: PollDeps, pool: TargetPool, target: Target, signal: AbortSignal): Promise<void> {
-	const {views, links, clock, pollMs} = deps;
+	const {
+		views, links, clock, telemetry, pollMs,
+	} = deps;
 	const link = links.get(pool, target);
 	while (!signal.aborted) {
 		const limit = new AbortController();
@@ -78,8 +82,8 @@
 
 		if (report.ok && pool.kind === 'engine') {
 			const batch = await link.readCacheEvents(views.getSequence(target.name), limited);
-			if (batch.ok) {
-				views.applyEvents(target.name, batch.value);
+			if (batch.ok && views.applyEvents(target.name, batch.value)) {
+				telemetry.count('cache_event_gaps_total', {pool: pool.name});
 			}
 		}
 
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -80,7 +80,7 @@
 	const leaving = new LeavingRelay(deps.bus, views, telemetry);
 	const links = new TargetLinks(deps.connector);
 	const placer = new Placer({
-		views, clock, random, zone: deps.zone, choose: deps.choose, countInstances: () => deps.bus.listPeers().length + 1,
+		views, clock, random, zone: deps.zone, choose: deps.choose, telemetry, countInstances: () => deps.bus.listPeers().length + 1,
 	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus: deps.bus,
@@ -102,7 +102,7 @@
 	const tasks = [
 		configuration.run(stopping.signal),
 		pollTargets({
-			configuration, views, links, clock, pollMs: deps.reportPollMs,
+			configuration, views, links, clock, telemetry, pollMs: deps.reportPollMs,
 			reported(target) {
 				leaving.check(target);
 			},
--- a/packages/placement/_cached-keys.ts
+++ b/packages/placement/_cached-keys.ts
@@ -70,13 +70,6 @@
 		}
 	}
 
-	/** Forgets the pieces of a chain from a piece on. */
-	drop(words: KeyWords, fromPiece: number): void {
-		for (let index = fromPiece * 2; index < words.length; index += 2) {
-			this.#table.delete(words[index]!, words[index + 1]!);
-		}
-	}
-
 	/** Makes all present entries suspect. */
 	markSuspect(): void {
 		this.#epoch = (this.#epoch + 1) % epochs;
--- a/packages/placement/choose.ts
+++ b/packages/placement/choose.ts
@@ -58,10 +58,14 @@
 
 type Prepared = Readonly<{target: Target; load: LoadTerms; cached: number; suspect: number; pieces: number}>;
 
+/** A chain's keys as words, and the tokens of its first pieces by their number. */
+type ParsedChain = Readonly<{words: KeyWords; sums: readonly number[]}>;
+
 /** What the candidates of one query have in common. */
 type Context = Readonly<{
 	query: PlacementQuery;
-	words: KeyWords;
+	/** Tokens of the first pieces, by their number. */
+	sums: readonly number[];
 	/** Most tokens that any candidate has cached. */
 	bestCached: number;
 	/** Leading pieces that the kept store is believed to hold. */
@@ -104,10 +108,11 @@
 
 /** Rates all eligible targets, in the order of the pool. */
 export function rankCandidates(query: PlacementQuery, {targets}: Eligibility): readonly Candidate[] {
-	const words = parseKeys(query.chain?.keys ?? []);
-	const prepared = targets.map(target => prepare(query, target, words));
+	const parsed = parseChain(query.chain);
+	const {words, sums} = parsed;
+	const prepared = targets.map(target => prepare(query, target, parsed));
 	const context: Context = {
-		query, words, bestCached: Math.max(0, ...prepared.map(({cached}) => cached)),
+		query, sums, bestCached: Math.max(0, ...prepared.map(({cached}) => cached)),
 		keptPieces: query.pool.keptStore === undefined ? 0 : query.views.matchKept(words),
 		homes: findHomes(query, prepared), recomputePrice: computeRecomputePrice(prepared),
 	};
@@ -120,19 +125,21 @@
 	return chain.keys[(chain.ends[level - 1] ?? 1) - 1] ?? '';
 }
 
-function prepare(query: PlacementQuery, target: Target, words: KeyWords): Prepared {
-	const view = query.views.get(target.name);
-	const {pieces, suspect} = view.match(words);
-	const tokens = query.chain?.tokens ?? [];
-	let cached = 0;
-	let suspectTokens = 0;
-	for (let piece = 0; piece < pieces; piece++) {
-		cached += tokens[piece]!;
-		suspectTokens += piece >= pieces - suspect ? tokens[piece]! : 0;
+function parseChain(chain: PromptChain | undefined): ParsedChain {
+	const sums = [0];
+	for (const tokens of chain?.tokens ?? []) {
+		sums.push(sums.at(-1)! + tokens);
 	}
 
+	return {words: parseKeys(chain?.keys ?? []), sums};
+}
+
+function prepare(query: PlacementQuery, target: Target, {words, sums}: ParsedChain): Prepared {
+	const view = query.views.get(target.name);
+	const {pieces, suspect} = view.match(words);
 	return {
-		target, load: estimateLoad(view, query.pool.slots, query.nowMs), cached, suspect: suspectTokens, pieces,
+		target, load: estimateLoad(view, query.pool.slots, query.nowMs), pieces,
+		cached: sums[pieces]!, suspect: sums[pieces]! - sums[pieces - suspect]!,
 	};
 }
 
@@ -153,28 +160,25 @@
 }
 
 function rate(context: Context, {target, load, cached, suspect, pieces}: Prepared): Candidate {
-	const {query, bestCached, homes, keptPieces} = context;
+	const {query, sums, bestCached, homes, keptPieces} = context;
 	const {chain} = query;
-	const total = chain?.totalTokens ?? 0;
+	const total = sums.at(-1)!;
 	const trusted = cached - (suspect * (1 - suspectTrust));
 	const importKeys = query.pool.keptStore === undefined ? [] : chain?.keys ?? [];
-	const imported = chain?.tokens.slice(pieces, keptPieces).reduce((sum, count) => sum + count, 0) ?? 0;
+	const imported = Math.max(0, sums[keptPieces]! - cached);
 	const speed = load.prefillTokensPerMs;
 	const home = homes.has(target.name);
 	const missing = Math.max(0, bestCached - cached);
 	const importedAgain = Math.min(imported, missing);
 	const novel = Math.max(0, total - Math.max(bestCached, cached + imported));
-	const terms: PlacementTerms = {
-		queueMs: load.queueMs,
-		slotMs: load.slotMs,
-		prefillMs: (total - trusted - imported) / speed,
-		importMs: imported / importTokensPerMs,
-		distanceMs: target.zone === query.zone ? 0 : otherZoneMs,
-		recomputeMs: context.recomputePrice * (((missing - importedAgain) / speed) + (importedAgain / importTokensPerMs)),
-		awayMs: home ? 0 : awayPrice * novel / speed,
-	};
+	const {queueMs, slotMs} = load;
+	const prefillMs = (total - trusted - imported) / speed;
+	const importMs = imported / importTokensPerMs;
+	const distanceMs = target.zone === query.zone ? 0 : otherZoneMs;
+	const recomputeMs = context.recomputePrice * (((missing - importedAgain) / speed) + (importedAgain / importTokensPerMs));
+	const awayMs = home ? 0 : awayPrice * novel / speed;
 	return {
-		...terms, target, cachedTokens: cached, suspectTokens: suspect, importKeys, home,
-		totalMs: Object.values(terms).reduce((sum, value) => sum + value, 0),
+		target, cachedTokens: cached, suspectTokens: suspect, importKeys, home, queueMs, slotMs, prefillMs, importMs, distanceMs,
+		recomputeMs, awayMs, totalMs: queueMs + slotMs + prefillMs + importMs + distanceMs + recomputeMs + awayMs,
 	};
 }
--- a/packages/placement/classify-head.test.ts
+++ b/packages/placement/classify-head.test.ts
@@ -1,9 +1,7 @@
 import t from 'tap';
 import {classifyHead} from './classify-head.ts';
 
-const placement = {
-	target: {name: 'e1', address: '10.0.0.1:1', zone: 'esbjerg'}, incarnation: 'i1', weights: 'v1', cachedTokens: 0, importKeys: [], hasAlternative: true,
-};
+const placement = {incarnation: 'i1', weights: 'v1', hasAlternative: true};
 const head = {incarnation: 'i1', weights: 'v1', cachedTokens: 0};
 const context = {known: 'i1', mayRepeat: true};
 
--- a/packages/placement/classify-head.ts
+++ b/packages/placement/classify-head.ts
@@ -24,7 +24,7 @@
  * now is either newer, then its report is about to say so, or older, then its
  * entries are gone; in both cases its cache figures are left out.
  */
-export function classifyHead(placement: Placement, head: AnswerHead, context: HeadContext): HeadVerdict {
+export function classifyHead(placement: Pick<Placement, 'incarnation' | 'weights' | 'hasAlternative'>, head: AnswerHead, context: HeadContext): HeadVerdict {
 	const hasOtherWeights = placement.weights !== undefined && head.weights !== placement.weights;
 	if (hasOtherWeights) {
 		return context.mayRepeat && placement.hasAlternative ? 'placeAgain' : 'notForCache';
--- /dev/null
+++ b/packages/placement/placer.test.ts
@@ -0,0 +1,87 @@
+import t from 'tap';
+import {makeChain} from './chain.ts';
+import {Placer} from './placer.ts';
+import {TargetViews} from './views.ts';
+import {ManualClock} from '#clock';
+import {createRandom, prepareHash, type TargetPool} from '#core';
+import {createTelemetry} from '#telemetry';
+
+t.before(prepareHash);
+
+const pool: TargetPool = {
+	name: 'language', kind: 'engine', model: 'm', weights: 'v1', pieceTokens: 100, checksFencing: true, loadsAtOnce: 2, minLoaded: 1, slots: 4,
+	targets: ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'].map((name, index) => ({name, address: `10.0.0.${index}:1`, zone: 'esbjerg'})),
+};
+
+function start() {
+	const clock = new ManualClock();
+	const views = new TargetViews();
+	const telemetry = createTelemetry({level: 'silent'});
+	const placer = new Placer({
+		views, clock, telemetry, random: createRandom(1), zone: 'esbjerg', countInstances: () => 8,
+	});
+	const chain = makeChain({customer: 'a', model: 'm', weights: 'v1'}, [
+		{role: 'system', content: 'preamble '.repeat(400)}, {role: 'user', content: 'dossier '.repeat(400)}, {role: 'user', content: 'question'},
+	], pool.pieceTokens);
+	return {
+		clock, views, telemetry, placer, request: {pool, chain, excluded: new Set<string>()},
+	};
+}
+
+t.test('an answer that is trusted leaves entries, another one none', async t => {
+	const {views, telemetry, placer, request} = start();
+	const placement = placer.place(request)!;
+	const head = {incarnation: 'i1', weights: 'v1', cachedTokens: 0};
+	const {name} = placement.target;
+	t.equal(placer.takeHead(placement, {...head, weights: 'v0'}, {mayRepeat: true}), 'placeAgain');
+	t.equal(views.matchKeys(name, request.chain.keys).pieces, 0);
+	t.equal(placer.takeHead(placement, head, {mayRepeat: true}), 'trust');
+	t.equal(views.matchKeys(name, request.chain.keys).pieces, request.chain.keys.length);
+	t.equal(placer.takeHead(placement, {...head, incarnation: 'i0'}, {mayRepeat: true}), 'notForCache');
+	t.equal(views.get(name).incarnation, 'i1');
+	t.equal(telemetry.read('answer_heads_total', {pool: 'language', verdict: 'notForCache'}), 1);
+});
+
+t.test('an answer with less cached than assumed makes the target\'s entries suspect', async t => {
+	const {views, placer, request} = start();
+	const first = placer.place(request)!;
+	const {name} = first.target;
+	const head = {incarnation: 'i1', weights: 'v1', cachedTokens: 0};
+	placer.takeHead(first, head, {mayRepeat: true});
+	views.applyPrefill(name, 'i1', ['other']);
+	const second = placer.place(request)!;
+	t.equal(second.target.name, name);
+	placer.takeHead(second, head, {mayRepeat: true});
+	t.equal(views.matchKeys(name, ['other']).suspect, 1);
+	t.equal(views.matchKeys(name, request.chain.keys).suspect, 0);
+});
+
+t.test('waiting tokens count until the answer begins', async t => {
+	const {views, placer, request} = start();
+	const placement = placer.place(request)!;
+	const {name} = placement.target;
+	const finish = placer.begin(placement);
+	t.equal(views.get(name).countPendingTokens(), request.chain.totalTokens);
+	placer.takeHead(placement, {incarnation: 'i1', weights: 'v1', cachedTokens: 0}, {mayRepeat: true});
+	t.equal(views.get(name).countPendingTokens(), 0);
+	t.equal(views.get(name).inFlight, 1);
+	finish();
+	t.equal(views.get(name).inFlight, 0);
+});
+
+t.test('a hot prefix has more homes, and keeps them through a pause', async t => {
+	const {clock, placer, request} = start();
+	const countHomes = () => placer.explain(request).candidates.filter(({home}) => home).length;
+	t.equal(countHomes(), 1);
+	for (let index = 0; index < 100; index++) {
+		placer.place(request);
+		await clock.advance(100);
+	}
+
+	const hot = countHomes();
+	t.ok(hot > 1);
+	await clock.advance(2000);
+	t.equal(countHomes(), hot);
+	await clock.advance(600_000);
+	t.equal(countHomes(), 1);
+});
--- a/packages/placement/placer.ts
+++ b/packages/placement/placer.ts
@@ -12,6 +12,7 @@
 import type {TargetViews} from './views.ts';
 import type {Clock} from '#clock';
 import type {Random, Target, TargetPool} from '#core';
+import type {Telemetry} from '#telemetry';
 
 /** Ranks the eligible targets of a query, best first. */
 export type PlacementPolicy = (query: PlacementQuery) => readonly Candidate[];
@@ -27,6 +28,7 @@
 	choose?: PlacementPolicy;
 	/** Instances that share the load, this one included. Default: 1. */
 	countInstances?: () => number;
+	telemetry?: Telemetry;
 }>;
 
 /** A request as far as placement is concerned. */
@@ -41,6 +43,7 @@
 /** A chosen target with what the choice assumed. */
 export type Placement = Readonly<{
 	target: Target;
+	pool: TargetPool;
 	chain?: PromptChain;
 	/** Incarnation that the target was known by; empty when it was not known. */
 	incarnation: string;
@@ -84,7 +87,7 @@
 		const ranked = this.#choose(this.#makeQuery(request));
 		const best = ranked[0];
 		return best && {
-			target: best.target, chain: request.chain, incarnation: this.#deps.views.get(best.target.name).incarnation,
+			target: best.target, pool: request.pool, chain: request.chain, incarnation: this.#deps.views.get(best.target.name).incarnation,
 			weights: request.pool.weights, cachedTokens: best.cachedTokens, importKeys: best.importKeys, hasAlternative: ranked.length > 1,
 		};
 	}
@@ -121,6 +124,7 @@
 		const {name} = placement.target;
 		this.#pending.get(placement)?.();
 		const verdict = classifyHead(placement, head, {known: views.get(name).incarnation, mayRepeat: options.mayRepeat});
+		this.#deps.telemetry?.count('answer_heads_total', {pool: placement.pool.name, verdict});
 		if (verdict === 'trust' && placement.chain) {
 			if (head.cachedTokens < placement.cachedTokens) {
 				views.markSuspect(name);
--- a/packages/placement/views.test.ts
+++ b/packages/placement/views.test.ts
@@ -74,8 +74,7 @@
 	const views = start();
 	views.applyEvents('e1', {incarnation: 'i1', sequence: 1, events: [makeStored(1, 'a', 'b')]});
 	t.same(countMatched(views, ['a', 'b']), {pieces: 2, suspect: 0});
-	views.applyEvents('e1', {incarnation: 'i1', sequence: 3, events: [makeStored(3, 'c')]});
-	t.equal(views.gaps, 1);
+	t.equal(views.applyEvents('e1', {incarnation: 'i1', sequence: 3, events: [makeStored(3, 'c')]}), true);
 	t.same(countMatched(views, ['a', 'b']), {pieces: 2, suspect: 2});
 	t.same(countMatched(views, ['c']), {pieces: 1, suspect: 0});
 	views.applyPrefill('e1', 'i1', ['a']);
@@ -84,8 +83,7 @@
 
 t.test('a lost last event is a gap as well', async t => {
 	const views = start();
-	views.applyEvents('e1', {incarnation: 'i1', sequence: 2, events: [makeStored(1, 'a')]});
-	t.equal(views.gaps, 1);
+	t.equal(views.applyEvents('e1', {incarnation: 'i1', sequence: 2, events: [makeStored(1, 'a')]}), true);
 });
 
 t.test('events in order without gaps leave what the target has', async () => {
@@ -94,9 +92,10 @@
 		const views = start();
 		const model = new Set<string>();
 		const events = list.map(({kind, key}, index): CacheEvent => ({sequence: index + 1, kind, keys: [`k${key}`]}));
+		let hasGap = false;
 		for (let first = 0; first < events.length; first += size) {
 			const batch = events.slice(first, first + size);
-			views.applyEvents('e1', {incarnation: 'i1', events: batch, sequence: batch.at(-1)!.sequence});
+			hasGap ||= views.applyEvents('e1', {incarnation: 'i1', events: batch, sequence: batch.at(-1)!.sequence});
 		}
 
 		for (const {kind, keys} of events) {
@@ -107,7 +106,7 @@
 			}
 		}
 
-		return views.gaps === 0 && Array.from({length: 21}, (_, key) => `k${key}`).every(key =>
+		return !hasGap && Array.from({length: 21}, (_, key) => `k${key}`).every(key =>
 			countMatched(views, [key]).pieces === (model.has(key) ? 1 : 0));
 	}), {seed: 31});
 });
--- a/packages/placement/views.ts
+++ b/packages/placement/views.ts
@@ -41,8 +41,6 @@
 
 /** Views of all targets by name. */
 export class TargetViews {
-	/** Event batches that had gaps. */
-	gaps = 0;
 	readonly #states = new Map<string, TargetState>();
 	readonly #sharesOfPeers = new Map<string, readonly string[]>();
 	/** Keys that some target has computed, which the kept store therefore may hold. */
@@ -77,14 +75,20 @@
 		this.#find(name).applyReport(report, nowMs);
 	}
 
-	/** Takes in cache events; missing ones make the present entries suspect. */
-	applyEvents(name: string, batch: CacheEventBatch): void {
-		this.gaps += this.#find(name).applyEvents(batch) ? 1 : 0;
+	/**
+	 * Takes in cache events; missing ones make the present entries suspect.
+	 *
+	 * @returns whether some were missing
+	 */
+	applyEvents(name: string, batch: CacheEventBatch): boolean {
+		const hasGap = this.#find(name).applyEvents(batch);
 		for (const event of batch.events) {
 			if (event.kind === 'stored') {
 				this.#storeKept(parseKeys(event.keys));
 			}
 		}
+
+		return hasGap;
 	}
 
 	/** Records that a prompt was prefilled on a target of the given incarnation. */
@@ -94,11 +98,6 @@
 		this.#storeKept(words);
 	}
 
-	/** Forgets the pieces of a chain that an answer showed not to be cached, from a piece on. */
-	dropKeys(name: string, keys: readonly string[], fromPiece: number): void {
-		this.#find(name).cache.drop(parseKeys(keys), fromPiece);
-	}
-
 	/** Makes a target's entries suspect. */
 	markSuspect(name: string): void {
 		this.#find(name).cache.markSuspect();
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -19,6 +19,8 @@
 	quarantines_total: {help: 'Requests that reached the limit of strikes.', labels: []},
 	attempts_total: {help: 'Attempts on targets, by pool and outcome.', labels: ['pool', 'outcome']},
 	prompt_tokens_total: {help: 'Prompt tokens sent to engines, by pool and whether the engine had them cached.', labels: ['pool', 'cached']},
+	answer_heads_total: {help: 'Heads of engines\' answers, by pool and what they are good for.', labels: ['pool', 'verdict']},
+	cache_event_gaps_total: {help: 'Reads of cache events in which some were missing, by pool.', labels: ['pool']},
 	configuration_changes_total: {help: 'Configuration generations that came into force.', labels: []},
 	configuration_rejected_total: {help: 'Accepted generations that this instance does not understand.', labels: []},
 	configuration_fetches_total: {help: 'Generations asked for from other instances, by result.', labels: ['result']},
