--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import {registerFleetBench} from './fleet.ts';
 import {registerPlacementBench} from './placement.ts';
 import {registerPlacementCostBench} from './placement-cost.ts';
+import {registerStreamsBench} from './streams.ts';
 import {prepareHash} from '#core';
 
 /** Creates the command line; each bench registers itself here. */
@@ -17,6 +18,7 @@
 	registerFleetBench(program);
 	registerPlacementBench(program);
 	registerPlacementCostBench(program);
+	registerStreamsBench(program);
 	return program;
 }
 
--- /dev/null
+++ b/bench/streams.ts
@@ -0,0 +1,150 @@
+/**
+ * Measures streams under faults: whole routers and stand-in engines in one
+ * process on a manual clock, one seeded load for every fault. Times are virtual.
+ */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import type {Command} from 'commander';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {StreamCluster, type StreamRequest} from './_streams-cluster.ts';
+import {streamFaults} from './_streams-faults.ts';
+import {createRandom, type AnswerEvent} from '#core';
+import {writeAnswerText} from '#standins';
+
+type StreamsOptions = Readonly<{json?: boolean; quick?: boolean; seed: string}>;
+
+/** What a run measured. */
+type StreamFigures = Readonly<{
+	requests: number;
+	/** Answers in full, equal byte by byte to what a calm engine gives. */
+	exactRatio: number;
+	/** Answers that ended as complete and were not equal. */
+	wrong: number;
+	/** Requests refused before, and cut after the first byte. */
+	refused: number;
+	cut: number;
+	/** Attempts for each request. */
+	attemptsRatio: number;
+	/** Prompt tokens that engines prefilled or took from their cache, for each prompt token of the load. */
+	prefillRatio: number;
+	/** Time to the first byte, and the longest pause inside an answer. */
+	firstMsP95: number;
+	pauseMsP50: number;
+	pauseMsP95: number;
+	pauseMsP99: number;
+	retries: Readonly<Record<string, number>>;
+}>;
+
+type Tally = {
+	readonly first: Histogram;
+	readonly pause: Histogram;
+	requests: number;
+	exact: number;
+	wrong: number;
+	refused: number;
+	cut: number;
+};
+
+const fullMs = 300_000;
+const quickMs = 60_000;
+const drainMs = 30_000;
+const gapMs = 250;
+const maxMs = 60_000;
+
+/** Adds the bench to the command line. */
+export function registerStreamsBench(program: Command): void {
+	program.command('streams')
+		.description('Completeness of streams, length of pauses and repeated work under crashes, resets and silence.')
+		.option('--json', 'write one JSON object')
+		.option('--quick', 'a shorter run')
+		.option('--seed <number>', 'seed of load, faults and routers', '1')
+		.action(runStreamsBench);
+}
+
+async function runStreamsBench(options: StreamsOptions): Promise<void> {
+	const figures: Record<string, StreamFigures> = {};
+	const durationMs = options.quick ? quickMs : fullMs;
+	for (const name of Object.keys(streamFaults)) {
+		figures[name] = await runFault(name, Number(options.seed), durationMs);
+		if (!options.json) {
+			process.stdout.write(`${name.padEnd(10)} ${JSON.stringify(figures[name])}\n`);
+		}
+	}
+
+	if (options.json) {
+		process.stdout.write(`${JSON.stringify({faults: figures})}\n`);
+	}
+}
+
+async function runFault(name: string, seed: number, durationMs: number): Promise<StreamFigures> {
+	const cluster = new StreamCluster(seed);
+	await cluster.start();
+	const tally = makeTally();
+	const random = createRandom(seed);
+	let promptTokens = 0;
+	for (let atMs = 0; atMs < durationMs; atMs += random.next() * gapMs * 2) {
+		const request = cluster.makeRequest(random);
+		promptTokens += request.tokens;
+		cluster.clock.after(atMs, () => {
+			void runRequest(cluster, request, tally);
+		});
+	}
+
+	streamFaults[name]!(cluster, createRandom(seed + 1), durationMs);
+	await cluster.clock.advance(durationMs + drainMs);
+	const figures = computeFigures(cluster, tally, promptTokens);
+	await cluster.stop();
+	return figures;
+}
+
+function makeTally(): Tally {
+	const options = {highestTrackableValue: maxMs, numberOfSignificantValueDigits: 3} as const;
+	return {
+		first: build(options), pause: build(options), requests: 0, exact: 0, wrong: 0, refused: 0, cut: 0,
+	};
+}
+
+async function runRequest(cluster: StreamCluster, request: StreamRequest, tally: Tally): Promise<void> {
+	const {clock} = cluster;
+	const startMs = clock.now();
+	const chunks: Uint8Array[] = [];
+	let lastMs = startMs;
+	let pauseMs = 0;
+	let last: AnswerEvent | undefined;
+	tally.requests++;
+	for await (const event of cluster.send(request)) {
+		last = event;
+		if (event.kind !== 'data') {
+			continue;
+		}
+
+		if (chunks.length === 0) {
+			tally.first.recordValue(Math.min(maxMs, clock.now() - startMs));
+		} else {
+			pauseMs = Math.max(pauseMs, clock.now() - lastMs);
+		}
+
+		lastMs = clock.now();
+		chunks.push(event.bytes);
+	}
+
+	if (last?.kind !== 'end') {
+		tally[chunks.length > 0 ? 'cut' : 'refused']++;
+		return;
+	}
+
+	tally.pause.recordValue(Math.min(maxMs, pauseMs));
+	const isExact = Buffer.concat(chunks).equals(Buffer.concat(writeAnswerText(request.work)));
+	tally[isExact ? 'exact' : 'wrong']++;
+}
+
+function computeFigures(cluster: StreamCluster, tally: Tally, promptTokens: number): StreamFigures {
+	const {attempts, retries} = cluster.readCounters();
+	const round = (value: number) => Number(value.toFixed(4));
+	return {
+		requests: tally.requests, exactRatio: round(tally.exact / tally.requests), wrong: tally.wrong, refused: tally.refused, cut: tally.cut,
+		attemptsRatio: round(attempts / tally.requests), prefillRatio: round(cluster.countPrefilled() / promptTokens),
+		firstMsP95: tally.first.getValueAtPercentile(95), pauseMsP50: tally.pause.getValueAtPercentile(50),
+		pauseMsP95: tally.pause.getValueAtPercentile(95), pauseMsP99: tally.pause.getValueAtPercentile(99), retries,
+	};
+}
