--- /dev/null
+++ b/bench/_admission-run.ts
@@ -0,0 +1,184 @@
+/** One run of the admission bench. */
+import {Admission} from '#admission';
+import {ManualClock} from '#clock';
+import {
+	createRandom, type Configuration, type Customer, type Random, type RoutedRequest,
+} from '#core';
+import {PeerNetworkStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+/** What a run is made of. */
+export type OverloadPlan = Readonly<{
+	seed: number;
+	/** Load as a multiple of the pool's capacity. */
+	factor: number;
+	/** Load of the first customer as a multiple of its share. */
+	greedyFactor: number;
+	isAdmitting: boolean;
+}>;
+
+/** What was measured. */
+export type OverloadFigures = OverloadPlan & Readonly<{
+	/** Requests that began to run within the promised time, per second. */
+	goodputPerSecond: number;
+	/** Part of the other customers' requests that began in time. */
+	othersInTime: number;
+	refused: number;
+	late: number;
+	/** Longest time between arrival and refusal, in milliseconds. */
+	slowestRefusalMs: number;
+}>;
+
+const instanceCount = 8;
+const customerCount = 8;
+const targets = 6;
+const slots = 8;
+const serviceMs = 400;
+const promiseMs = 1800;
+const durationMs = 30_000;
+const warmUpMs = 5000;
+/** Requests that the engines run at once, and their rate. */
+const engineSlots = targets * slots;
+const capacityPerSecond = engineSlots * 1000 / serviceMs;
+
+type Counts = {inTime: number; othersInTime: number; othersSent: number; refused: number; late: number; slowestRefusalMs: number};
+
+const pool = {
+	name: 'language', kind: 'engine', pieceTokens: 2000, checksFencing: true, loadsAtOnce: 2, minLoaded: 1, slots, targets: [],
+} as const;
+const route = {
+	name: 'chat', pool: 'language', firstTokenMs: promiseMs, tokenGapMs: 39, timeoutMs: 60_000, repeatable: true, calls: [],
+} as const;
+const customers: readonly Customer[] = Array.from({length: customerCount}, (_, index) => ({
+	name: `c${index}`, keyDigests: [], routes: ['chat'], weight: 1, priority: 5,
+	limit: {requestsPerSecond: 1000, burst: 1000, concurrent: 1000},
+}));
+
+/** Engines as one queue in order of arrival. */
+class Engines {
+	readonly #clock: ManualClock;
+	readonly #waiting: Array<() => void> = [];
+	#running = 0;
+
+	constructor(clock: ManualClock) {
+		this.#clock = clock;
+	}
+
+	/** Runs a request; resolves with the time at which it began. */
+	async run(): Promise<number> {
+		if (this.#running >= engineSlots) {
+			await new Promise<void>(resolve => {
+				this.#waiting.push(resolve);
+			});
+		} else {
+			this.#running++;
+		}
+
+		const beganMs = this.#clock.now();
+		await this.#clock.sleep(serviceMs);
+		const next = this.#waiting.shift();
+		if (next) {
+			next();
+		} else {
+			this.#running--;
+		}
+
+		return beganMs;
+	}
+}
+
+/** Measures one load. */
+export async function measureOverload(plan: OverloadPlan): Promise<OverloadFigures> {
+	const clock = new ManualClock();
+	const random = createRandom(plan.seed);
+	const engines = new Engines(clock);
+	const admissions = createAdmissions(clock);
+	const counts: Counts = {
+		inTime: 0, othersInTime: 0, othersSent: 0, refused: 0, late: 0, slowestRefusalMs: 0,
+	};
+	const share = capacityPerSecond * plan.factor / customerCount;
+	for (const [index, customer] of customers.entries()) {
+		const ratePerMs = share * (index === 0 ? plan.greedyFactor : 1) / 1000;
+		scheduleArrivals(clock, random, ratePerMs, () => {
+			const admission = plan.isAdmitting ? admissions[random.below(instanceCount)] : undefined;
+			void sendOne({
+				clock, engines, admission, counts,
+			}, customer);
+		});
+	}
+
+	await clock.advance(durationMs);
+	for (const admission of admissions) {
+		admission.close();
+	}
+
+	return {
+		...plan,
+		goodputPerSecond: counts.inTime * 1000 / (durationMs - warmUpMs - promiseMs),
+		othersInTime: counts.othersInTime / counts.othersSent,
+		refused: counts.refused, late: counts.late, slowestRefusalMs: counts.slowestRefusalMs,
+	};
+}
+
+function createAdmissions(clock: ManualClock): readonly Admission[] {
+	const network = new PeerNetworkStandin(clock);
+	const configuration: Configuration = {
+		generation: 1, routes: new Map([['chat', route]]), pools: new Map([['language', pool]]),
+		customers: new Map(customers.map(customer => [customer.name, customer])),
+	};
+	const names = Array.from({length: instanceCount}, (_, index) => `r${index}`);
+	const admissions = names.map(name => new Admission({
+		clock, name, incarnation: `${name}!`, telemetry: createTelemetry({level: 'silent'}),
+		bus: network.join({name, zone: 'a', incarnation: `${name}!`}),
+		getConfiguration: () => configuration, countTargets: () => targets,
+	}));
+	for (const admission of admissions) {
+		admission.readList(names);
+	}
+
+	return admissions;
+}
+
+function scheduleArrivals(clock: ManualClock, random: Random, ratePerMs: number, arrive: () => void): void {
+	const schedule = () => {
+		clock.after(-Math.log(1 - random.next()) / ratePerMs, () => {
+			arrive();
+			schedule();
+		});
+	};
+
+	schedule();
+}
+
+type Bench = Readonly<{clock: ManualClock; engines: Engines; admission?: Admission; counts: Counts}>;
+
+async function sendOne({clock, engines, admission, counts}: Bench, customer: Customer): Promise<void> {
+	const arrivedMs = clock.now();
+	const isCounted = arrivedMs >= warmUpMs && arrivedMs < durationMs - promiseMs;
+	const isOther = customer !== customers[0];
+	counts.othersSent += isCounted && isOther ? 1 : 0;
+	const admitted = await admission?.admit(makeRequest(customer, arrivedMs), new AbortController().signal);
+	if (admitted && !admitted.ok) {
+		counts.refused += isCounted ? 1 : 0;
+		counts.slowestRefusalMs = Math.max(counts.slowestRefusalMs, Math.round(clock.now() - arrivedMs));
+		return;
+	}
+
+	const beganMs = await engines.run();
+	admitted?.value.release();
+	if (isCounted) {
+		const isInTime = beganMs - arrivedMs <= promiseMs;
+		counts.inTime += isInTime ? 1 : 0;
+		counts.late += isInTime ? 0 : 1;
+		counts.othersInTime += isInTime && isOther ? 1 : 0;
+	}
+}
+
+function makeRequest(customer: Customer, nowMs: number): RoutedRequest {
+	return {
+		id: 'q', customer, route, pool, repeatable: true, arrivedMs: nowMs, deadlineMs: nowMs + route.timeoutMs,
+		work: {
+			kind: 'chat', messages: [], maxTokens: 1, extra: {},
+		},
+	};
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 /** Benches by name: `npm run -s bench -- NAME [--json]`. */
 import process from 'node:process';
 import {Command} from 'commander';
+import {registerAdmissionBench} from './admission.ts';
+import {registerClaimsBench} from './claims.ts';
 import {registerOverheadBench} from './overhead.ts';
 import {registerCapacityBench} from './capacity.ts';
 import {registerFleetBench} from './fleet.ts';
@@ -16,6 +18,8 @@
 	registerOverheadBench(program);
 	registerCapacityBench(program);
 	registerFleetBench(program);
+	registerAdmissionBench(program);
+	registerClaimsBench(program);
 	registerPlacementBench(program);
 	registerPlacementCostBench(program);
 	registerStreamsBench(program);
