Object store: the port is named apart from the users' platform, and lists state their revision

Lists now carry the revision at which they were taken, which a copy of a kind needs to go on with a watch.

--- a/bench/_overhead-roles.ts
+++ b/bench/_overhead-roles.ts
@@ -12,7 +12,7 @@
 import {publishFragments} from '#configuration';
 import {startHttpServer} from '#http';
 import {parseSettings, startInstance} from '#node';
-import {createHttpPlatform} from '#platform';
+import {createHttpObjectStore} from '#object-store';
 import {PlatformStandin, startPlatformServer} from '#standins';
 
 /** Key of the bench's customer. */
@@ -109,7 +109,7 @@
 /** Runs a whole instance with authentication, admission and placement. */
 async function runRouted(backend: RoleReady): Promise<RoleReady> {
 	const platformOrigin = `http://${backend.platform!}`;
-	const published = await publishFragments(createHttpPlatform(platformOrigin), [{file: 'bench.json', text: JSON.stringify(makeServiceFile(backend.targets!))}]);
+	const published = await publishFragments(createHttpObjectStore(platformOrigin), [{file: 'bench.json', text: JSON.stringify(makeServiceFile(backend.targets!))}]);
 	const settings = parseSettings(JSON.stringify({
 		name: 'bench', zone: 'a', listen: '127.0.0.1:0', adminListen: '127.0.0.1:0', platformOrigin, logLevel: 'silent',
 	}));
--- a/bench/claims.ts
+++ b/bench/claims.ts
@@ -8,7 +8,7 @@
 import {Claims} from '#claims';
 import {ManualClock} from '#clock';
 import {createRandom, type AnswerEvent, type RoutedRequest} from '#core';
-import {createPlatformClient} from '#platform';
+import {createObjectStoreClient} from '#object-store';
 import {PlatformStandin} from '#standins';
 import {createTelemetry} from '#telemetry';
 
@@ -63,7 +63,7 @@
 	const telemetry = createTelemetry({level: 'silent'});
 	const instances = Array.from({length: instanceCount}, (_, index) => new Claims({
 		clock, random, telemetry, owner: {name: `r${index}`, incarnation: `r${index}!`}, isLive: () => true,
-		platform: createPlatformClient({
+		platform: createObjectStoreClient({
 			platform, clock, random, telemetry, countInstances: () => instanceCount,
 		}, {rates: {writesPerSecond: writeRate, readsPerSecond: 2000}}).claims,
 	}));
--- a/packages/admin/_publish.ts
+++ b/packages/admin/_publish.ts
@@ -5,7 +5,7 @@
 	explainIssues, maxFragmentBytes, publishFragments, type PublishFailure, type PublishReceipt,
 } from '#configuration';
 import {fail, type Result} from '#core';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 
 /** Largest body of a publication, in bytes. */
 export const maxPublishBytes = 4 * maxFragmentBytes;
@@ -22,7 +22,7 @@
 });
 
 /** Checks the body of a publication and commits it. */
-export async function acceptPublication(platform: Platform, body: unknown): Promise<Result<PublishReceipt, AdminRefusal>> {
+export async function acceptPublication(platform: ObjectStore, body: unknown): Promise<Result<PublishReceipt, AdminRefusal>> {
 	const parsed = publishSchema.safeParse(body);
 	if (!parsed.success) {
 		return fail({reason: 'admin_bad_request', extra: {faults: explainIssues(publishSchema, parsed.error)}});
--- a/packages/admin/app.ts
+++ b/packages/admin/app.ts
@@ -10,7 +10,7 @@
 import type {AdminRefusalReason} from './refusals.ts';
 import {explainIssues, type ConfigurationStore} from '#configuration';
 import {toMessage, type RefusalReason, type Result} from '#core';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** A request whose placement is asked for. */
@@ -23,7 +23,7 @@
 	telemetry: Telemetry;
 	configuration: ConfigurationStore;
 	/** Where publications are committed. */
-	platform: Platform;
+	platform: ObjectStore;
 	/** SHA-256 digests of the operators' tokens. */
 	operatorTokenDigests: readonly string[];
 	countRunning: () => number;
--- a/packages/capacity/lease.ts
+++ b/packages/capacity/lease.ts
@@ -9,12 +9,12 @@
 import {z} from 'zod';
 import type {Clock} from '#clock';
 import type {Random} from '#core';
-import type {Platform, StoredObject} from '#platform';
+import type {ObjectStore, StoredObject} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** What a lease works with. */
 export type LeaseDeps = Readonly<{
-	platform: Platform;
+	platform: ObjectStore;
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
--- a/packages/capacity/run-capacity.ts
+++ b/packages/capacity/run-capacity.ts
@@ -9,7 +9,7 @@
 	createRandom, hash64, waitForAbort, type Random, type Target, type TargetLink, type TargetPool,
 } from '#core';
 import type {PeerBus} from '#peer-protocol';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** What capacity control works with. */
@@ -19,7 +19,7 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	platform: Platform;
+	platform: ObjectStore;
 	bus: PeerBus;
 	configuration: ConfigurationStore;
 	getLink: (pool: TargetPool, target: Target) => TargetLink;
--- a/packages/claims/_acquire.ts
+++ b/packages/claims/_acquire.ts
@@ -9,7 +9,7 @@
 } from './_job.ts';
 import type {ClaimRecord} from './record.ts';
 import {makeRefusal} from '#core';
-import {commitChange, type PlatformFailure} from '#platform';
+import {commitChange, type StoreFailure} from '#object-store';
 
 const firstRetryMs = 20;
 const maxRetryMs = 400;
@@ -61,7 +61,7 @@
 }
 
 /** A claim that may still take effect is harmless: its owner never runs it, and takes it over on a re-send. */
-function refuseClaim(failure: PlatformFailure, isUncertain: boolean): SettledClaim {
+function refuseClaim(failure: StoreFailure, isUncertain: boolean): SettledClaim {
 	const retryAfterMs = failure.retryAfterMs ?? maxRetryMs;
 	return {
 		kind: 'done',
--- a/packages/claims/_examine.ts
+++ b/packages/claims/_examine.ts
@@ -5,7 +5,7 @@
 import {makeUnknownEvent} from './_outcome.ts';
 import {parseRecord, type ClaimRecord} from './record.ts';
 import {makeRefusal, type AnswerEvent} from '#core';
-import {commitChange, type StoredObject} from '#platform';
+import {commitChange, type StoredObject} from '#object-store';
 
 /** The key may be claimed at this version of its record. */
 export type FreeClaim = Readonly<{kind: 'free'; version: number}>;
--- a/packages/claims/_job.ts
+++ b/packages/claims/_job.ts
@@ -4,7 +4,7 @@
 import type {ClaimOwner, ClaimRecord} from './record.ts';
 import type {Clock} from '#clock';
 import type {AnswerEvent, Random, RoutedRequest} from '#core';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** One request being claimed, run or recorded on this instance. */
@@ -19,7 +19,7 @@
 export type ClaimParts = Readonly<{
 	clock: Clock;
 	random: Random;
-	platform: Platform;
+	platform: ObjectStore;
 	telemetry: Telemetry;
 	owner: ClaimOwner;
 	owners: OwnerWatch;
--- a/packages/claims/_record-outcome.ts
+++ b/packages/claims/_record-outcome.ts
@@ -3,7 +3,7 @@
 import type {ClaimJob, ClaimParts, HeldClaim} from './_job.ts';
 import {buildFinalRecord} from './_outcome.ts';
 import {parseRecord} from './record.ts';
-import {commitChange} from '#platform';
+import {commitChange} from '#object-store';
 
 const firstRetryMs = 50;
 const maxRetryMs = 5000;
--- a/packages/claims/claims.ts
+++ b/packages/claims/claims.ts
@@ -15,7 +15,7 @@
 import {
 	makeRefusal, type AnswerEvent, type Random, type RoutedRequest,
 } from '#core';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** Runs a request on targets until `signal` aborts. */
@@ -25,7 +25,7 @@
 export type ClaimsDeps = Readonly<{
 	clock: Clock;
 	random: Random;
-	platform: Platform;
+	platform: ObjectStore;
 	telemetry: Telemetry;
 	/** This instance. */
 	owner: ClaimOwner;
--- a/packages/claims/sweep.ts
+++ b/packages/claims/sweep.ts
@@ -6,14 +6,14 @@
 import {claimPrefix, parseRecord, shardDigits} from './record.ts';
 import type {Clock} from '#clock';
 import {hash64} from '#core';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** What a sweep works with. */
 export type SweepDeps = Readonly<{
 	clock: Clock;
 	/** Its calls should be of the lowest priority. */
-	platform: Platform;
+	platform: ObjectStore;
 	telemetry: Telemetry;
 	/** This instance's incarnation. */
 	incarnation: string;
@@ -55,7 +55,7 @@
 async function sweepShard({clock, platform, telemetry}: SweepDeps, shard: number): Promise<void> {
 	const prefix = `${claimPrefix}${shard.toString(16).padStart(shardDigits, '0')}/`;
 	const listed = await platform.list(prefix);
-	for (const {key, value, version} of listed.ok ? listed.value : []) {
+	for (const {key, value, version} of listed.ok ? listed.value.objects : []) {
 		const record = parseRecord(value);
 		if (record && clock.wall() > record.expiresWallMs + skewMs) {
 			const removed = await platform.remove(key, {ifVersion: version});
--- a/packages/cli/_demo-deployment.ts
+++ b/packages/cli/_demo-deployment.ts
@@ -8,7 +8,7 @@
 import {fail, succeed, type Result} from '#core';
 import type {HttpServer} from '#http';
 import {parseSettings, startInstance, type Instance} from '#node';
-import {createHttpPlatform} from '#platform';
+import {createHttpObjectStore} from '#object-store';
 import {
 	EngineStandin, PlatformStandin, ServiceStandin, startEngineServer, startPlatformServer, startServiceServer,
 	WeightStoreStandin, type Execution,
@@ -44,7 +44,7 @@
 	const customers = {...customersFile, customers: customersFile.customers.map(customer => ({...customer, keyDigests: [digestKey(makeKey(customer.name))]}))};
 	const origin = `http://${platform.address}`;
 	const fragments = Object.entries({language, stock, customers}).map(([file, content]) => ({file, text: JSON.stringify(content)}));
-	const published = await publishFragments(createHttpPlatform(origin), fragments);
+	const published = await publishFragments(createHttpObjectStore(origin), fragments);
 	if (!published.ok) {
 		return fail(`the example was not accepted: ${JSON.stringify(published.error)}`);
 	}
--- a/packages/cli/publish.ts
+++ b/packages/cli/publish.ts
@@ -11,7 +11,7 @@
 	publishFragments, type Fragment, type PublishFailure, type PublishReceipt,
 } from '#configuration';
 import {fail, succeed, type Result} from '#core';
-import {createHttpPlatform} from '#platform';
+import {createHttpObjectStore} from '#object-store';
 
 /** Options of the verb. */
 export type PublishOptions = Readonly<{
@@ -86,7 +86,7 @@
 		return commitThroughInstance(io, change, options.admin![0]!);
 	}
 
-	const platform = createHttpPlatform(options.platform, {token: io.environment.APRICOTDOOR_PLATFORM_TOKEN});
+	const platform = createHttpObjectStore(options.platform, {token: io.environment.APRICOTDOOR_PLATFORM_TOKEN});
 	const {fragments, ...rest} = change;
 	const result = await publishFragments(platform, fragments, rest);
 	return result.ok ? result : fail(printFailure(io, result.error));
--- a/packages/configuration/head.ts
+++ b/packages/configuration/head.ts
@@ -4,7 +4,7 @@
 import {
 	fail, succeed, type Result,
 } from '#core';
-import type {Platform, PlatformFailure} from '#platform';
+import type {ObjectStore, StoreFailure} from '#object-store';
 
 /** Schema of the head object. */
 export const headSchema = z.object({
@@ -22,7 +22,7 @@
 export type VersionedHead = Readonly<{head: Head; version: number}>;
 
 /** Reads the head; an empty one of generation 0 before the first publication. */
-export async function readHead(platform: Platform): Promise<Result<VersionedHead, PlatformFailure>> {
+export async function readHead(platform: ObjectStore): Promise<Result<VersionedHead, StoreFailure>> {
 	const stored = await platform.get(headKey);
 	if (!stored.ok) {
 		return stored;
--- a/packages/configuration/publish.ts
+++ b/packages/configuration/publish.ts
@@ -13,7 +13,7 @@
 import {headKey, makeFragmentKey} from './keys.ts';
 import {writeSuggestion} from './explain-issues.ts';
 import {fail, succeed, type Result} from '#core';
-import type {Platform, PlatformFailure} from '#platform';
+import type {ObjectStore, StoreFailure} from '#object-store';
 
 /** The generation that was accepted. */
 export type PublishReceipt = Readonly<{
@@ -28,7 +28,7 @@
 	= | Readonly<{kind: 'invalid'; faults: readonly ConfigurationFault[]}>
 	/** Another operator changed the same service since `base`. */
 		| Readonly<{kind: 'conflict'; service: string; base: string; found: string}>
-		| Readonly<{kind: 'platform'; failure: PlatformFailure}>;
+		| Readonly<{kind: 'platform'; failure: StoreFailure}>;
 
 /** Options of {@link publishFragments}. */
 export type PublishOptions = Readonly<{
@@ -58,7 +58,7 @@
 }>;
 
 /** Committed, refused for good, or to be tried again for the failure's reason. */
-type CommitResult = Result<PublishReceipt, PublishFailure> | Readonly<{ok: 'again'; failure: PlatformFailure}>;
+type CommitResult = Result<PublishReceipt, PublishFailure> | Readonly<{ok: 'again'; failure: StoreFailure}>;
 
 /**
  * Commits the fragments of one or more services.
@@ -68,7 +68,7 @@
  * @returns the accepted generation; nothing is in force on a failure, but for a
  * platform failure of kind `unknown`, which may have taken effect
  */
-export async function publishFragments(platform: Platform, fragments: readonly Fragment[], options: PublishOptions = {}): Promise<Result<PublishReceipt, PublishFailure>> {
+export async function publishFragments(platform: ObjectStore, fragments: readonly Fragment[], options: PublishOptions = {}): Promise<Result<PublishReceipt, PublishFailure>> {
 	const parsed = fragments.map(fragment => parseFragment(fragment));
 	const faults = parsed.flatMap(result => result.ok ? [] : result.error);
 	if (faults.length > 0) {
@@ -79,7 +79,7 @@
 	const change = {
 		id: options.id ?? randomUUID(), files, removed: options.remove ?? [], bases: new Map(Object.entries(options.bases ?? {})),
 	};
-	let last: PlatformFailure = {kind: 'conflict', detail: ''};
+	let last: StoreFailure = {kind: 'conflict', detail: ''};
 	for (let attempt = 0; attempt < maxCommitAttempts; attempt++) {
 		const result = await commit(platform, change);
 		if (result.ok !== 'again') {
@@ -92,7 +92,7 @@
 	return fail({kind: 'platform', failure: {kind: last.kind, detail: `gave up after ${maxCommitAttempts} attempts: ${last.detail}`}});
 }
 
-async function commit(platform: Platform, change: Change): Promise<CommitResult> {
+async function commit(platform: ObjectStore, change: Change): Promise<CommitResult> {
 	const current = await readHead(platform);
 	if (!current.ok) {
 		return current.error.kind === 'unknown' ? {ok: 'again', failure: current.error} : failPlatform(current.error);
@@ -135,7 +135,7 @@
 	return undefined;
 }
 
-async function readOthers(platform: Platform, change: Change, head: Head): Promise<Result<readonly Fragment[], PlatformFailure>> {
+async function readOthers(platform: ObjectStore, change: Change, head: Head): Promise<Result<readonly Fragment[], StoreFailure>> {
 	const changed = new Set(listServices(change));
 	const others: Fragment[] = [];
 	for (const [service, checksum] of Object.entries(head.fragments)) {
@@ -193,7 +193,7 @@
 	};
 }
 
-async function write(platform: Platform, change: Change, {head, version}: VersionedHead): Promise<CommitResult> {
+async function write(platform: ObjectStore, change: Change, {head, version}: VersionedHead): Promise<CommitResult> {
 	const replaced = await listReplaced(platform, change, head);
 	for (const {service, checksum, text} of change.files) {
 		const stored = await platform.put(makeFragmentKey(service.service, checksum), text);
@@ -223,7 +223,7 @@
  * before the commit: a publication that takes one of them up again rewrites it
  * after the commit, and its removal then fails.
  */
-async function listReplaced(platform: Platform, change: Change, head: Head): Promise<readonly Replaced[]> {
+async function listReplaced(platform: ObjectStore, change: Change, head: Head): Promise<readonly Replaced[]> {
 	const replaced: Replaced[] = [];
 	const kept = new Set(change.files.map(({service, checksum}) => makeFragmentKey(service.service, checksum)));
 	for (const service of listServices(change)) {
@@ -254,6 +254,6 @@
 	};
 }
 
-function failPlatform(failure: PlatformFailure): CommitResult {
+function failPlatform(failure: StoreFailure): CommitResult {
 	return fail({kind: 'platform', failure});
 }
--- a/packages/configuration/store.ts
+++ b/packages/configuration/store.ts
@@ -13,7 +13,7 @@
 import type {Clock} from '#clock';
 import type {Configuration} from '#core';
 import {createQuietBus, type Peer, type PeerBus} from '#peer-protocol';
-import type {Platform} from '#platform';
+import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 type StoreEvents = {changed: Configuration};
@@ -41,13 +41,13 @@
 	#rejected = 0;
 	#isFetching = false;
 	readonly #hints = new Map<string, Hint>();
-	readonly #platform: Platform;
+	readonly #platform: ObjectStore;
 	readonly #clock: Clock;
 	readonly #telemetry: Telemetry;
 	readonly #bus: PeerBus;
 	readonly #options: Required<Pick<ConfigurationStoreOptions, 'isWatcher' | 'pollMs'>>;
 
-	constructor(platform: Platform, clock: Clock, telemetry: Telemetry, options: ConfigurationStoreOptions = {}) {
+	constructor(platform: ObjectStore, clock: Clock, telemetry: Telemetry, options: ConfigurationStoreOptions = {}) {
 		this.#platform = platform;
 		this.#clock = clock;
 		this.#telemetry = telemetry;
--- a/packages/membership/follow-list.ts
+++ b/packages/membership/follow-list.ts
@@ -1,12 +1,12 @@
 /** Reads the platform's lagging list of instances and hands it on. */
 import type {Membership} from './membership.ts';
 import type {Clock} from '#clock';
-import type {InstanceEntry, Platform} from '#platform';
+import type {InstanceEntry, ObjectStore} from '#object-store';
 import type {Random} from '#core';
 
 /** What the reader works with. */
 export type FollowListDeps = Readonly<{
-	platform: Platform;
+	platform: ObjectStore;
 	membership: Membership;
 	clock: Clock;
 	random: Random;
--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -7,7 +7,7 @@
 import {
 	createQuietBus, createTcpTransport, type Peer, type PeerBus, type PeerStatus,
 } from '#peer-protocol';
-import type {InstanceEntry, Platform} from '#platform';
+import type {InstanceEntry, ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** What the peers' side works with. */
@@ -16,7 +16,7 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	platform: Platform;
+	platform: ObjectStore;
 	/** State that the heartbeats carry. */
 	readStatus: () => Omit<PeerStatus, 'membersDigest'>;
 	/** Called with each heartbeat of a neighbour. */
--- a/packages/node/_relay-leaving.ts
+++ b/packages/node/_relay-leaving.ts
@@ -5,7 +5,7 @@
  */
 import type {PeerBus} from '#peer-protocol';
 import type {TargetViews} from '#placement';
-import type {InstanceEntry} from '#platform';
+import type {InstanceEntry} from '#object-store';
 import type {Telemetry} from '#telemetry';
 
 /** Marks and tells leaving targets. */
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -9,7 +9,7 @@
 import {createSystemRandom, makeRefusal, type Refusal} from '#core';
 import {createEntryApp} from '#entry';
 import {startHttpServer, type HttpServer} from '#http';
-import {createHttpPlatform, type Platform} from '#platform';
+import {createHttpObjectStore, type ObjectStore} from '#object-store';
 import {createHttpConnector} from '#targets';
 import {createTelemetry, type Telemetry} from '#telemetry';
 
@@ -39,7 +39,7 @@
 	const clock = createSystemClock();
 	const telemetry = createTelemetry({name: settings.name, level: settings.logLevel});
 	const random = createSystemRandom();
-	const platform = createHttpPlatform(settings.platformOrigin, {token: settings.platformToken});
+	const platform = createHttpObjectStore(settings.platformOrigin, {token: settings.platformToken});
 	const peers = await startPeers({
 		settings, clock, random, telemetry, platform,
 		readStatus: () => ({generation: router.configuration.current?.generation ?? 0, ready: lifecycle.isReady, running: router.countRunning()}),
@@ -92,7 +92,7 @@
 	};
 }
 
-type ServerDeps = Readonly<{clock: Clock; telemetry: Telemetry; platform: Platform; router: Router; lifecycle: Lifecycle; peers: Peers}>;
+type ServerDeps = Readonly<{clock: Clock; telemetry: Telemetry; platform: ObjectStore; router: Router; lifecycle: Lifecycle; peers: Peers}>;
 
 async function startServers(settings: Settings, deps: ServerDeps): Promise<Readonly<{callers: HttpServer; operators: HttpServer}>> {
 	const {clock, telemetry, platform, router, lifecycle, peers} = deps;
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -23,8 +23,8 @@
 } from '#placement';
 import type {PeerBus} from '#peer-protocol';
 import {
-	createPlatformClient, type InstanceEntry, type Platform, type PlatformClientOptions,
-} from '#platform';
+	createObjectStoreClient, type InstanceEntry, type ObjectStore, type ObjectStoreClientOptions,
+} from '#object-store';
 import {Quarantine, StruckTurns} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
@@ -36,7 +36,7 @@
 	incarnation?: string;
 	clock: Clock;
 	random: Random;
-	platform: Platform;
+	platform: ObjectStore;
 	connector: TargetConnector;
 	bus: PeerBus;
 	telemetry: Telemetry;
@@ -45,7 +45,7 @@
 	/** Time between polls of a target's load report, in milliseconds. */
 	reportPollMs: number;
 	/** Default: the platform client's own. */
-	platformOptions?: PlatformClientOptions;
+	platformOptions?: ObjectStoreClientOptions;
 	/** Default: the placement package's own. */
 	choose?: PlacementPolicy;
 }>;
@@ -72,7 +72,7 @@
 /** Wires a router and starts its background tasks. */
 export function createRouter(deps: RouterDeps): Router {
 	const {clock, telemetry, random} = deps;
-	const platform = createPlatformClient({
+	const platform = createObjectStoreClient({
 		platform: deps.platform, clock, random, telemetry, countInstances: () => deps.bus.listPeers().length + 1,
 	}, deps.platformOptions);
 	const configuration = new ConfigurationStore(platform.configuration, clock, telemetry, {bus: deps.bus, isWatcher: deps.isWatcher});
--- a/packages/platform/client.ts
+++ b/packages/object-store/client.ts
@@ -6,7 +6,7 @@
 import {Breaker} from './_breaker.ts';
 import {InstanceCount} from './_instance-count.ts';
 import {RateBudget, type BudgetRule} from './_rate-budget.ts';
-import type {Platform, PlatformFailure} from './platform.ts';
+import type {ObjectStore, StoreFailure} from './object-store.ts';
 import type {Clock} from '#clock';
 import {fail, type Random, type Result} from '#core';
 import type {Telemetry} from '#telemetry';
@@ -19,14 +19,14 @@
 } as const satisfies Readonly<Record<string, BudgetRule>>;
 
 /** What a call is for; earlier kinds go first. */
-export type PlatformCallKind = keyof typeof kindRules;
+export type StoreCallKind = keyof typeof kindRules;
 
 /** Calls per second that the platform takes from the whole fleet. */
-export type PlatformRates = Readonly<{writesPerSecond: number; readsPerSecond: number}>;
+export type StoreRates = Readonly<{writesPerSecond: number; readsPerSecond: number}>;
 
 /** What a client works with. */
-export type PlatformClientDeps = Readonly<{
-	platform: Platform;
+export type ObjectStoreClientDeps = Readonly<{
+	platform: ObjectStore;
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
@@ -34,28 +34,28 @@
 	countInstances: () => number;
 }>;
 
-/** Options of {@link createPlatformClient}. */
-export type PlatformClientOptions = Readonly<{
+/** Options of {@link createObjectStoreClient}. */
+export type ObjectStoreClientOptions = Readonly<{
 	/** Default: 300 writes and 2000 reads. */
-	rates?: PlatformRates;
+	rates?: StoreRates;
 	/** Instances that share the rates until five minutes of peers are known. Default: 8. */
 	expectedInstances?: number;
 }>;
 
 /** The platform as seen by each kind of call. */
-export type PlatformClient = Readonly<Record<PlatformCallKind, Platform>>;
+export type ObjectStoreClient = Readonly<Record<StoreCallKind, ObjectStore>>;
 
-const defaultRates: PlatformRates = {writesPerSecond: 300, readsPerSecond: 2000};
+const defaultRates: StoreRates = {writesPerSecond: 300, readsPerSecond: 2000};
 const defaultInstances = 8;
 const limitedPauseMs = 200;
 const minReadShare = 0.25;
 
-const isUnanswered: Readonly<Record<PlatformFailure['kind'], boolean>> = {
+const isUnanswered: Readonly<Record<StoreFailure['kind'], boolean>> = {
 	conflict: false, gone: false, rate_limited: false, too_large: false, unavailable: true, unknown: true,
 };
 
 /** A call; only a watch has a signal. */
-type Call = Readonly<{kind: PlatformCallKind; use: 'read' | 'write'; signal?: AbortSignal}>;
+type Call = Readonly<{kind: StoreCallKind; use: 'read' | 'write'; signal?: AbortSignal}>;
 
 /**
  * Creates the client.
@@ -66,11 +66,11 @@
  *
  * @example
  * ```ts
- * const client = createPlatformClient({platform, clock, random, telemetry, countInstances: () => 8});
+ * const client = createObjectStoreClient({platform, clock, random, telemetry, countInstances: () => 8});
  * await client.claims.put('claims/x', '{}', {ifVersion: 0});
  * ```
  */
-export function createPlatformClient(deps: PlatformClientDeps, options: PlatformClientOptions = {}): PlatformClient {
+export function createObjectStoreClient(deps: ObjectStoreClientDeps, options: ObjectStoreClientOptions = {}): ObjectStoreClient {
 	const {clock, random, telemetry, platform} = deps;
 	const rates = options.rates ?? defaultRates;
 	const instances = new InstanceCount(clock, deps.countInstances, options.expectedInstances ?? defaultInstances);
@@ -89,14 +89,14 @@
 		write: new RateBudget(clock, () => rates.writesPerSecond / instances.read()),
 	};
 
-	function refuse(kind: PlatformCallKind, result: 'over_budget' | 'breaker_open', retryAfterMs: number): Result<never, PlatformFailure> {
+	function refuse(kind: StoreCallKind, result: 'over_budget' | 'breaker_open', retryAfterMs: number): Result<never, StoreFailure> {
 		telemetry.count('platform_calls_total', {kind, result});
 		return result === 'breaker_open'
 			? fail({kind: 'unavailable', detail: 'the platform did not answer; calls are held back', retryAfterMs})
 			: fail({kind: 'rate_limited', detail: 'nothing was left in this instance\'s share of the platform\'s rate', retryAfterMs});
 	}
 
-	async function call<Value>({kind, use, signal}: Call, send: () => Promise<Result<Value, PlatformFailure>>): Promise<Result<Value, PlatformFailure>> {
+	async function call<Value>({kind, use, signal}: Call, send: () => Promise<Result<Value, StoreFailure>>): Promise<Result<Value, StoreFailure>> {
 		const before = breaker.check();
 		if (before.isOpen) {
 			return refuse(kind, 'breaker_open', before.retryAfterMs);
@@ -139,7 +139,7 @@
 		return value;
 	}
 
-	const makeView = (kind: PlatformCallKind): Platform => ({
+	const makeView = (kind: StoreCallKind): ObjectStore => ({
 		get: async key => call({kind, use: 'read'}, async () => platform.get(key)),
 		put: async (key, value, put) => call({kind, use: 'write'}, async () => platform.put(key, value, put)),
 		remove: async (key, put) => call({kind, use: 'write'}, async () => platform.remove(key, put)),
--- a/packages/platform/commit-change.ts
+++ b/packages/object-store/commit-change.ts
@@ -1,5 +1,5 @@
 /** A conditional update that recognises its own lost answer. */
-import type {Platform, PlatformFailure, StoredObject} from './platform.ts';
+import type {ObjectStore, StoreFailure, StoredObject} from './object-store.ts';
 import {fail, succeed, type Result} from '#core';
 
 /** A conditional update. */
@@ -25,7 +25,7 @@
  *
  * @returns a failure of kind `unknown` where the update may have taken effect or may still do so
  */
-export async function commitChange(platform: Platform, change: Change): Promise<Result<ChangeOutcome, PlatformFailure>> {
+export async function commitChange(platform: ObjectStore, change: Change): Promise<Result<ChangeOutcome, StoreFailure>> {
 	const {key, value, ifVersion} = change;
 	let isUncertain = false;
 	for (let attempt = 0; attempt < maxAttempts; attempt++) {
--- a/packages/platform/http-platform.ts
+++ b/packages/object-store/http-object-store.ts
@@ -2,14 +2,14 @@
 import {Pool, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {
-	InstanceEntry, Platform, PlatformFailure, StoredObject, WatchBatch,
-} from './platform.ts';
+	InstanceEntry, ObjectList, ObjectStore, StoreFailure, StoredObject, WatchBatch,
+} from './object-store.ts';
 import {
 	fail, succeed, toMessage, type Result,
 } from '#core';
 
-/** Options of {@link createHttpPlatform}. */
-export type HttpPlatformOptions = Readonly<{
+/** Options of {@link createHttpObjectStore}. */
+export type HttpObjectStoreOptions = Readonly<{
 	/** Bearer token. Default: none is sent. */
 	token?: string;
 	/** Time for a call other than a watch, in milliseconds. Default: 2000. */
@@ -26,11 +26,12 @@
 const batchSchema = z.object({
 	changed: z.array(storedSchema), deleted: z.array(z.string()), revision: z.number(),
 });
+const listSchema = z.object({objects: z.array(storedSchema), revision: z.number()});
 const instancesSchema = z.array(z.object({
 	name: z.string(), kind: z.enum(['router', 'target']), pool: z.string(), address: z.string(), zone: z.string(), leaving: z.boolean(),
 }));
 
-const failureKinds: Readonly<Record<number, PlatformFailure['kind']>> = {
+const failureKinds: Readonly<Record<number, StoreFailure['kind']>> = {
 	409: 'conflict',
 	410: 'gone',
 	413: 'too_large',
@@ -46,11 +47,11 @@
  * @param origin `http://host:port` of the platform
  * @example
  * ```ts
- * const platform = createHttpPlatform('http://127.0.0.1:7000');
+ * const platform = createHttpObjectStore('http://127.0.0.1:7000');
  * const head = await platform.get('config/head');
  * ```
  */
-export function createHttpPlatform(origin: string, options: HttpPlatformOptions = {}): Platform {
+export function createHttpObjectStore(origin: string, options: HttpObjectStoreOptions = {}): ObjectStore {
 	const timeoutMs = options.timeoutMs ?? 2000;
 	const watchMs = options.watchMs ?? 10_000;
 	const pool = new Pool(origin, {connections: options.connections ?? 8});
@@ -59,7 +60,7 @@
 		...(options.token ? {authorization: `Bearer ${options.token}`} : {}),
 	};
 
-	async function send(method: Dispatcher.HttpMethod, path: string, body?: unknown, signal?: AbortSignal): Promise<Result<HttpAnswer, PlatformFailure>> {
+	async function send(method: Dispatcher.HttpMethod, path: string, body?: unknown, signal?: AbortSignal): Promise<Result<HttpAnswer, StoreFailure>> {
 		const limit = AbortSignal.timeout(path.startsWith('/watch') ? watchMs + timeoutMs : timeoutMs);
 		try {
 			const answer = await pool.request({
@@ -77,7 +78,7 @@
 		}
 	}
 
-	async function read<Value>(schema: z.ZodType<Value>, answer: Promise<Result<HttpAnswer, PlatformFailure>>): Promise<Result<Value, PlatformFailure>> {
+	async function read<Value>(schema: z.ZodType<Value>, answer: Promise<Result<HttpAnswer, StoreFailure>>): Promise<Result<Value, StoreFailure>> {
 		const result = await answer;
 		if (!result.ok) {
 			return result;
@@ -110,7 +111,7 @@
 			return result.ok ? succeed(undefined) : result;
 		},
 		async list(prefix) {
-			return read<readonly StoredObject[]>(z.array(storedSchema), send('GET', `/list?prefix=${encodeURIComponent(prefix)}`));
+			return read<ObjectList>(listSchema, send('GET', `/list?prefix=${encodeURIComponent(prefix)}`));
 		},
 		async watch(prefix, revision, signal) {
 			const path = `/watch?prefix=${encodeURIComponent(prefix)}&revision=${revision}&waitMs=${watchMs}`;
--- a/packages/platform/platform.ts
+++ b/packages/object-store/object-store.ts
@@ -2,7 +2,7 @@
 import type {Result} from '#core';
 
 /** Why a call did not succeed. Only `unknown` may have taken effect. */
-export type PlatformFailure = Readonly<{
+export type StoreFailure = Readonly<{
 	kind: 'conflict' | 'unavailable' | 'unknown' | 'rate_limited' | 'too_large' | 'gone';
 	detail: string;
 	/** When the next call has a chance, in milliseconds; stated where calls are not sent for the time being. */
@@ -28,6 +28,12 @@
 	revision: number;
 }>;
 
+/** Objects below a prefix, as they were at a revision of the whole store. */
+export type ObjectList = Readonly<{
+	objects: readonly StoredObject[];
+	revision: number;
+}>;
+
 /** A live or leaving instance on the platform's list, which lags. */
 export type InstanceEntry = Readonly<{
 	name: string;
@@ -40,19 +46,19 @@
 	leaving: boolean;
 }>;
 
-/** Options of {@link Platform.put}. */
+/** Options of {@link ObjectStore.put}. */
 export type PutOptions = Readonly<{
 	/** The update holds only if the object has this version; 0 means that it must not exist. Default: unconditional. */
 	ifVersion?: number;
 }>;
 
 /** The object API. */
-export type Platform = Readonly<{
-	get(key: string): Promise<Result<StoredObject | undefined, PlatformFailure>>;
-	put(key: string, value: string, options?: PutOptions): Promise<Result<StoredObject, PlatformFailure>>;
-	remove(key: string, options?: PutOptions): Promise<Result<void, PlatformFailure>>;
-	list(prefix: string): Promise<Result<readonly StoredObject[], PlatformFailure>>;
+export type ObjectStore = Readonly<{
+	get(key: string): Promise<Result<StoredObject | undefined, StoreFailure>>;
+	put(key: string, value: string, options?: PutOptions): Promise<Result<StoredObject, StoreFailure>>;
+	remove(key: string, options?: PutOptions): Promise<Result<void, StoreFailure>>;
+	list(prefix: string): Promise<Result<ObjectList, StoreFailure>>;
 	/** Waits for changes below `prefix` after `revision`; an empty batch means that the wait ran out. */
-	watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, PlatformFailure>>;
-	listInstances(): Promise<Result<readonly InstanceEntry[], PlatformFailure>>;
+	watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, StoreFailure>>;
+	listInstances(): Promise<Result<readonly InstanceEntry[], StoreFailure>>;
 }>;
--- a/packages/scenario/_lifeline.ts
+++ b/packages/scenario/_lifeline.ts
@@ -10,11 +10,11 @@
 	fail, type Result, type TargetCall, type TargetConnector, type TargetFrame, type TargetLink,
 } from '#core';
 import type {PeerBus} from '#peer-protocol';
-import type {Platform, PlatformFailure} from '#platform';
+import type {ObjectStore, StoreFailure} from '#object-store';
 
 type State = 'running' | 'paused' | 'dead';
 
-const cutOff = fail<PlatformFailure>({kind: 'unknown', detail: 'the platform cannot be reached from here'});
+const cutOff = fail<StoreFailure>({kind: 'unknown', detail: 'the platform cannot be reached from here'});
 
 /** Holds back what reaches a paused or dead router. */
 export class Lifeline {
@@ -101,8 +101,8 @@
 	}
 
 	/** The platform as the router sees it. */
-	wrapPlatform(platform: Platform): Platform {
-		const reach = async <Value>(call: () => Promise<Result<Value, PlatformFailure>>) => {
+	wrapPlatform(platform: ObjectStore): ObjectStore {
+		const reach = async <Value>(call: () => Promise<Result<Value, StoreFailure>>) => {
 			const result = this.#platformCut ? cutOff : await call();
 			return this.hold(Promise.resolve(this.#platformCut ? cutOff : result));
 		};
--- a/packages/standins/_send.ts
+++ b/packages/standins/_send.ts
@@ -1,12 +1,12 @@
 /** Results of a stand-in as HTTP answers. */
 import type {Response} from 'express';
 import type {Result, TargetFailure} from '#core';
-import type {PlatformFailure} from '#platform';
+import type {StoreFailure} from '#object-store';
 
 /** Largest body that a stand-in's server reads. */
 export const bodyLimit = '4mb';
 
-const failureStatus: Readonly<Record<PlatformFailure['kind'], number | undefined>> = {
+const failureStatus: Readonly<Record<StoreFailure['kind'], number | undefined>> = {
 	conflict: 409,
 	gone: 410,
 	too_large: 413,
@@ -16,7 +16,7 @@
 };
 
 /** Sends a platform's result; a lost answer closes the connection. */
-export function sendPlatformResult<Value>(res: Response, result: Result<Value, PlatformFailure>): void {
+export function sendPlatformResult<Value>(res: Response, result: Result<Value, StoreFailure>): void {
 	if (result.ok) {
 		res.json(result.value ?? {});
 		return;
