--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -14,6 +14,10 @@
 	CacheEvent, CacheEventBatch, EngineOrder, LoadReport, OrderReceipt, TargetCall, TargetConnector, TargetFailure,
 	TargetFrame, TargetLink, ToolCall,
 } from './target.ts';
+export type {
+	CallerLimits, EngineTraits, KeptStore, PoolShare, Prompt, PromptPart, RelayConfiguration, RelayCustomer, RelayPool, RelayRequest,
+	RelayRoute, RelayTarget, Repetition,
+} from './relay.ts';
 export {attemptOutcomes, type AttemptOutcome} from './outcome.ts';
 export {
 	refusalRules, makeRefusal, type Refusal, type RefusalOptions, type RefusalReason, type RunState,
--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -15,6 +15,7 @@
 export const refusalRules = {
 	bad_request: {status: 400, ran: 'not_run', message: 'The request is malformed.'},
 	body_too_large: {status: 413, ran: 'not_run', message: 'The request body is larger than this instance accepts.'},
+	headers_too_large: {status: 431, ran: 'not_run', message: 'The request headers are larger than the configuration allows.'},
 	unauthenticated: {status: 401, ran: 'not_run', message: 'The bearer key is missing or unknown.'},
 	route_not_allowed: {status: 403, ran: 'not_run', message: 'The customer may not call this route.'},
 	route_unknown: {status: 404, ran: 'not_run', message: 'No route has this name.'},
--- /dev/null
+++ b/packages/gateway/gateway.ts
@@ -0,0 +1,139 @@
+/**
+ * From the head of a caller's request to the relay: the configuration in
+ * force, the route, the customer, the limits, and the time that is left.
+ */
+import type {Clock} from '#clock';
+import {
+	fail, makeRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalReason, type RelayConfiguration, type RelayCustomer,
+	type RelayRoute, type Result,
+} from '#core';
+import type {Relay, RelayCaller} from '#relay';
+import {
+	buildRouteTable, findRoute, pickPool, type RouteTable,
+} from '#routing';
+import type {Telemetry} from '#telemetry';
+
+/** What a gateway works with. */
+export type GatewayDeps = Readonly<{
+	clock: Clock;
+	random: Random;
+	telemetry: Telemetry;
+	relay: Relay;
+}>;
+
+/** The head of a caller's request. */
+export type RequestHead = Readonly<{
+	requestId: string;
+	method: string;
+	/** Path with the query. */
+	path: string;
+	host: string;
+	/** Time that the caller will wait, in milliseconds; absent where it states none. */
+	remainingMs: number | undefined;
+	key: string | undefined;
+	lastEventId: string | undefined;
+	prompt: Prompt | undefined;
+	/** Header names and values in turn that go on to a target. */
+	passed: readonly string[];
+	/** Size of all header lines, in bytes. */
+	headerBytes: number;
+	/** Stated size of the body, in bytes; absent where none is stated. */
+	bodyBytes: number | undefined;
+}>;
+
+/** A request that may be read whole and run. */
+export type AcceptedRequest = Readonly<{
+	head: RequestHead;
+	route: RelayRoute;
+	customer: RelayCustomer | undefined;
+	arrivedMs: number;
+	deadlineMs: number;
+	maxBodyBytes: number;
+}>;
+
+/** A configuration with what is derived from it. */
+type InForce = Readonly<{configuration: RelayConfiguration; routes: RouteTable}>;
+
+/** Time to come back after a refusal while no configuration is known, in milliseconds: a start reads it in less. */
+const notConfiguredRetryMs = 500;
+
+/** Accepts callers' requests. */
+export class Gateway {
+	readonly #deps: GatewayDeps;
+	#inForce: InForce | undefined;
+
+	constructor(deps: GatewayDeps) {
+		this.#deps = deps;
+	}
+
+	/** The configuration in force; none before the first. */
+	get configuration(): RelayConfiguration | undefined {
+		return this.#inForce?.configuration;
+	}
+
+	/**
+	 * Puts a configuration into force.
+	 *
+	 * @returns `false` where a newer one is in force already
+	 */
+	install(configuration: RelayConfiguration): boolean {
+		if (configuration.version <= (this.#inForce?.configuration.version ?? 0)) {
+			return false;
+		}
+
+		this.#inForce = {configuration, routes: buildRouteTable(configuration.routes)};
+		this.#deps.telemetry.set('configuration_generation', configuration.version);
+		this.#deps.telemetry.log('configuration in force', {version: configuration.version, routes: configuration.routes.length});
+		return true;
+	}
+
+	/** Decides whether a request may be read and run. */
+	accept(head: RequestHead): Result<AcceptedRequest, Refusal> {
+		if (!this.#inForce) {
+			return fail(makeRefusal('not_configured', {retryAfterMs: notConfiguredRetryMs}));
+		}
+
+		const {configuration, routes} = this.#inForce;
+		const route = findRoute(routes, head.host, head.path);
+		if (!route) {
+			return this.#refuse('route_unknown');
+		}
+
+		const customer = head.key === undefined ? undefined : configuration.customers?.get(head.key);
+		const needsKey = configuration.customers !== undefined && !route.isPublic;
+		if (needsKey && !customer) {
+			return this.#refuse('unauthenticated');
+		}
+
+		const {maxHeaderBytes, maxBodyBytes} = configuration.limits;
+		if (head.headerBytes > maxHeaderBytes) {
+			return this.#refuse('headers_too_large');
+		}
+
+		if ((head.bodyBytes ?? 0) > maxBodyBytes) {
+			return this.#refuse('body_too_large');
+		}
+
+		const arrivedMs = this.#deps.clock.now();
+		const deadlineMs = arrivedMs + Math.min(head.remainingMs ?? Infinity, route.timeoutMs);
+		return succeed({
+			head, route, customer, arrivedMs, deadlineMs, maxBodyBytes,
+		});
+	}
+
+	/** Runs an accepted request. */
+	async run({head, route, customer, arrivedMs, deadlineMs}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
+		const {random, relay} = this.#deps;
+		const pool = pickPool(route.pools, random.next()) ?? '';
+		await relay.run({
+			id: head.requestId, method: head.method, path: head.path, headers: head.passed, body, route, customer, prompt: head.prompt,
+			lastEventId: head.lastEventId, arrivedMs, deadlineMs,
+		}, pool, caller);
+	}
+
+	#refuse(reason: RefusalReason): Result<never, Refusal> {
+		const refusal = makeRefusal(reason);
+		this.#deps.telemetry.count('refusals_total', {reason, ran: refusal.ran});
+		return fail(refusal);
+	}
+}
--- /dev/null
+++ b/packages/mirror/mod.ts
@@ -0,0 +1,3 @@
+/** Mirrors: copies of kinds of the object store, kept level by watches and by peers. */
+export {KindMirror, type MirrorChange} from './kind-mirror.ts';
+export {followKind, type FollowDeps} from './follow-kind.ts';
--- /dev/null
+++ b/packages/relay/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The relay: callers' HTTP requests to targets and the answers back, byte for
+ * byte, over kept connections, with the attempts that the retry table allows.
+ */
+export {
+	Exchange, findHeader, type AnswerHead, type BodyRead, type ExchangeFault, type ExchangeRequest, type HeadRead, type HeaderLines,
+} from './exchange.ts';
+export type {ConnectionOptions} from './connection.ts';
+export {TargetConnections} from './connections.ts';
+export {TargetSet} from './target-set.ts';
+export {TargetState, type TargetLoad} from './target-state.ts';
+export type {AttemptFacts, TargetAnswer, TargetDialect} from './dialect.ts';
+export type {RelayCaller} from './caller.ts';
+export {EventSplitter, type StreamEvent} from './event-splitter.ts';
+export {chooseRelayTarget, type TargetQuery} from './choose-target.ts';
+export {Relay, type RelayDeps} from './relay.ts';
--- /dev/null
+++ b/packages/relay/target-set.ts
@@ -0,0 +1,80 @@
+/** The targets that are listed now, by pool, with what is known of each. */
+import type {ConnectionOptions} from './connection.ts';
+import {TargetConnections} from './connections.ts';
+import {TargetState} from './target-state.ts';
+import type {Clock} from '#clock';
+import type {RelayTarget} from '#core';
+
+/** Targets by identity; a further start of the same target is a new one. */
+export class TargetSet {
+	readonly #clock: Clock;
+	readonly #options: ConnectionOptions;
+	readonly #states = new Map<string, TargetState>();
+	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
+
+	constructor(clock: Clock, options: ConnectionOptions) {
+		this.#clock = clock;
+		this.#options = options;
+	}
+
+	/** All targets. */
+	list(): readonly TargetState[] {
+		return [...this.#states.values()];
+	}
+
+	/** Targets of a pool, leaving ones among them. */
+	listPool(pool: string): readonly TargetState[] {
+		return this.#pools.get(pool) ?? [];
+	}
+
+	get(id: string): TargetState | undefined {
+		return this.#states.get(id);
+	}
+
+	/** Replaces the list. Connections of targets that are no longer listed are closed once idle. */
+	update(targets: readonly RelayTarget[]): void {
+		const listed = new Set<string>();
+		for (const target of targets) {
+			listed.add(target.id);
+			const known = this.#states.get(target.id);
+			if (known && isSameProcess(known.target, target)) {
+				known.target = target;
+			} else {
+				known?.connections.closeIdle();
+				this.#states.set(target.id, new TargetState(target, new TargetConnections(target.address, this.#clock, this.#options)));
+			}
+		}
+
+		for (const [id, state] of this.#states) {
+			if (!listed.has(id)) {
+				state.connections.closeIdle();
+				this.#states.delete(id);
+			}
+		}
+
+		this.#pools = groupByPool(this.#states.values());
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		for (const {connections} of this.#states.values()) {
+			connections.close();
+		}
+	}
+}
+
+function groupByPool(states: Iterable<TargetState>): ReadonlyMap<string, readonly TargetState[]> {
+	const pools = new Map<string, TargetState[]>();
+	for (const state of states) {
+		const {pool} = state.target;
+		const members = pools.get(pool) ?? [];
+		members.push(state);
+		pools.set(pool, members);
+	}
+
+	return pools;
+}
+
+function isSameProcess(a: RelayTarget, b: RelayTarget): boolean {
+	return a.incarnation === b.incarnation && a.address === b.address && a.pool === b.pool;
+}
