--- a/packages/capacity/controller.test.ts
+++ b/packages/capacity/controller.test.ts
@@ -1,12 +1,12 @@
 import t from 'tap';
 import {CapacityController} from './controller.ts';
 import {DemandForecast} from './forecast.ts';
-import {Lease} from './lease.ts';
 import {ManualClock} from '#clock';
 import {
 	createRandom, succeed, type EngineOrder, type LoadReport, type TargetLink, type TargetPool,
 } from '#core';
 import {EngineStandin, PlatformStandin} from '#standins';
+import {Lease} from '#lease';
 import {createTelemetry} from '#telemetry';
 
 const pool: TargetPool = {
--- a/packages/capacity/controller.ts
+++ b/packages/capacity/controller.ts
@@ -1,6 +1,5 @@
 /** Keeps one pool's capacity: holds or awaits the lease, reads the engines, and sends orders. */
 import type {DemandForecast} from './forecast.ts';
-import type {Lease} from './lease.ts';
 import {
 	planCapacity, plannedUtilization, type EngineState, type PlannedOrder,
 } from './plan.ts';
@@ -8,6 +7,7 @@
 import type {
 	EngineOrder, LoadReport, Random, Target, TargetLink, TargetPool,
 } from '#core';
+import type {Lease} from '#lease';
 import type {Telemetry} from '#telemetry';
 
 /** What a controller works with. */
--- a/packages/capacity/mod.ts
+++ b/packages/capacity/mod.ts
@@ -3,7 +3,6 @@
  * the demand, a plan of what to load and unload, and the orders that carry it
  * out.
  */
-export {Lease, type LeaseDeps, type LeaseOptions} from './lease.ts';
 export {DemandForecast, type ForecastOptions} from './forecast.ts';
 export {
 	planCapacity, type EngineState, type PlannedOrder, type PlanInput,
--- a/packages/capacity/run-capacity.ts
+++ b/packages/capacity/run-capacity.ts
@@ -1,13 +1,13 @@
 /** Runs a controller for every configured pool of engines. */
 import {CapacityController} from './controller.ts';
 import {DemandForecast} from './forecast.ts';
-import {Lease} from './lease.ts';
 import {PressureBoard} from './_pressure.ts';
 import type {Clock} from '#clock';
 import type {ConfigurationStore} from '#configuration';
 import {
 	createRandom, hash64, waitForAbort, type Random, type Target, type TargetLink, type TargetPool,
 } from '#core';
+import {Lease} from '#lease';
 import type {PeerBus} from '#peer-protocol';
 import type {ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -136,6 +136,8 @@
 	customer: RelayCustomer | undefined;
 	/** Absent where the request is no prompt. */
 	prompt: Prompt | undefined;
+	/** Scope within which cached parts of the prompt may be shared; absent where the request is no prompt. */
+	cacheScope: string | undefined;
 	/** Id of the last event that the caller has, where it resumes a stream itself. */
 	lastEventId: string | undefined;
 	/** Monotonic time at which it arrived, in milliseconds. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock} from '#clock';
 import {
-	fail, makeRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalReason, type RelayConfiguration, type RelayCustomer,
+	fail, hash64, makeRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalReason, type RelayConfiguration, type RelayCustomer,
 	type RelayRoute, type Result,
 } from '#core';
 import type {Relay, RelayCaller} from '#relay';
@@ -49,10 +49,17 @@
 	arrivedMs: number;
 	deadlineMs: number;
 	maxBodyBytes: number;
+	/** Scope within which cached parts of the prompt may be shared; absent where the request is no prompt. */
+	cacheScope: string | undefined;
 }>;
 
 /** A configuration with what is derived from it. */
-type InForce = Readonly<{configuration: RelayConfiguration; routes: RouteTable}>;
+type InForce = Readonly<{
+	configuration: RelayConfiguration;
+	routes: RouteTable;
+	/** Cache scope of the customers that are not isolated. */
+	sharedScope: string;
+}>;
 
 /** Time to come back after a refusal while no configuration is known, in milliseconds: a start reads it in less. */
 const notConfiguredRetryMs = 500;
@@ -81,7 +88,7 @@
 			return false;
 		}
 
-		this.#inForce = {configuration, routes: buildRouteTable(configuration.routes)};
+		this.#inForce = {configuration, routes: buildRouteTable(configuration.routes), sharedScope: makeSharedScope(configuration)};
 		this.#deps.telemetry.set('configuration_generation', configuration.version);
 		this.#deps.telemetry.log('configuration in force', {version: configuration.version, routes: configuration.routes.length});
 		return true;
@@ -93,7 +100,7 @@
 			return fail(makeRefusal('not_configured', {retryAfterMs: notConfiguredRetryMs}));
 		}
 
-		const {configuration, routes} = this.#inForce;
+		const {configuration, routes, sharedScope} = this.#inForce;
 		const route = findRoute(routes, head.host, head.path);
 		if (!route) {
 			return this.#refuse('route_unknown');
@@ -117,16 +124,16 @@
 		const arrivedMs = this.#deps.clock.now();
 		const deadlineMs = arrivedMs + Math.min(head.remainingMs ?? Infinity, route.timeoutMs);
 		return succeed({
-			head, route, customer, arrivedMs, deadlineMs, maxBodyBytes,
+			head, route, customer, arrivedMs, deadlineMs, maxBodyBytes, cacheScope: head.prompt && (customer?.isIsolated ? `only ${customer.name}` : sharedScope),
 		});
 	}
 
 	/** Runs an accepted request. */
-	async run({head, route, customer, arrivedMs, deadlineMs}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
+	async run({head, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
 		const {random, relay} = this.#deps;
 		const pool = pickPool(route.pools, random.next()) ?? '';
 		await relay.run({
-			id: head.requestId, method: head.method, path: head.path, headers: head.passed, body, route, customer, prompt: head.prompt,
+			id: head.requestId, method: head.method, path: head.path, headers: head.passed, body, route, customer, prompt: head.prompt, cacheScope,
 			lastEventId: head.lastEventId, arrivedMs, deadlineMs,
 		}, pool, caller);
 	}
@@ -137,3 +144,9 @@
 		return fail(refusal);
 	}
 }
+
+/** What customers cached together before one of them was isolated must not serve the others afterwards: each set of isolated customers has a scope of its own. */
+function makeSharedScope({customers}: RelayConfiguration): string {
+	const isolated = new Set([...customers?.values() ?? []].filter(({isIsolated}) => isIsolated).map(({name}) => name));
+	return `shared ${hash64([...isolated].toSorted((a, b) => a < b ? -1 : 1).join('\n'))}`;
+}
--- a/packages/capacity/lease.ts
+++ b/packages/lease/lease.ts
@@ -18,7 +18,7 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	/** Name of this instance. */
+	/** Name of this instance; no other process has it while this one lives. */
 	holder: string;
 }>;
 
@@ -28,6 +28,8 @@
 	termMs?: number;
 	/** Time for which a successor waits beyond the term, in milliseconds. Default: 2000. */
 	guardMs?: number;
+	/** Kind of the lease's object. Default: `leases`. */
+	kind?: string;
 }>;
 
 const recordSchema = z.object({
@@ -53,10 +55,10 @@
 	#fencing = 0;
 	#validUntilMs = -Infinity;
 
-	/** @param name key of the lease below `leases/` */
+	/** @param name key of the lease below its kind */
 	constructor(name: string, deps: LeaseDeps, options: LeaseOptions = {}) {
 		this.#deps = deps;
-		this.#key = `leases/${name}`;
+		this.#key = `${options.kind ?? 'leases'}/${name}`;
 		this.#termMs = options.termMs ?? 6000;
 		this.guardMs = options.guardMs ?? 2000;
 	}
@@ -109,6 +111,14 @@
 		}
 	}
 
+	/** Reads who holds the lease, so that the wait for its end begins now. */
+	async observe(): Promise<void> {
+		const stored = await this.#deps.platform.get(this.#key);
+		if (stored.ok) {
+			this.#note(stored.value);
+		}
+	}
+
 	/** Gives the lease up, so that a successor need not wait. No order may be on its way. */
 	async release(): Promise<void> {
 		if (!this.isHeld || !this.#seen) {
@@ -131,8 +141,9 @@
 		this.#seen = undefined;
 	}
 
+	/** A term of an earlier process of this instance ended with that process. */
 	#hasLapsed(seen: Seen): boolean {
-		if (!seen.record || seen.record.holder === '') {
+		if (!seen.record || seen.record.holder === '' || seen.record.holder === this.#deps.holder) {
 			return true;
 		}
 
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -114,9 +114,13 @@
 	 * rendezvous hash; all instances that agree on who is live agree on it.
 	 */
 	isAmongFirst(duty: string, count: number): boolean {
+		return this.readRank(duty) < count;
+	}
+
+	/** Place of this instance by the same hash; 0 is the first. Leaving instances come last. */
+	readRank(duty: string): number {
 		const live = this.#listLive().filter(({leaving}) => !leaving).map(({peer}) => peer);
-		const ranked = sortByHash([this.#deps.self, ...live], ({incarnation}) => `${duty} ${incarnation}`);
-		return ranked.slice(0, count).includes(this.#deps.self);
+		return sortByHash([this.#deps.self, ...live], ({incarnation}) => `${duty} ${incarnation}`).indexOf(this.#deps.self);
 	}
 
 	#createBus(): PeerBus {
--- a/packages/mirror/kind-mirror.ts
+++ b/packages/mirror/kind-mirror.ts
@@ -24,6 +24,7 @@
 	/** Differences from before this revision lack removals. */
 	#completeSince = 0;
 	#revision = 0;
+	#changedRevision = 0;
 
 	constructor(kind: string) {
 		this.kind = kind;
@@ -34,6 +35,11 @@
 		return this.#revision;
 	}
 
+	/** Revision by which the newest known change was made; a copy that is complete up to it lacks nothing of this one. */
+	get changedRevision(): number {
+		return this.#changedRevision;
+	}
+
 	get(name: string): StoredObject | undefined {
 		return this.#objects.get(name);
 	}
@@ -59,6 +65,10 @@
 			this.#objects.delete(name);
 		}
 
+		if (gone.length > 0) {
+			this.#changedRevision = revision;
+		}
+
 		this.#tombstones = [];
 		this.#completeSince = revision;
 		this.#revision = revision;
@@ -88,6 +98,7 @@
 			}
 
 			this.#tombstones.push({name, revision: batch.revision});
+			this.#changedRevision = batch.revision;
 		}
 
 		if (this.#tombstones.length > maxTombstones) {
@@ -125,6 +136,7 @@
 		}
 
 		this.#objects.set(object.key, object);
+		this.#changedRevision = Math.max(this.#changedRevision, object.revision);
 		return true;
 	}
 
--- /dev/null
+++ b/packages/mirror/relay-mirrors.ts
@@ -0,0 +1,89 @@
+/**
+ * Hands differences between mirrors from peer to peer. Heartbeats say how far
+ * each peer's copies are; an instance that stays behind asks the peer for what
+ * it lacks. So news reaches instances that the store turns away or whose
+ * connection to it has gone silent.
+ */
+import type {KindMirror} from './kind-mirror.ts';
+import type {Clock} from '#clock';
+import {
+	createQuietBus, type Peer, type PeerBus, type PeerStatus,
+} from '#peer-protocol';
+import type {Telemetry} from '#telemetry';
+
+/** What the relay of mirrors works with. */
+export type MirrorRelayDeps = Readonly<{
+	mirrors: readonly KindMirror[];
+	clock: Clock;
+	telemetry: Telemetry;
+}>;
+
+/** Time that the own watch has to bring what a peer already knows, in milliseconds. */
+const ownWatchMs = 100;
+
+/** Passes differences on, and asks for them. */
+export class MirrorRelay {
+	readonly #deps: MirrorRelayDeps;
+	readonly #byKind: ReadonlyMap<string, KindMirror>;
+	readonly #asking = new Set<string>();
+	#bus: PeerBus = createQuietBus();
+
+	constructor(deps: MirrorRelayDeps) {
+		this.#deps = deps;
+		this.#byKind = new Map(deps.mirrors.map(mirror => [mirror.kind, mirror]));
+	}
+
+	/** Begins to answer the peers, and to ask them. */
+	join(bus: PeerBus): void {
+		this.#bus = bus;
+		bus.answer('changes', ({objects, since}) => {
+			const mirror = this.#byKind.get(objects);
+			return mirror && mirror.revision > 0 ? makeAnswer(mirror, since) : undefined;
+		});
+	}
+
+	/** The newest change that is known of each kind, for heartbeats. */
+	readRevisions(): Readonly<Record<string, number>> {
+		return Object.fromEntries(this.#deps.mirrors.map(({kind, changedRevision}) => [kind, changedRevision]));
+	}
+
+	/** Takes in the newest changes that a peer knows. */
+	hear(peer: Peer, {revisions = {}}: PeerStatus): void {
+		for (const [kind, revision] of Object.entries(revisions)) {
+			const mirror = this.#byKind.get(kind);
+			if (mirror && revision > mirror.revision && !this.#asking.has(kind)) {
+				this.#asking.add(kind);
+				this.#deps.clock.after(ownWatchMs, () => {
+					void this.#catchUp(mirror, peer, revision);
+				});
+			}
+		}
+	}
+
+	async #catchUp(mirror: KindMirror, peer: Peer, revision: number): Promise<void> {
+		const {telemetry} = this.#deps;
+		const since = mirror.revision;
+		if (since < revision) {
+			const answer = await this.#bus.request(peer, {kind: 'changes', objects: mirror.kind, since});
+			telemetry.count('mirror_fetches_total', {kind: mirror.kind, result: answer.ok ? 'fetched' : answer.error});
+			if (answer.ok) {
+				const {isWhole, changed, deleted, revision: reached} = answer.value;
+				if (isWhole) {
+					mirror.replace(changed, reached);
+				} else {
+					mirror.apply({changed, deleted, revision: reached}, since);
+				}
+			}
+		}
+
+		this.#asking.delete(mirror.kind);
+	}
+}
+
+function makeAnswer(mirror: KindMirror, since: number) {
+	const diff = mirror.diff(since);
+	return {
+		kind: 'changes' as const, isWhole: diff === undefined, changed: [...diff?.changed ?? mirror.list()], deleted: [...diff?.deleted ?? []],
+		revision: mirror.revision,
+	};
+}
--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -12,7 +12,7 @@
 
 /** What the peers' side works with. */
 export type PeersDeps = Readonly<{
-	settings: Settings;
+	settings: Pick<Settings, 'name' | 'zone' | 'peers'>;
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
@@ -22,7 +22,9 @@
 	/** Called with each heartbeat of a neighbour. */
 	heard: (peer: Peer, status: PeerStatus) => void;
 	/** Called with each list of instances that the platform gave. */
-	listed: (entries: readonly InstanceEntry[]) => void;
+	listed?: (entries: readonly InstanceEntry[]) => void;
+	/** Shortest time between reads of that list, in milliseconds. Default: 2000. */
+	listIntervalMs?: number;
 }>;
 
 /** The peers as an instance sees them. */
@@ -35,6 +37,8 @@
 	listInstances(): readonly InstanceStatus[];
 	/** Whether this instance is one of `count` that do a shared duty. */
 	isAmongFirst(duty: string, count: number): boolean;
+	/** Place of this instance among those that could do a duty; 0 is the first. */
+	readRank(duty: string): number;
 	/** Tells the peers that this instance will stop. */
 	markLeaving(): void;
 	/** Tells the peers that this instance stops now, and ends all connections. */
@@ -56,6 +60,7 @@
 			bus: createQuietBus(), incarnation,
 			listInstances: () => [{...self, status: readStatus()}],
 			isAmongFirst: () => true,
+			readRank: () => 0,
 			markLeaving() {
 				// There is nobody to tell.
 			},
@@ -80,13 +85,14 @@
 	const tasks = [
 		membership.run(stopping.signal),
 		followList({
-			platform, membership, clock, random, listed: deps.listed,
+			platform, membership, clock, random, listed: deps.listed, intervalMs: deps.listIntervalMs,
 		}, stopping.signal),
 	];
 	return {
 		bus: membership.bus, incarnation, address,
 		listInstances: () => membership.listInstances(),
 		isAmongFirst: (duty, count) => membership.isAmongFirst(duty, count),
+		readRank: duty => membership.readRank(duty),
 		markLeaving() {
 			membership.markLeaving();
 		},
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -3,6 +3,9 @@
 	makeSettingsSchema, makeVariableName, parseSettings, settingsSchema, type Environment, type Settings,
 } from './settings.ts';
 export {createRouter, type Router, type RouterDeps} from './router.ts';
+export {
+	startRelayInstance, type RelayBounds, type RelayInstance, type RelayInstanceDeps, type StoredFormats,
+} from './relay-instance.ts';
 export {startInstance, type Instance} from './instance.ts';
 export {
 	Lifecycle, type HandOver, type LifecycleDeps, type Phase,
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -15,6 +15,8 @@
 	ready: z.boolean(),
 	/** Requests in progress. */
 	running: z.number().int().min(0),
+	/** Revision of the object store at the newest change that the sender knows of each copied kind. */
+	revisions: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
 	/** Digest of the membership table. */
 	membersDigest: z.string().max(maxNameLength),
 });
--- a/packages/peer-protocol/requests.ts
+++ b/packages/peer-protocol/requests.ts
@@ -8,15 +8,23 @@
 const maxStrikes = 1024;
 const maxTargets = 4096;
 const maxKeysPerTarget = 4096;
+const maxObjects = 4096;
 
 const nameSchema = z.string().max(maxNameLength);
 
+/** An object of the object store. */
+const storedSchema = z.object({
+	key: nameSchema, value: z.string().max(maxFragmentLength), version: z.number(), revision: z.number(),
+});
+
 /** Schema of every request. */
 export const peerRequestSchema = z.discriminatedUnion('kind', [
 	/** Asks for the newest head of the configuration. */
 	z.object({kind: z.literal('head')}),
 	/** Asks for one fragment of the configuration. */
 	z.object({kind: z.literal('fragment'), service: nameSchema, checksum: nameSchema}),
+	/** Asks what changed in a copied kind of the object store after a revision. */
+	z.object({kind: z.literal('changes'), objects: nameSchema, since: z.number().int().min(0)}),
 	/** Asks for a bounded copy of the soft state that a starting instance wants. */
 	z.object({kind: z.literal('snapshot')}),
 ]);
@@ -29,6 +37,14 @@
 		fragments: z.record(nameSchema, nameSchema).refine(value => Object.keys(value).length <= maxServices),
 	}),
 	z.object({kind: z.literal('fragment'), text: z.string().max(maxFragmentLength)}),
+	z.object({
+		kind: z.literal('changes'),
+		/** Whether `changed` is the whole kind and not a difference. */
+		isWhole: z.boolean(),
+		changed: z.array(storedSchema).max(maxObjects),
+		deleted: z.array(nameSchema).max(maxObjects),
+		revision: z.number().int().min(0),
+	}),
 	z.object({
 		kind: z.literal('snapshot'),
 		/** Cached piece keys of each target, after the cache event of the given number. */
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -25,12 +25,18 @@
  */
 export function chooseRelayTarget(query: TargetQuery): TargetState | undefined {
 	const listed = query.targets.filter(({target}) => !target.isLeaving && !query.excluded.has(target.id));
-	const sound = listed.filter(({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
-	const open = sound.length > 0 ? sound : listed;
+	const ready = preferIf(listed, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
+	const open = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const affinity = query.prompt?.parts.at(-2)?.key;
 	return affinity === undefined ? pickLeastLoaded(open, query) : pickHome(open, affinity);
 }
 
+/** Those that pass, or all where none does. */
+function preferIf(states: readonly TargetState[], passes: (state: TargetState) => boolean): readonly TargetState[] {
+	const passing = states.filter(state => passes(state));
+	return passing.length > 0 ? passing : states;
+}
+
 function pickLeastLoaded(targets: readonly TargetState[], {zone, random}: TargetQuery): TargetState | undefined {
 	let best: TargetState | undefined;
 	let bestCost = Infinity;
--- a/packages/relay/dialect.ts
+++ b/packages/relay/dialect.ts
@@ -10,8 +10,6 @@
 	remainingMs: number;
 	/** Id of the last event that the caller has, where a stream is resumed. */
 	lastEventId: string | undefined;
-	/** Scope within which the target's cached prompt parts may be shared; absent where the request is no prompt. */
-	cacheScope: string | undefined;
 	/** 0 is the most urgent; absent where the target's default holds. */
 	urgency: number | undefined;
 }>;
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -7,6 +7,7 @@
 } from './exchange.ts';
 export type {ConnectionOptions} from './connection.ts';
 export {TargetConnections} from './connections.ts';
+export {TargetListing} from './target-listing.ts';
 export {TargetSet} from './target-set.ts';
 export {TargetState, type TargetLoad} from './target-state.ts';
 export type {AttemptFacts, TargetAnswer, TargetDialect} from './dialect.ts';
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -160,7 +160,7 @@
 		const {request} = progress;
 		const headers = dialect.encodeHead(request, {
 			target: state.target, remainingMs: request.deadlineMs - clock.now(), lastEventId: answer.lastEventId ?? request.lastEventId,
-			cacheScope: undefined, urgency: undefined,
+			urgency: undefined,
 		});
 		const {exchange} = state.connections.start({
 			method: request.method, path: request.path, headers, body: request.body,
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -31,6 +31,11 @@
 		return this.#states.get(id);
 	}
 
+	/** Finds a target by the identity of its process. */
+	findIncarnation(incarnation: string): TargetState | undefined {
+		return this.list().find(({target}) => target.incarnation === incarnation);
+	}
+
 	/** Replaces the list. Connections of targets that are no longer listed are closed once idle. */
 	update(targets: readonly RelayTarget[]): void {
 		const listed = new Set<string>();
@@ -38,7 +43,7 @@
 			listed.add(target.id);
 			const known = this.#states.get(target.id);
 			if (known && isSameProcess(known.target, target)) {
-				known.target = target;
+				known.update(target);
 			} else {
 				known?.connections.closeIdle();
 				this.#states.set(target.id, new TargetState(target, new TargetConnections(target.address, this.#clock, this.#options)));
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -22,12 +22,33 @@
 	loadAtMs = Number.NEGATIVE_INFINITY;
 	/** Requests of this instance that the last word on the load includes. */
 	inFlightAtLoad = 0;
+	/** Version of the weights by model, as far as known; it only rises. */
+	readonly weights = new Map<string, number>();
+	/** Time until which the target is taken to load weights and to refuse requests, in milliseconds. */
+	loadingUntilMs = Number.NEGATIVE_INFINITY;
 	/** Time until which the target is passed over where others can serve, in milliseconds. */
 	suspectUntilMs = Number.NEGATIVE_INFINITY;
 
 	constructor(target: RelayTarget, connections: TargetConnections) {
 		this.target = target;
 		this.connections = connections;
+		this.update(target);
+	}
+
+	/** Takes in the target's entry as it is listed now. */
+	update(target: RelayTarget): void {
+		this.target = target;
+		for (const [model, version] of target.weights) {
+			this.noteWeights(model, version);
+		}
+	}
+
+	/** Takes in that the target serves a version. */
+	noteWeights(model: string, version: number): void {
+		if (version > (this.weights.get(model) ?? 0)) {
+			this.weights.set(model, version);
+			this.loadingUntilMs = Number.NEGATIVE_INFINITY;
+		}
 	}
 
 	/** Takes in what an answer states. */
--- /dev/null
+++ b/packages/rollout/weights-rollout.ts
@@ -0,0 +1,241 @@
+/**
+ * Brings engines to the newest weights that are named. One instance acts, by a
+ * lease; it orders a part of the engines at a time, the rest serve meanwhile.
+ * Versions that were superseded before an engine came to them are skipped.
+ */
+import type {EngineControl, OrderOutcome} from './engine-control.ts';
+import type {Clock} from '#clock';
+import type {RelayTarget} from '#core';
+import type {Lease} from '#lease';
+import type {Telemetry} from '#telemetry';
+
+/** News of one engine's weights. */
+export type WeightsNews = Readonly<{
+	/** Incarnation of the engine. */
+	incarnation: string;
+	model: string;
+	version: number;
+	/** Whether the engine is only beginning to load them. */
+	isLoading: boolean;
+}>;
+
+/** What a roll-out works with. */
+export type RolloutDeps = Readonly<{
+	/** Name of this instance. */
+	name: string;
+	clock: Clock;
+	telemetry: Telemetry;
+	lease: Lease;
+	control: EngineControl;
+	/** Engines that are listed and not leaving, with their weights as far as known. */
+	listEngines: () => readonly RelayTarget[];
+	/** Newest version named for each model. */
+	listNamed: () => ReadonlyMap<string, number>;
+	/** Place of this instance among those that may act; 0 acts at once. */
+	readRank: () => number;
+	/** Least time of the lease's term that must be left for an order, in milliseconds; 0 where engines refuse old fencing tokens. */
+	leastTermMs: number;
+	/** Called with each step of an engine, to be told to all instances. */
+	tell: (news: WeightsNews) => void;
+}>;
+
+type Behind = Readonly<{target: RelayTarget; model: string; version: number}>;
+
+/** Time between looks while an engine is behind, in milliseconds. */
+const tickMs = 50;
+
+/** Time between looks while none is, in milliseconds; news wakes the loop at once. */
+const restMs = 2000;
+
+/** Time after which the next instance in rank acts where nothing moves, in milliseconds: a lease term and its guard would pass anyway. */
+const rankDelayMs = 1000;
+
+/** Time between reports of an engine that loads, in milliseconds: reports are that old themselves. */
+const pollMs = 120;
+
+/** Longest time for one engine's order, in milliseconds: its running requests finish first. */
+const orderLimitMs = 6000;
+
+/** Pause before an engine is tried again that did not take its order, in milliseconds. */
+const retryMs = 300;
+
+/** Part of the engines that are ordered at the same time: loads slow each other down beyond a quarter to a third of them. */
+const waveShare = 0.25;
+
+/** Difference between wall and monotonic time that shows that the process was suspended, in milliseconds. */
+const suspendMs = 400;
+
+/** Decides what follows from an order's outcome. */
+const outcomeSteps: Readonly<Record<OrderOutcome, 'poll' | 'retry' | 'stop' | 'drop'>> = {
+	accepted: 'poll', holds: 'poll', conflict: 'poll', unknown: 'poll', rejected: 'retry', gone: 'stop', fenced: 'drop',
+};
+
+/** The roll-out of one instance. */
+export class WeightsRollout {
+	readonly #deps: RolloutDeps;
+	readonly #active = new Map<string, Promise<void>>();
+	readonly #retryAtMs = new Map<string, number>();
+	#refreshedMs = -Infinity;
+	#behindSinceMs: number | undefined;
+	#wallOffsetMs: number;
+	#wake: (() => void) | undefined;
+
+	constructor(deps: RolloutDeps) {
+		this.#deps = deps;
+		this.#wallOffsetMs = deps.clock.wall() - deps.clock.now();
+	}
+
+	/** Looks at once whether there is something to do. */
+	wake(): void {
+		this.#wake?.();
+	}
+
+	/** Runs until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, lease} = this.#deps;
+		while (!signal.aborted) {
+			const behind = this.#listBehind();
+			if (behind.length === 0) {
+				this.#behindSinceMs = undefined;
+				await this.#rest(signal);
+				continue;
+			}
+
+			this.#behindSinceMs ??= clock.now();
+			this.#checkSuspension();
+			if (this.#isDue()) {
+				await this.#refreshLease();
+			}
+
+			if (lease.isHeld) {
+				this.#startOrders(behind, signal);
+			}
+
+			await clock.sleep(tickMs, signal);
+		}
+
+		await Promise.all(this.#active.values());
+	}
+
+	/** Sleeps until news or the end of the rest. */
+	async #rest(signal: AbortSignal): Promise<void> {
+		const rested = new AbortController();
+		this.#wake = () => {
+			rested.abort();
+		};
+
+		await this.#deps.clock.sleep(restMs, AbortSignal.any([signal, rested.signal]));
+		this.#wake = undefined;
+	}
+
+	#listBehind(): readonly Behind[] {
+		const named = this.#deps.listNamed();
+		return this.#deps.listEngines().flatMap(target => {
+			const entry = [...target.weights].find(([model, version]) => (named.get(model) ?? 0) > version);
+			return entry ? [{target, model: entry[0], version: named.get(entry[0])!}] : [];
+		});
+	}
+
+	/** Whether this instance should hold the lease now. */
+	#isDue(): boolean {
+		const {clock, readRank} = this.#deps;
+		return clock.now() - this.#behindSinceMs! >= readRank() * rankDelayMs;
+	}
+
+	async #refreshLease(): Promise<void> {
+		const {clock, lease} = this.#deps;
+		const dueMs = lease.isHeld ? lease.refreshMs : tickMs * 4;
+		if (clock.now() - this.#refreshedMs >= dueMs) {
+			this.#refreshedMs = clock.now();
+			await lease.refresh(true);
+		}
+	}
+
+	/** A process that was suspended does not know how long: its term may be over. */
+	#checkSuspension(): void {
+		const {clock, lease, telemetry} = this.#deps;
+		const offsetMs = clock.wall() - clock.now();
+		if (Math.abs(offsetMs - this.#wallOffsetMs) > suspendMs) {
+			telemetry.log('time has jumped, giving up the lease', {byMs: Math.round(offsetMs - this.#wallOffsetMs)});
+			lease.drop();
+		}
+
+		this.#wallOffsetMs = offsetMs;
+	}
+
+	#startOrders(behind: readonly Behind[], signal: AbortSignal): void {
+		const {clock} = this.#deps;
+		const most = Math.max(1, Math.round(this.#deps.listEngines().length * waveShare));
+		for (const one of behind) {
+			const {incarnation} = one.target;
+			if (this.#active.size >= most) {
+				return;
+			}
+
+			if (!this.#active.has(incarnation) && (this.#retryAtMs.get(incarnation) ?? 0) <= clock.now()) {
+				this.#active.set(incarnation, this.#bring(one, signal).finally(() => {
+					this.#active.delete(incarnation);
+				}));
+			}
+		}
+	}
+
+	/** Brings one engine to its weights. */
+	async #bring({target, model, version}: Behind, signal: AbortSignal): Promise<void> {
+		const {clock, control, lease, tell, telemetry} = this.#deps;
+		const {incarnation} = target;
+		const endMs = clock.now() + orderLimitMs;
+		let isTold = false;
+		while (!signal.aborted && clock.now() < endMs) {
+			const report = await control.readReport(target);
+			const loaded = report?.weights.get(model) ?? 0;
+			if (loaded >= version) {
+				tell({
+					incarnation, model, version: loaded, isLoading: false,
+				});
+				return;
+			}
+
+			if (!report) {
+				break;
+			}
+
+			if (report.isBusy) {
+				await clock.sleep(pollMs, signal);
+				continue;
+			}
+
+			this.#checkSuspension();
+			if (lease.remainingMs <= this.#deps.leastTermMs) {
+				break;
+			}
+
+			if (!isTold) {
+				isTold = true;
+				tell({
+					incarnation, model, version, isLoading: true,
+				});
+			}
+
+			const outcome = await control.sendOrder(target, {
+				model, version, holder: this.#deps.name, fencing: lease.fencing, ifAcceptedOrders: report.acceptedOrders,
+			});
+			telemetry.count('weights_orders_total', {outcome});
+			telemetry.log('weights ordered', {
+				target: target.id, model, version, fencing: lease.fencing, outcome,
+			});
+			const step = outcomeSteps[outcome];
+			if (step === 'drop') {
+				lease.drop();
+			}
+
+			if (step !== 'poll') {
+				break;
+			}
+
+			await clock.sleep(pollMs, signal);
+		}
+
+		this.#retryAtMs.set(incarnation, clock.now() + retryMs);
+	}
+}
