--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -52,6 +52,8 @@
 	cacheTokens: number;
 	/** Size of the KV cache of a token, in bytes. */
 	bytesPerToken: number;
+	/** Speed of an engine's link, in megabits per second. */
+	linkMbps: number;
 	models: readonly string[];
 }>;
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -44,6 +44,8 @@
 /** A request that may be read whole and run. */
 export type AcceptedRequest = Readonly<{
 	head: RequestHead;
+	/** The configuration by which it was accepted. */
+	configuration: RelayConfiguration;
 	route: RelayRoute;
 	customer: RelayCustomer | undefined;
 	arrivedMs: number;
@@ -124,14 +126,19 @@
 		const arrivedMs = this.#deps.clock.now();
 		const deadlineMs = arrivedMs + Math.min(head.remainingMs ?? Infinity, route.timeoutMs);
 		return succeed({
-			head, route, customer, arrivedMs, deadlineMs, maxBodyBytes, cacheScope: head.prompt && (customer?.isIsolated ? `only ${customer.name}` : sharedScope),
+			head, configuration, route, customer, arrivedMs, deadlineMs, maxBodyBytes, cacheScope: head.prompt && (customer?.isIsolated ? `only ${customer.name}` : sharedScope),
 		});
 	}
 
 	/** Runs an accepted request. */
-	async run({head, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
+	async run({head, configuration, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
 		const {random, relay} = this.#deps;
-		const pool = pickPool(route.pools, random.next()) ?? '';
+		const pool = configuration.pools.get(pickPool(route.pools, random.next()) ?? '');
+		if (!pool) {
+			caller.refuse(makeRefusal('no_target', {retryAfterMs: notConfiguredRetryMs}));
+			return;
+		}
+
 		await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.passed, body, route, customer, prompt: head.prompt, cacheScope,
 			lastEventId: head.lastEventId, arrivedMs, deadlineMs,
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -17,8 +17,9 @@
 import {
 	createObjectStoreClient, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
+import {runShareExchange} from '#placement';
 import {
-	Relay, TargetListing, TargetSet, type ConnectionOptions, type TargetDialect,
+	Relay, TargetListing, TargetSet, WeightsBoard, type ConnectionOptions, type TargetDialect,
 } from '#relay';
 import {WeightsRollout, type EngineControl, type WeightsNews} from '#rollout';
 import type {Telemetry} from '#telemetry';
@@ -47,6 +48,8 @@
 	drainMs: number;
 	/** Time for which two holders of the right to give orders must not take turns, in milliseconds. */
 	leaseMs: number;
+	/** Time after which no request may begin on older weights than were named, in milliseconds. */
+	weightsMs: number;
 	/** Whether engines refuse orders with an old fencing token. */
 	checksFencing: boolean;
 }>;
@@ -95,6 +98,9 @@
 /** Time beyond a lease's term that a successor waits, in milliseconds. */
 const leaseGuardMs = 500;
 
+/** Time after a holder's last news for which the other instances leave the roll-out to it, in milliseconds: an order takes that long. */
+const holderActiveMs = 1500;
+
 const registerRetryMs = 500;
 const weightsDuty = 'weights';
 
@@ -113,8 +119,10 @@
 	}, {rates: deps.storeRates, expectedInstances});
 	const targets = new TargetSet(clock, deps.connections);
 	const listing = new TargetListing(clock);
+	const board = new WeightsBoard(clock);
 	const relay = new Relay({
 		clock, random, telemetry, targets, dialect: deps.dialect, zone: settings.zone,
+		weights: board, weightsMs: bounds.weightsMs,
 		budget: new RetryBudget({perAttempt: bounds.retryRatio, capacity: bounds.retrySlack * slackShare / expectedInstances}),
 	});
 	const gateway = new Gateway({
@@ -138,8 +146,8 @@
 
 	// Weights.
 
-	const named = new Map<string, number>();
 	let lastHolder: string | undefined;
+	let holderHeardMs = -Infinity;
 	const noteNews = ({incarnation, model, version, isLoading}: WeightsNews) => {
 		const state = targets.findIncarnation(incarnation);
 		if (!state) {
@@ -155,6 +163,7 @@
 
 	bus.subscribe('weights', (news, from) => {
 		lastHolder = from.name;
+		holderHeardMs = clock.now();
 		noteNews(news);
 	});
 	const rollout = new WeightsRollout({
@@ -164,13 +173,18 @@
 		}, {termMs: bounds.leaseMs, guardMs: leaseGuardMs, kind: kinds.leases}),
 		listEngines: () => targets.list().filter(({target}) => !target.isLeaving && target.weights.size > 0)
 			.map(({target, weights}) => ({...target, weights})),
-		listNamed: () => named,
+		listNamed: () => board.listVersions(),
 		readRank() {
+			if (clock.now() - holderHeardMs < holderActiveMs) {
+				return Infinity;
+			}
+
 			const isHolderLive = bus.listPeers().some(({name}) => name === lastHolder);
 			return isHolderLive ? 1 + peers.readRank(weightsDuty) : peers.readRank(weightsDuty);
 		},
 		tell(news) {
 			lastHolder = undefined;
+			holderHeardMs = -Infinity;
 			noteNews(news);
 			bus.sample({kind: 'weights', ...news});
 		},
@@ -214,8 +228,7 @@
 	mirrors.weights.events.on('changed', () => {
 		for (const stored of mirrors.weights.list()) {
 			const weights = formats.decodeWeights(stored);
-			if (weights && weights.version > (named.get(weights.model) ?? 0)) {
-				named.set(weights.model, weights.version);
+			if (weights && board.note(weights.model, weights.version)) {
 				telemetry.log('weights named', weights);
 			}
 		}
@@ -232,6 +245,7 @@
 			},
 		}, stopping.signal)),
 		rollout.run(stopping.signal),
+		runShareExchange({views: targets, bus, clock}, stopping.signal),
 		register({
 			store: store.status, key: `${kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
 		}, stopping.signal),
--- a/packages/placement/share-exchange.ts
+++ b/packages/placement/share-exchange.ts
@@ -4,12 +4,19 @@
  * else. A message goes out when something changed, and is repeated while
  * something is in progress, because messages may be lost.
  */
-import type {TargetShare, TargetViews} from './views.ts';
+import type {TargetShare} from './views.ts';
 import type {Clock} from '#clock';
 import type {PeerBus} from '#peer-protocol';
 
 /** What the exchange works with. */
-export type ShareExchangeDeps = Readonly<{views: TargetViews; bus: PeerBus; clock: Clock}>;
+export type ShareExchangeDeps = Readonly<{views: SharedWork; bus: PeerBus; clock: Clock}>;
+
+/** Where the work on targets is known. */
+export type SharedWork = Readonly<{
+	listShares(): readonly TargetShare[];
+	applyPeerShares(peer: string, shares: readonly TargetShare[], nowMs: number): void;
+	forgetPeersExcept(names: readonly string[]): void;
+}>;
 
 /** Options of {@link runShareExchange}. */
 export type ShareExchangeOptions = Readonly<{
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -1,11 +1,23 @@
 /** What is known of one request over all its attempts. */
-import type {RelayRequest, RunState} from '#core';
+import type {RelayPool, RelayRequest, RunState} from '#core';
 import {classifyRun, mergeRunStates, type AttemptCause} from '#dispatch';
 
+/** An attempt as the log shows it. */
+export type AttemptNote = Readonly<{
+	target: string;
+	/** Expected time until the answer begins, with the prices of the choice, in milliseconds. */
+	costMs: number;
+	/** Time from the request's arrival to the attempt's start and to its end, in milliseconds. */
+	fromMs: number;
+	toMs: number;
+	end: string;
+	detail?: string;
+}>;
+
 /** State of one request. */
 export class RelayProgress {
 	readonly request: RelayRequest;
-	readonly pool: string;
+	readonly pool: RelayPool;
 	/** Targets that are not tried again. */
 	readonly excluded = new Set<string>();
 	/** Requests sent to targets, whatever became of them. */
@@ -16,8 +28,10 @@
 	/** How the last attempt ended. */
 	cause: AttemptCause | 'none' = 'none';
 	retryAfterMs: number | undefined;
+	/** What became of each attempt, for the log. */
+	readonly attempts: AttemptNote[] = [];
 
-	constructor(request: RelayRequest, pool: string) {
+	constructor(request: RelayRequest, pool: RelayPool) {
 		this.request = request;
 		this.pool = pool;
 	}
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -1,34 +1,113 @@
-/** Chooses the target of an attempt among those that are listed. */
+/**
+ * Chooses the target of an attempt: by the expected time to the answer's
+ * beginning, with a price for old weights and for leaving the own availability
+ * zone. A function of read-only data, so that loads can be tried on it alone.
+ */
+import type {PlacedParts} from './placed-parts.ts';
 import type {TargetState} from './target-state.ts';
-import type {Prompt, Random} from '#core';
+import type {
+	EngineTraits, Prompt, PromptPart, Random,
+} from '#core';
 import {pickHomes} from '#placement';
 
+/** The newest weights of a model. */
+export type NamedWeights = Readonly<{
+	version: number;
+	/** Time since they were named, as far as this instance knows, in milliseconds. */
+	ageMs: number;
+}>;
+
 /** What a choice depends on. */
 export type TargetQuery = Readonly<{
 	targets: readonly TargetState[];
 	/** Identities that must not be chosen. */
 	excluded: ReadonlySet<string>;
+	/** Present where the pool's targets are engines. */
+	engine: EngineTraits | undefined;
 	prompt: Prompt | undefined;
+	/** Scope within which cached parts of the prompt may be shared. */
+	cacheScope: string | undefined;
+	/** Absent where none were named for the prompt's model. */
+	named: NamedWeights | undefined;
+	/** Time after which no request may begin on older weights, in milliseconds. */
+	weightsMs: number;
+	placed: PlacedParts;
 	/** This instance's availability zone. */
 	zone: string;
 	nowMs: number;
 	random: Random;
 }>;
 
-/** Price of leaving the own availability zone, in requests that wait. */
-const otherZonePrice = 0.5;
+/** A chosen target and what the choice assumes. */
+export type TargetChoice = Readonly<{
+	state: TargetState;
+	/** Expected time until the answer begins, in milliseconds, with the prices of the choice. */
+	costMs: number;
+	/** Prompt tokens that the target is expected to read. */
+	unreadTokens: number;
+	/** Version of the weights that the target is believed to serve; absent where it is not known. */
+	weights: number | undefined;
+	/** Scope of cached parts under these weights. */
+	cacheScope: string | undefined;
+	/** Target from which parts of the prompt can be fetched. */
+	source: TargetState | undefined;
+	/** Keys under which the prompt's shared parts are remembered, outermost first. */
+	partKeys: readonly string[];
+}>;
 
-/**
- * Chooses a target.
- *
- * @returns nothing when no target may be chosen
- */
-export function chooseRelayTarget(query: TargetQuery): TargetState | undefined {
+/** Why no target could be chosen. */
+export type NoTarget = 'none_listed' | 'old_weights';
+
+/** Way to another availability zone and back, with the price of the bytes, in milliseconds. */
+const otherZoneMs = 4;
+
+/** Part of a request's time by which each other one in progress on an engine delays it, in milliseconds. */
+const neighbourMs = 3;
+
+/** Delay of a request for which no slot is free, for each one ahead of it, in milliseconds. */
+const slotWaitMs = 50;
+
+/** Price of a target other than those that hold the prompt's parts, in milliseconds: a copy takes memory there. */
+const awayMs = 15;
+
+/** Time to begin a fetch of cached parts, in milliseconds. */
+const fetchStartMs = 2;
+
+/** Time for which older weights cost nothing, in milliseconds; a fifth of a request's worth is lost after 1.5 s. */
+const freeWeightsMs = 1300;
+
+/** Price of older weights after that time, in milliseconds: about a fifth of the time in which an answer keeps its worth. */
+const oldWeightsMs = 300;
+
+/** Time before the bound at which older weights are not used any more, in milliseconds: requests wait before they begin. */
+const weightsMarginMs = 1500;
+
+/** Span of chance between plain targets, in milliseconds, so that instances with the same view do not all choose the same one. */
+const jitterMs = 2;
+
+const bitsPerByte = 8;
+const bitsPerMbpsMs = 1000;
+
+/** Chooses a target. */
+export function chooseRelayTarget(query: TargetQuery): TargetChoice | NoTarget {
 	const listed = query.targets.filter(({target}) => !target.isLeaving && !query.excluded.has(target.id));
-	const ready = preferIf(listed, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
+	const current = listed.filter(state => !isTooOld(query, state));
+	if (current.length === 0) {
+		return listed.length > 0 ? 'old_weights' : 'none_listed';
+	}
+
+	const ready = preferIf(current, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const open = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
-	const affinity = query.prompt?.parts.at(-2)?.key;
-	return affinity === undefined ? pickLeastLoaded(open, query) : pickHome(open, affinity);
+	const rate = query.prompt && query.engine ? ratePrompt(query, query.prompt, query.engine) : (state: TargetState) => ratePlain(query, state);
+	let best: TargetChoice | undefined;
+	for (const state of open) {
+		const choice = rate(state);
+		if (!best || choice.costMs < best.costMs) {
+			best = choice;
+		}
+	}
+
+	return best!;
 }
 
 /** Those that pass, or all where none does. */
@@ -37,27 +116,130 @@
 	return passing.length > 0 ? passing : states;
 }
 
-function pickLeastLoaded(targets: readonly TargetState[], {zone, random}: TargetQuery): TargetState | undefined {
-	let best: TargetState | undefined;
-	let bestCost = Infinity;
-	for (const state of targets) {
-		const cost = estimateBusy(state) + (state.target.zone === zone ? 0 : otherZonePrice) + (random.next() / 100);
-		if (cost < bestCost) {
-			best = state;
-			bestCost = cost;
+function readWeights({prompt}: TargetQuery, state: TargetState): number | undefined {
+	return prompt && state.weights.get(prompt.model);
+}
+
+function isOld({named}: TargetQuery, weights: number | undefined): boolean {
+	return named !== undefined && weights !== undefined && weights < named.version;
+}
+
+function isTooOld(query: TargetQuery, state: TargetState): boolean {
+	return isOld(query, readWeights(query, state)) && query.named!.ageMs > query.weightsMs - weightsMarginMs;
+}
+
+/** A target that is no engine: its queue, its own pace and the way. */
+function ratePlain({zone, nowMs, random}: TargetQuery, state: TargetState): TargetChoice {
+	const {requests} = state.sumWork(nowMs);
+	const {slots} = state.target;
+	const queueMs = Math.max(0, requests + 1 - slots) * state.serviceMs / Math.max(1, slots);
+	const fullness = Math.min(1, requests / Math.max(1, slots));
+	return {
+		state, costMs: queueMs + (state.serviceMs * (1 + fullness) / 2) + computeWayMs(zone, state) + (random.next() * jitterMs),
+		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, partKeys: [],
+	};
+}
+
+function computeWayMs(zone: string, {target}: TargetState): number {
+	return target.zone === zone ? 0 : otherZoneMs;
+}
+
+/** Where cached parts of one prompt are, under one version of the weights. */
+type PartView = Readonly<{
+	keys: readonly string[];
+	parts: readonly PromptPart[];
+	/** The target that each part is read on where nothing else is known, by rendezvous hash. */
+	homes: readonly string[];
+}>;
+
+/** Prepares the rating of an engine for a prompt. */
+function ratePrompt(query: TargetQuery, prompt: Prompt, engine: EngineTraits): (state: TargetState) => TargetChoice {
+	const views = new Map<number | undefined, PartView>();
+	const stable = query.targets.filter(({target}) => !target.isLeaving);
+	const names = stable.map(({target}) => target.id);
+	const viewParts = (weights: number | undefined): PartView => {
+		let view = views.get(weights);
+		if (!view) {
+			view = makePartView(query, prompt, names, weights);
+			views.set(weights, view);
+		}
+
+		return view;
+	};
+
+	return state => {
+		const weights = readWeights(query, state);
+		const view = viewParts(weights);
+		const kept = countKept(query, view, state);
+		const source = kept < view.parts.length ? findSource(query, view, state, kept) : undefined;
+		const keptTokens = sumTokens(view.parts, 0, kept);
+		const fetchedTokens = source ? sumTokens(view.parts, kept, source.depth) : 0;
+		const unreadTokens = Math.max(0, prompt.inputTokens - keptTokens - fetchedTokens);
+		const {requests, tokens} = state.sumWork(query.nowMs);
+		const costMs = ((tokens + unreadTokens) * state.msPerToken)
+			+ (requests * neighbourMs)
+			+ (Math.max(0, requests + 1 - engine.slots) * slotWaitMs)
+			+ computeFetchMs(engine, fetchedTokens)
+			+ (kept === view.parts.length || view.homes.at(-1) === state.target.id ? 0 : awayMs)
+			+ computeWayMs(query.zone, state)
+			+ (isOld(query, weights) && query.named!.ageMs > freeWeightsMs ? oldWeightsMs : 0);
+		return {
+			state, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
+		};
+	};
+}
+
+/** Parts made under one version never serve another: the version is part of the scope. */
+function makeScope({cacheScope}: TargetQuery, weights: number | undefined): string | undefined {
+	return cacheScope === undefined || weights === undefined ? cacheScope : `${cacheScope} ${weights}`;
+}
+
+function makePartView(query: TargetQuery, prompt: Prompt, names: readonly string[], weights: number | undefined): PartView {
+	const parts = prompt.parts.slice(0, -1);
+	const scope = makeScope(query, weights) ?? '';
+	const keys = parts.map(({key}) => `${scope}/${key}`);
+	return {keys, parts, homes: parts.map(({key}) => pickHomes(names, key)[0] ?? '')};
+}
+
+/** Leading parts that the target is believed to have cached. */
+function countKept({placed, nowMs}: TargetQuery, {keys}: PartView, {target}: TargetState): number {
+	let kept = 0;
+	while (kept < keys.length && placed.has(keys[kept]!, target.incarnation, nowMs)) {
+		kept++;
+	}
+
+	return kept;
+}
+
+type Source = Readonly<{state: TargetState; depth: number}>;
+
+/** Another target that is believed to have more of the prompt cached: one that this instance sent it to, or the home of its innermost part. */
+function findSource(query: TargetQuery, view: PartView, state: TargetState, kept: number): Source | undefined {
+	const {placed, nowMs, targets} = query;
+	const isUsable = (other: TargetState | undefined): other is TargetState => other !== undefined && other !== state
+		&& other.loadingUntilMs <= nowMs && other.suspectUntilMs <= nowMs && readWeights(query, other) === readWeights(query, state);
+	for (let depth = view.parts.length; depth > kept; depth--) {
+		const holders = placed.listHolders(view.keys[depth - 1]!, nowMs);
+		const holder = targets.find(other => holders.includes(other.target.incarnation) && isUsable(other));
+		const home = targets.find(({target}) => target.id === view.homes[depth - 1]);
+		const source = holder ?? (isUsable(home) ? home : undefined);
+		if (source) {
+			return {state: source, depth};
 		}
 	}
 
-	return best;
+	return undefined;
 }
 
-function pickHome(targets: readonly TargetState[], affinity: string): TargetState | undefined {
-	const byId = new Map(targets.map(state => [state.target.id, state]));
-	const [home] = pickHomes([...byId.keys()], affinity, {getLoad: id => byId.get(id)!.inFlight});
-	return home === undefined ? undefined : byId.get(home);
+function sumTokens(parts: readonly PromptPart[], from: number, to: number): number {
+	let sum = 0;
+	for (let index = from; index < to; index++) {
+		sum += parts[index]!.tokens;
+	}
+
+	return sum;
 }
 
-function estimateBusy({load, inFlight, inFlightAtLoad}: TargetState): number {
-	const others = load ? Math.max(0, load.running + load.waiting - inFlightAtLoad) : 0;
-	return inFlight + others;
+function computeFetchMs({bytesPerToken, linkMbps}: EngineTraits, tokens: number): number {
+	return tokens === 0 ? 0 : fetchStartMs + (tokens * bytesPerToken * bitsPerByte / (linkMbps * bitsPerMbpsMs));
 }
--- a/packages/relay/dialect.ts
+++ b/packages/relay/dialect.ts
@@ -10,6 +10,12 @@
 	remainingMs: number;
 	/** Id of the last event that the caller has, where a stream is resumed. */
 	lastEventId: string | undefined;
+	/** Scope within which cached parts of the prompt may be shared, for these weights; absent where the request is no prompt. */
+	cacheScope: string | undefined;
+	/** Version of the weights that alone may run the request; absent where any may. */
+	weights: number | undefined;
+	/** `host:port` of a target from which parts of the prompt may be fetched. */
+	fetchFrom: string | undefined;
 	/** 0 is the most urgent; absent where the target's default holds. */
 	urgency: number | undefined;
 }>;
@@ -25,8 +31,10 @@
 	isSigned: boolean;
 	/** Whether the target states that it did not run the request and never will. */
 	hasNotRun: boolean;
-	/** Whether another process has taken the target's address. */
+	/** Whether the target is another one than was expected, or serves other weights; it has not run the request. */
 	isMisdirected: boolean;
+	/** Identity of the target, where it states one. */
+	targetId: string | undefined;
 	load: TargetLoad | undefined;
 	/** Version of the weights that the answer is made with. */
 	weights: number | undefined;
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -8,10 +8,14 @@
 export type {ConnectionOptions} from './connection.ts';
 export {TargetConnections} from './connections.ts';
 export {TargetListing} from './target-listing.ts';
-export {TargetSet} from './target-set.ts';
-export {TargetState, type TargetLoad} from './target-state.ts';
+export {TargetSet, type TargetShare} from './target-set.ts';
+export {TargetState, type TargetLoad, type TargetWork} from './target-state.ts';
 export type {AttemptFacts, TargetAnswer, TargetDialect} from './dialect.ts';
 export type {RelayCaller} from './caller.ts';
 export {EventSplitter, type StreamEvent} from './event-splitter.ts';
-export {chooseRelayTarget, type TargetQuery} from './choose-target.ts';
+export {
+	chooseRelayTarget, type NamedWeights, type NoTarget, type TargetChoice, type TargetQuery,
+} from './choose-target.ts';
+export {WeightsBoard} from './named-weights.ts';
+export {PlacedParts} from './placed-parts.ts';
 export {Relay, type RelayDeps} from './relay.ts';
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -6,16 +6,17 @@
  */
 import {Buffer} from 'node:buffer';
 import type {RelayCaller} from './caller.ts';
-import {chooseRelayTarget} from './choose-target.ts';
+import {chooseRelayTarget, type NoTarget, type TargetChoice} from './choose-target.ts';
 import {DeliveredAnswer} from './_delivered-answer.ts';
 import type {TargetAnswer, TargetDialect} from './dialect.ts';
 import type {Exchange} from './exchange.ts';
+import type {WeightsBoard} from './named-weights.ts';
+import {PlacedParts} from './placed-parts.ts';
 import {RelayProgress} from './_progress.ts';
 import type {TargetSet} from './target-set.ts';
-import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
 import {
-	makeRefusal, type Random, type Refusal, type RelayRequest,
+	makeRefusal, type Random, type Refusal, type RelayPool, type RelayRequest,
 } from '#core';
 import {
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
@@ -30,10 +31,16 @@
 	targets: TargetSet;
 	dialect: TargetDialect;
 	budget: RetryBudget;
+	weights: WeightsBoard;
+	/** Time after which no request may begin on older weights than were named, in milliseconds. */
+	weightsMs: number;
 	/** This instance's availability zone. */
 	zone: string;
 }>;
 
+/** A request's part in its target's work. */
+type Work = Readonly<{begun: () => void; ended: () => void}>;
+
 /** Why an attempt did not end with the caller's answer. */
 type AttemptEnd = Readonly<{cause: AttemptCause; detail: string; retryAfterMs?: number}>;
 
@@ -55,11 +62,15 @@
 /** Largest body of a target's failure that is kept, in bytes. */
 const maxFailureBytes = 65_536;
 
+/** The least urgent priority of engines. */
+const leastUrgency = 9;
+
 const badGateway = 502;
 
 /** Relays requests. */
 export class Relay {
 	readonly #deps: RelayDeps;
+	readonly #placed = new PlacedParts();
 	#running = 0;
 
 	constructor(deps: RelayDeps) {
@@ -76,53 +87,79 @@
 	 *
 	 * @param pool pool that serves it
 	 */
-	async run(request: RelayRequest, pool: string, caller: RelayCaller): Promise<void> {
+	async run(request: RelayRequest, pool: RelayPool, caller: RelayCaller): Promise<void> {
 		this.#running++;
-		this.#deps.budget.recordAttempt(pool);
+		this.#deps.budget.recordAttempt(pool.name);
 		const progress = new RelayProgress(request, pool);
 		try {
-			await this.#runAttempts(progress, new DeliveredAnswer(request, caller), caller);
+			const outcome = await this.#runAttempts(progress, new DeliveredAnswer(request, caller), caller);
+			this.#note(progress, outcome);
 		} finally {
 			this.#running--;
 		}
 	}
 
-	async #runAttempts(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): Promise<void> {
+	/** One line for each request: what became of it, and what each attempt on the way ended with. */
+	#note({request, pool, attempts}: RelayProgress, outcome: string): void {
+		const {clock, telemetry} = this.#deps;
+		telemetry.log('request ended', {
+			id: request.id, route: request.route.name, customer: request.customer?.name, pool: pool.name, outcome,
+			ms: Math.round(clock.now() - request.arrivedMs), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
+		});
+	}
+
+	/** @returns what became of the request, for the log */
+	async #runAttempts(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): Promise<string> {
 		for (;;) {
-			const state = this.#choose(progress);
-			if (!state) {
-				this.#give(progress, answer, caller);
-				return;
+			const choice = this.#choose(progress);
+			if (typeof choice === 'string') {
+				return this.#give(progress, answer, caller);
 			}
 
+			const {state} = choice;
+
 			if (progress.sends > 0) {
-				if (!this.#deps.budget.take(progress.pool, answer.hasBegun)) {
+				if (!this.#deps.budget.take(progress.pool.name, answer.hasBegun)) {
 					this.#deps.telemetry.count('retries_refused_total', {reason: 'budget'});
-					this.#give(progress, answer, caller);
-					return;
+					return this.#give(progress, answer, caller);
 				}
 
 				this.#deps.telemetry.count('retries_total', {reason: progress.cause});
 			}
 
-			const end = await this.#attempt(progress, state, answer, caller);
-			if (!end || caller.hasLeft()) {
-				return;
+			const fromMs = this.#deps.clock.now();
+			const end = await this.#attempt(progress, choice, answer, caller);
+			this.#noteAttempt(progress, choice, fromMs, end);
+			if (caller.hasLeft()) {
+				return 'caller left';
+			}
+
+			if (!end) {
+				return 'answered';
 			}
 
 			progress.noteEnd(state.target.id, end.cause, end.retryAfterMs);
 			this.#suspect(state, end.cause);
 			if (!this.#mayRetry(progress, end.cause)) {
-				this.#give(progress, answer, caller);
-				return;
+				return this.#give(progress, answer, caller);
 			}
 		}
 	}
 
-	#choose({request, pool, excluded}: RelayProgress): TargetState | undefined {
-		const {targets, zone, clock, random} = this.#deps;
+	#noteAttempt({request, attempts}: RelayProgress, {state, costMs}: TargetChoice, fromMs: number, end: AttemptEnd | undefined): void {
+		attempts.push({
+			target: state.target.id, costMs: Math.round(costMs), fromMs: Math.round(fromMs - request.arrivedMs), toMs: Math.round(this.#deps.clock.now() - request.arrivedMs),
+			end: end?.cause ?? 'answered', ...(end ? {detail: end.detail} : {}),
+		});
+	}
+
+	#choose({request, pool, excluded}: RelayProgress): TargetChoice | NoTarget {
+		const {
+			targets, zone, clock, random, weights, weightsMs,
+		} = this.#deps;
 		return chooseRelayTarget({
-			targets: targets.listPool(pool), excluded, prompt: request.prompt, zone, nowMs: clock.now(), random,
+			targets: targets.listPool(pool.name), excluded, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
+			named: request.prompt && weights.read(request.prompt.model), weightsMs, placed: this.#placed, zone, nowMs: clock.now(), random,
 		});
 	}
 
@@ -131,7 +168,7 @@
 		return runs < maxTargets && decideRetry(cause, repetition !== 'once') !== 'never' && this.#deps.clock.now() < request.deadlineMs;
 	}
 
-	#suspect(state: TargetState, cause: AttemptCause): void {
+	#suspect(state: TargetChoice['state'], cause: AttemptCause): void {
 		if (causeRules[cause].outcome === 'unknown' || causeRules[cause].outcome === 'notSent') {
 			state.suspectUntilMs = this.#deps.clock.now() + suspectMs;
 			state.connections.closeIdle();
@@ -139,41 +176,79 @@
 	}
 
 	/** Ends a request that no attempt will answer. */
-	#give(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): void {
+	#give(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): string {
 		if (answer.hasBegun) {
 			caller.cut();
-			return;
+			return 'cut';
 		}
 
 		if (answer.deliverFailure()) {
-			return;
+			return 'target\'s failure';
 		}
 
 		const refusal = makeTrueRefusal(progress);
 		this.#deps.telemetry.count('refusals_total', {reason: refusal.reason, ran: refusal.ran});
 		caller.refuse(refusal);
+		return `${refusal.status} ${refusal.reason}`;
 	}
 
 	/** @returns nothing when the caller has its answer or has left */
-	async #attempt(progress: RelayProgress, state: TargetState, answer: DeliveredAnswer, caller: RelayCaller): Promise<AttemptEnd | undefined> {
+	async #attempt(progress: RelayProgress, choice: TargetChoice, answer: DeliveredAnswer, caller: RelayCaller): Promise<AttemptEnd | undefined> {
 		const {clock, dialect} = this.#deps;
 		const {request} = progress;
+		const {state, unreadTokens} = choice;
 		const headers = dialect.encodeHead(request, {
 			target: state.target, remainingMs: request.deadlineMs - clock.now(), lastEventId: answer.lastEventId ?? request.lastEventId,
-			urgency: undefined,
+			cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.target.address,
+			urgency: request.prompt && readUrgency(request),
 		});
 		const {exchange} = state.connections.start({
 			method: request.method, path: request.path, headers, body: request.body,
 		}, {maxIdleMs: request.route.repetition === 'once' ? freshIdleMs : Infinity});
-		state.inFlight++;
+		const work = this.#beginWork(choice);
 		progress.sends++;
 		const stop = this.#watchLimits(request, exchange, caller);
 		try {
-			return await this.#receive(progress, state, exchange, answer);
+			return await this.#receive(progress, choice, exchange, answer, work.begun);
 		} finally {
 			stop();
-			state.inFlight--;
+			work.ended();
+		}
+	}
+
+	/** Counts a request as in progress on its target, and its prompt as unread until the answer begins. */
+	#beginWork({state, unreadTokens, partKeys}: TargetChoice): Work {
+		const {clock} = this.#deps;
+		const startedMs = clock.now();
+		const ahead = state.sumWork(startedMs).tokens;
+		let pending = unreadTokens;
+		state.inFlight++;
+		state.pendingTokens += pending;
+		const takePending = () => {
+			state.pendingTokens -= pending;
+			pending = 0;
+		};
+
+		for (const key of partKeys) {
+			this.#placed.note(key, state.target.incarnation, startedMs);
 		}
+
+		return {
+			begun() {
+				if (pending > 0) {
+					state.noteFirstEvent(ahead + unreadTokens, clock.now() - startedMs);
+				}
+
+				takePending();
+			},
+			ended() {
+				takePending();
+				state.inFlight--;
+				if (partKeys.length === 0) {
+					state.noteService(clock.now() - startedMs);
+				}
+			},
+		};
 	}
 
 	/** Gives the exchange up when the caller leaves or its time is over. */
@@ -191,9 +266,10 @@
 		};
 	}
 
-	async #receive(progress: RelayProgress, state: TargetState, exchange: Exchange, answer: DeliveredAnswer): Promise<AttemptEnd | undefined> {
+	async #receive(progress: RelayProgress, choice: TargetChoice, exchange: Exchange, answer: DeliveredAnswer, begun: () => void): Promise<AttemptEnd | undefined> {
 		const {clock, dialect} = this.#deps;
 		const {request} = progress;
+		const {state} = choice;
 		const cancelSilence = this.#limitSilence(request, exchange);
 		const read = await exchange.readHead();
 		cancelSilence();
@@ -218,13 +294,30 @@
 				answer.keepFailure(decoded, body);
 			}
 
+			this.#learnFromRefusal(request, choice, decoded);
 			return end;
 		}
 
+		begun();
 		const fault = await answer.deliver(decoded, exchange);
 		return fault === undefined ? undefined : this.#classifyFault(request, exchange, fault);
 	}
 
+	/** A refusal may say that the target serves other weights than were assumed, or that it is loading new ones. */
+	#learnFromRefusal({prompt}: RelayRequest, {state, partKeys}: TargetChoice, answer: TargetAnswer): void {
+		if (!prompt || !(answer.hasNotRun || answer.isMisdirected)) {
+			return;
+		}
+
+		for (const key of partKeys) {
+			this.#placed.forget(key, state.target.incarnation);
+		}
+
+		if (answer.isMisdirected && answer.weights !== undefined) {
+			state.noteWeights(prompt.model, answer.weights);
+		}
+	}
+
 	#limitSilence(request: RelayRequest, exchange: Exchange): () => void {
 		const {repetition, promisedMs} = request.route;
 		if (repetition === 'once') {
@@ -249,6 +342,11 @@
 	}
 }
 
+/** The customer's priority goes before the route's; engines take 0 to 9. */
+function readUrgency({customer, route}: RelayRequest): number {
+	return Math.min(leastUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
+}
+
 /** Says why an answer cannot be the caller's. */
 function checkHead({id, route}: RelayRequest, answer: TargetAnswer): AttemptEnd | undefined {
 	if (answer.requestId !== undefined && answer.requestId !== id) {
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -1,15 +1,20 @@
 /** The targets that are listed now, by pool, with what is known of each. */
 import type {ConnectionOptions} from './connection.ts';
 import {TargetConnections} from './connections.ts';
-import {TargetState} from './target-state.ts';
+import {TargetState, type TargetWork} from './target-state.ts';
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 
+/** What an instance has in progress on one target. */
+export type TargetShare = TargetWork & Readonly<{target: string}>;
+
 /** Targets by identity; a further start of the same target is a new one. */
 export class TargetSet {
 	readonly #clock: Clock;
 	readonly #options: ConnectionOptions;
 	readonly #states = new Map<string, TargetState>();
+	/** Targets that each peer last had work on. */
+	readonly #sharesOfPeers = new Map<string, readonly string[]>();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
 	constructor(clock: Clock, options: ConnectionOptions) {
@@ -60,6 +65,35 @@
 		this.#pools = groupByPool(this.#states.values());
 	}
 
+	/** What this instance has in progress, target by target. */
+	listShares(): readonly TargetShare[] {
+		return [...this.#states.values()]
+			.filter(({inFlight}) => inFlight > 0)
+			.map(({target, inFlight, pendingTokens}) => ({target: target.id, requests: inFlight, tokens: pendingTokens}));
+	}
+
+	/** Takes in what a peer has in progress; it replaces what that peer said before. */
+	applyPeerShares(peer: string, shares: readonly TargetShare[], nowMs: number): void {
+		for (const id of this.#sharesOfPeers.get(peer) ?? []) {
+			this.#states.get(id)?.deletePeerWork(peer);
+		}
+
+		this.#sharesOfPeers.set(peer, shares.map(({target}) => target));
+		for (const {target, ...work} of shares) {
+			this.#states.get(target)?.setPeerWork(peer, work, nowMs);
+		}
+	}
+
+	/** Forgets all peers but these. */
+	forgetPeersExcept(names: readonly string[]): void {
+		for (const peer of this.#sharesOfPeers.keys()) {
+			if (!names.includes(peer)) {
+				this.applyPeerShares(peer, [], 0);
+				this.#sharesOfPeers.delete(peer);
+			}
+		}
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		for (const {connections} of this.#states.values()) {
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -1,4 +1,7 @@
-/** What this instance knows of one target: its connections, its last word on its load, and what was sent to it. */
+/**
+ * What this instance knows of one target: its connections, its weights, what
+ * was sent to it by this instance and its peers, and how fast it has been.
+ */
 import type {TargetConnections} from './connections.ts';
 import type {RelayTarget} from '#core';
 
@@ -9,25 +12,57 @@
 	slots: number;
 }>;
 
+/** What an instance has in progress on a target. */
+export type TargetWork = Readonly<{
+	requests: number;
+	/** Prompt tokens that are still to be read, of requests that have not begun to answer. */
+	tokens: number;
+}>;
+
+type PeerWork = TargetWork & Readonly<{atMs: number}>;
+
+/** Time for which a peer's word on its work counts, in milliseconds; it is repeated each second. */
+const peerWorkMs = 2000;
+
+/** Weight of the newest measurement in an average. */
+const newestShare = 0.2;
+
+/** Reading speed of an engine that has not been measured, in milliseconds for a token: that of a small engine. */
+const firstMsPerToken = 0.02;
+
+/** Bounds of a measured reading speed, in milliseconds for a token. */
+const leastMsPerToken = 0.002;
+const mostMsPerToken = 0.5;
+
+/** Tokens that a measurement counts beside those of the prompt, for what every request costs. */
+const overheadTokens = 500;
+
+/** Time that a request at a plain target has taken before any was measured, in milliseconds. */
+const firstServiceMs = 50;
+
 /** State of one incarnation of a target. */
 export class TargetState {
 	target: RelayTarget;
 	readonly connections: TargetConnections;
 	/** Requests of this instance in progress there. */
 	inFlight = 0;
-	/** Prompt tokens of this instance's requests there that have not begun to answer. */
+	/** Prompt tokens that are still to be read, of this instance's requests there that have not begun to answer. */
 	pendingTokens = 0;
+	/** Last word of the target on its load. */
 	load: TargetLoad | undefined;
-	/** Time of the last word on the load, in milliseconds; the past before the first. */
+	/** Time of that word, in milliseconds. */
 	loadAtMs = Number.NEGATIVE_INFINITY;
-	/** Requests of this instance that the last word on the load includes. */
-	inFlightAtLoad = 0;
 	/** Version of the weights by model, as far as known; it only rises. */
 	readonly weights = new Map<string, number>();
 	/** Time until which the target is taken to load weights and to refuse requests, in milliseconds. */
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
 	/** Time until which the target is passed over where others can serve, in milliseconds. */
 	suspectUntilMs = Number.NEGATIVE_INFINITY;
+	/** Time in which the target reads a token of a prompt, in milliseconds. */
+	msPerToken = firstMsPerToken;
+	/** Time from sending a request to its whole answer, of a target that is no engine, in milliseconds. */
+	serviceMs = firstServiceMs;
+	readonly #peers = new Map<string, PeerWork>();
 
 	constructor(target: RelayTarget, connections: TargetConnections) {
 		this.target = target;
@@ -51,10 +86,43 @@
 		}
 	}
 
-	/** Takes in what an answer states. */
+	/** Takes in what an answer states of the load. */
 	noteLoad(load: TargetLoad, nowMs: number): void {
 		this.load = load;
 		this.loadAtMs = nowMs;
-		this.inFlightAtLoad = this.inFlight;
+	}
+
+	/** Takes in how long the first event of a prompt's answer took, with the tokens that were to be read before it. */
+	noteFirstEvent(tokens: number, ms: number): void {
+		const measured = Math.min(mostMsPerToken, Math.max(leastMsPerToken, ms / (tokens + overheadTokens)));
+		this.msPerToken += (measured - this.msPerToken) * newestShare;
+	}
+
+	/** Takes in how long a whole answer of a target that is no engine took. */
+	noteService(ms: number): void {
+		this.serviceMs += (ms - this.serviceMs) * newestShare;
+	}
+
+	/** Takes in what a peer has in progress there. */
+	setPeerWork(peer: string, work: TargetWork, nowMs: number): void {
+		this.#peers.set(peer, {...work, atMs: nowMs});
+	}
+
+	deletePeerWork(peer: string): void {
+		this.#peers.delete(peer);
+	}
+
+	/** What this instance and, as far as they said so lately, its peers have in progress there. */
+	sumWork(nowMs: number): TargetWork {
+		let requests = this.inFlight;
+		let tokens = this.pendingTokens;
+		for (const work of this.#peers.values()) {
+			if (nowMs - work.atMs <= peerWorkMs) {
+				requests += work.requests;
+				tokens += work.tokens;
+			}
+		}
+
+		return {requests, tokens};
 	}
 }
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -53,6 +53,9 @@
 /** Time between reports of an engine that loads, in milliseconds: reports are that old themselves. */
 const pollMs = 120;
 
+/** Time between tries to take a lease that another instance holds, in milliseconds. */
+const retakeMs = 500;
+
 /** Longest time for one engine's order, in milliseconds: its running requests finish first. */
 const orderLimitMs = 6000;
 
@@ -144,7 +147,7 @@
 
 	async #refreshLease(): Promise<void> {
 		const {clock, lease} = this.#deps;
-		const dueMs = lease.isHeld ? lease.refreshMs : tickMs * 4;
+		const dueMs = lease.isHeld ? lease.refreshMs : retakeMs;
 		if (clock.now() - this.#refreshedMs >= dueMs) {
 			this.#refreshedMs = clock.now();
 			await lease.refresh(true);
--- a/packages/telemetry/telemetry.ts
+++ b/packages/telemetry/telemetry.ts
@@ -1,9 +1,12 @@
 /** Metrics by `prom-client` and log lines by `bunyan`, behind one small interface. */
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import type {Writable} from 'node:stream';
 import bunyan from 'bunyan';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {LineLimiter} from './_line-limiter.ts';
 import {
 	counterRules, gaugeRules, histogramRules, type CounterName, type GaugeName, type HistogramName, type SeriesRule,
 } from './series.ts';
@@ -15,7 +18,7 @@
 	/** Name that log lines carry. Default: `apricotdoor`. */
 	name?: string;
 	/** Where log lines go. Default: standard error. */
-	stream?: NodeJS.WritableStream;
+	stream?: Writable;
 	/** Least level of lines written; `silent` writes none. Default: `info`. */
 	level?: 'silent' | 'info' | 'warn' | 'error';
 }>;
@@ -25,7 +28,7 @@
 	count(name: CounterName, labels?: Labels, by?: number): void;
 	set(name: GaugeName, value: number, labels?: Labels): void;
 	observe(name: HistogramName, value: number, labels?: Labels): void;
-	/** Logs a change of state. Secrets must not be among the fields. */
+	/** Logs a decision or a change of state; bounded for each message. Secrets must not be among the fields. */
 	log(message: string, fields?: Readonly<Record<string, unknown>>): void;
 	/** Present value of a counter; 0 when it never counted. */
 	read(name: CounterName, labels?: Labels): number;
@@ -73,7 +76,7 @@
 		histograms.set(name, new Histogram({...makeMetricOptions(name, rule, registry), buckets: [...rule.buckets]}));
 	}
 
-	const logger = createLogger(options);
+	const log = createLog(options);
 	return {
 		count(name, labels = {}, by = 1) {
 			findSeries(counters.get(name)!, counterRules[name], labels).value += by;
@@ -84,9 +87,7 @@
 		observe(name, value, labels = {}) {
 			histograms.get(name)!.observe({...labels}, value);
 		},
-		log(message, fields = {}) {
-			logger?.info({...fields}, message);
-		},
+		log,
 		read: (name, labels = {}) => counters.get(name)!.get(makeKey(counterRules[name], labels))?.value ?? 0,
 		render: async () => registry.metrics(),
 	};
@@ -134,12 +135,24 @@
 	return key;
 }
 
-function createLogger(options: TelemetryOptions): bunyan | undefined {
+function createLog(options: TelemetryOptions): Telemetry['log'] {
 	const level = options.level ?? 'info';
-	return level === 'silent'
-		? undefined
-		: bunyan.createLogger({
-			name: options.name ?? 'apricotdoor',
-			streams: [{level, stream: options.stream ?? process.stderr}],
-		});
+	if (level === 'silent') {
+		return () => undefined;
+	}
+
+	const stream = options.stream ?? process.stderr;
+	const logger = bunyan.createLogger({name: options.name ?? 'apricotdoor', streams: [{level, stream}]});
+	const limiter = new LineLimiter(() => stream.writableLength);
+	return (message, fields = {}) => {
+		const nowMs = performance.now();
+		const dropped = limiter.takeDropped(nowMs);
+		if (dropped) {
+			logger.info({dropped}, 'lines left out');
+		}
+
+		if (limiter.admit(message, nowMs)) {
+			logger.info({...fields}, message);
+		}
+	};
 }
