Weights: drain by routing, then load under what still runs; peers tell where prompt parts are

Cause: an engine ordered with its runs to finish first refuses work for up to 1.7 s, and parts were read again because only the sending instance knew where they were.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -19,7 +19,7 @@
 } from '#object-store';
 import {runShareExchange} from '#placement';
 import {
-	Relay, TargetListing, TargetSet, WeightsBoard, type ConnectionOptions, type TargetDialect,
+	PlacedParts, Relay, runPartExchange, TargetListing, TargetSet, WeightsBoard, type ConnectionOptions, type TargetDialect,
 } from '#relay';
 import {WeightsRollout, type EngineControl, type WeightsNews} from '#rollout';
 import type {Telemetry} from '#telemetry';
@@ -101,7 +101,10 @@
 /** Time after a holder's last news for which the other instances leave the roll-out to it, in milliseconds: an order takes that long. */
 const holderActiveMs = 1500;
 
+/** Pause before the entry of this instance is written again, in milliseconds; doubled with each failure. */
 const registerRetryMs = 500;
+const maxRegisterRetryMs = 10_000;
+
 const weightsDuty = 'weights';
 
 /** Wires an instance and starts its background tasks. */
@@ -113,16 +116,17 @@
 	const mirrors = {
 		configuration: new KindMirror(kinds.configuration), targets: new KindMirror(kinds.targets), weights: new KindMirror(kinds.weights),
 	};
-	let peers: Peers | undefined;
+	let peers: Peers | undefined; // eslint-disable-line prefer-const -- the store's client asks for them before they have started
 	const store = createObjectStoreClient({
 		platform: deps.store, clock, random, telemetry, countInstances: () => peers?.listInstances().length ?? 1,
 	}, {rates: deps.storeRates, expectedInstances});
 	const targets = new TargetSet(clock, deps.connections);
 	const listing = new TargetListing(clock);
 	const board = new WeightsBoard(clock);
+	const placed = new PlacedParts();
 	const relay = new Relay({
 		clock, random, telemetry, targets, dialect: deps.dialect, zone: settings.zone,
-		weights: board, weightsMs: bounds.weightsMs,
+		weights: board, placed, weightsMs: bounds.weightsMs,
 		budget: new RetryBudget({perAttempt: bounds.retryRatio, capacity: bounds.retrySlack * slackShare / expectedInstances}),
 	});
 	const gateway = new Gateway({
@@ -173,6 +177,7 @@
 		}, {termMs: bounds.leaseMs, guardMs: leaseGuardMs, kind: kinds.leases}),
 		listEngines: () => targets.list().filter(({target}) => !target.isLeaving && target.weights.size > 0)
 			.map(({target, weights}) => ({...target, weights})),
+		countRequests: ({id}) => targets.get(id)?.sumWork(clock.now()).requests ?? 0,
 		listNamed: () => board.listVersions(),
 		readRank() {
 			if (clock.now() - holderHeardMs < holderActiveMs) {
@@ -246,6 +251,7 @@
 		}, stopping.signal)),
 		rollout.run(stopping.signal),
 		runShareExchange({views: targets, bus, clock}, stopping.signal),
+		runPartExchange({placed, bus, clock}, stopping.signal),
 		register({
 			store: store.status, key: `${kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
 		}, stopping.signal),
@@ -266,12 +272,12 @@
 
 /** Writes this instance's entry, again until the store has it. */
 async function register({store, key, value, clock}: Registration, signal: AbortSignal): Promise<void> {
-	while (!signal.aborted) {
+	for (let failures = 0; !signal.aborted; failures++) {
 		const put = await store.put(key, value);
 		if (put.ok) {
 			return;
 		}
 
-		await clock.sleep(put.error.retryAfterMs ?? registerRetryMs, signal);
+		await clock.sleep(put.error.retryAfterMs ?? Math.min(maxRegisterRetryMs, registerRetryMs * (2 ** failures)), signal);
 	}
 }
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -52,6 +52,10 @@
 		kind: z.literal('pressure'),
 		pools: z.array(z.object({pool: nameSchema, waiting: z.number()})).max(maxEntries),
 	}),
+	/** Parts of prompts that the sender lately sent to targets, which therefore hold them. */
+	z.object({
+		kind: z.literal('parts'), parts: z.array(z.object({key: nameSchema, incarnation: nameSchema})).max(maxEntries),
+	}),
 	/** An engine begins to load weights, or has loaded them; the sender gave the order. */
 	z.object({
 		kind: z.literal('weights'), incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -7,6 +7,12 @@
 	target: string;
 	/** Expected time until the answer begins, with the prices of the choice, in milliseconds. */
 	costMs: number;
+	/** Version of the weights that was assumed. */
+	weights: number | undefined;
+	/** Prompt tokens that the target was expected to read. */
+	unreadTokens: number;
+	/** Target from which parts could be fetched. */
+	source: string | undefined;
 	/** Time from the request's arrival to the attempt's start and to its end, in milliseconds. */
 	fromMs: number;
 	toMs: number;
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -150,6 +150,8 @@
 	parts: readonly PromptPart[];
 	/** The target that each part is read on where nothing else is known, by rendezvous hash. */
 	homes: readonly string[];
+	/** Home of the part with the most tokens: what is shared there saves most. */
+	affinity: string | undefined;
 }>;
 
 /** Prepares the rating of an engine for a prompt. */
@@ -180,7 +182,7 @@
 			+ (requests * neighbourMs)
 			+ (Math.max(0, requests + 1 - engine.slots) * slotWaitMs)
 			+ computeFetchMs(engine, fetchedTokens)
-			+ (kept === view.parts.length || view.homes.at(-1) === state.target.id ? 0 : awayMs)
+			+ (kept === view.parts.length || view.affinity === state.target.id ? 0 : awayMs)
 			+ computeWayMs(query.zone, state)
 			+ (isOld(query, weights) && query.named!.ageMs > freeWeightsMs ? oldWeightsMs : 0);
 		return {
@@ -198,7 +200,10 @@
 	const parts = prompt.parts.slice(0, -1);
 	const scope = makeScope(query, weights) ?? '';
 	const keys = parts.map(({key}) => `${scope}/${key}`);
-	return {keys, parts, homes: parts.map(({key}) => pickHomes(names, key)[0] ?? '')};
+	const homes = parts.map(({key}) => pickHomes(names, key)[0] ?? '');
+	return {
+		keys, parts, homes, affinity: homes[findLargest(parts)],
+	};
 }
 
 /** Leading parts that the target is believed to have cached. */
@@ -231,6 +236,15 @@
 	return undefined;
 }
 
+function findLargest(parts: readonly PromptPart[]): number {
+	let largest = 0;
+	for (const [index, {tokens}] of parts.entries()) {
+		largest = tokens > parts[largest]!.tokens ? index : largest;
+	}
+
+	return largest;
+}
+
 function sumTokens(parts: readonly PromptPart[], from: number, to: number): number {
 	let sum = 0;
 	for (let index = from; index < to; index++) {
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -17,5 +17,6 @@
 	chooseRelayTarget, type NamedWeights, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
 export {WeightsBoard} from './named-weights.ts';
-export {PlacedParts} from './placed-parts.ts';
+export {PlacedParts, type PlacedPart} from './placed-parts.ts';
+export {runPartExchange, type PartExchangeDeps} from './part-exchange.ts';
 export {Relay, type RelayDeps} from './relay.ts';
--- a/packages/relay/placed-parts.ts
+++ b/packages/relay/placed-parts.ts
@@ -12,17 +12,27 @@
 /** Targets remembered for a part. */
 const maxHolders = 4;
 
+/** A part and a target that holds it. */
+export type PlacedPart = Readonly<{key: string; incarnation: string}>;
+
 /** Parts by key, each with its holders. */
 export class PlacedParts {
 	readonly #parts = new Map<string, Map<string, number>>();
 
+	#news: PlacedPart[] = [];
+
 	/** Parts kept. */
 	get size(): number {
 		return this.#parts.size;
 	}
 
-	/** Records that a target reads a part now. */
-	note(key: string, incarnation: string, nowMs: number): void {
+	/**
+	 * Records that a target reads a part now.
+	 *
+	 * @returns whether it was not known to hold the part
+	 */
+	note(key: string, incarnation: string, nowMs: number): boolean {
+		const isNew = !this.has(key, incarnation, nowMs);
 		const holders = this.#parts.get(key) ?? new Map<string, number>();
 		this.#parts.delete(key);
 		this.#parts.set(key, holders);
@@ -37,6 +47,22 @@
 			const [oldest] = this.#parts.keys();
 			this.#parts.delete(oldest!);
 		}
+
+		return isNew;
+	}
+
+	/** Records that this instance sends a part to a target, and keeps it for the peers where that is news. */
+	place(key: string, incarnation: string, nowMs: number): void {
+		if (this.note(key, incarnation, nowMs)) {
+			this.#news.push({key, incarnation});
+		}
+	}
+
+	/** Takes what is news for the peers; what is more than `most` is dropped. */
+	takeNews(most: number): readonly PlacedPart[] {
+		const news = this.#news.slice(0, most);
+		this.#news = [];
+		return news;
 	}
 
 	/** Whether a target is believed to have a part cached. */
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -11,7 +11,7 @@
 import type {TargetAnswer, TargetDialect} from './dialect.ts';
 import type {Exchange} from './exchange.ts';
 import type {WeightsBoard} from './named-weights.ts';
-import {PlacedParts} from './placed-parts.ts';
+import type {PlacedParts} from './placed-parts.ts';
 import {RelayProgress} from './_progress.ts';
 import type {TargetSet} from './target-set.ts';
 import type {Clock} from '#clock';
@@ -32,6 +32,7 @@
 	dialect: TargetDialect;
 	budget: RetryBudget;
 	weights: WeightsBoard;
+	placed: PlacedParts;
 	/** Time after which no request may begin on older weights than were named, in milliseconds. */
 	weightsMs: number;
 	/** This instance's availability zone. */
@@ -70,7 +71,6 @@
 /** Relays requests. */
 export class Relay {
 	readonly #deps: RelayDeps;
-	readonly #placed = new PlacedParts();
 	#running = 0;
 
 	constructor(deps: RelayDeps) {
@@ -146,20 +146,20 @@
 		}
 	}
 
-	#noteAttempt({request, attempts}: RelayProgress, {state, costMs}: TargetChoice, fromMs: number, end: AttemptEnd | undefined): void {
+	#noteAttempt({request, attempts}: RelayProgress, {state, costMs, weights, unreadTokens, source}: TargetChoice, fromMs: number, end: AttemptEnd | undefined): void {
 		attempts.push({
-			target: state.target.id, costMs: Math.round(costMs), fromMs: Math.round(fromMs - request.arrivedMs), toMs: Math.round(this.#deps.clock.now() - request.arrivedMs),
+			target: state.target.id, costMs: Math.round(costMs), weights, unreadTokens, source: source?.target.id, fromMs: Math.round(fromMs - request.arrivedMs), toMs: Math.round(this.#deps.clock.now() - request.arrivedMs),
 			end: end?.cause ?? 'answered', ...(end ? {detail: end.detail} : {}),
 		});
 	}
 
 	#choose({request, pool, excluded}: RelayProgress): TargetChoice | NoTarget {
 		const {
-			targets, zone, clock, random, weights, weightsMs,
+			targets, zone, clock, random, weights, weightsMs, placed,
 		} = this.#deps;
 		return chooseRelayTarget({
 			targets: targets.listPool(pool.name), excluded, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
-			named: request.prompt && weights.read(request.prompt.model), weightsMs, placed: this.#placed, zone, nowMs: clock.now(), random,
+			named: request.prompt && weights.read(request.prompt.model), weightsMs, placed, zone, nowMs: clock.now(), random,
 		});
 	}
 
@@ -218,7 +218,7 @@
 
 	/** Counts a request as in progress on its target, and its prompt as unread until the answer begins. */
 	#beginWork({state, unreadTokens, partKeys}: TargetChoice): Work {
-		const {clock} = this.#deps;
+		const {clock, placed} = this.#deps;
 		const startedMs = clock.now();
 		const ahead = state.sumWork(startedMs).tokens;
 		let pending = unreadTokens;
@@ -230,7 +230,7 @@
 		};
 
 		for (const key of partKeys) {
-			this.#placed.note(key, state.target.incarnation, startedMs);
+			placed.place(key, state.target.incarnation, startedMs);
 		}
 
 		return {
@@ -310,7 +310,7 @@
 		}
 
 		for (const key of partKeys) {
-			this.#placed.forget(key, state.target.incarnation);
+			this.#deps.placed.forget(key, state.target.incarnation);
 		}
 
 		if (answer.isMisdirected && answer.weights !== undefined) {
--- a/packages/rollout/engine-control.ts
+++ b/packages/rollout/engine-control.ts
@@ -19,6 +19,8 @@
 export type WeightsOrder = Readonly<{
 	model: string;
 	version: number;
+	/** Whether running requests go on under the new version; otherwise they finish first. */
+	keepsRuns: boolean;
 	/** Name of the instance that gives the order. */
 	holder: string;
 	/** Larger tokens supersede smaller ones. */
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -3,7 +3,7 @@
  * lease; it orders a part of the engines at a time, the rest serve meanwhile.
  * Versions that were superseded before an engine came to them are skipped.
  */
-import type {EngineControl, OrderOutcome} from './engine-control.ts';
+import type {EngineControl, EngineReport, OrderOutcome} from './engine-control.ts';
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 import type {Lease} from '#lease';
@@ -29,6 +29,8 @@
 	control: EngineControl;
 	/** Engines that are listed and not leaving, with their weights as far as known. */
 	listEngines: () => readonly RelayTarget[];
+	/** Requests in progress on an engine, as far as known. */
+	countRequests: (target: RelayTarget) => number;
 	/** Newest version named for each model. */
 	listNamed: () => ReadonlyMap<string, number>;
 	/** Place of this instance among those that may act; 0 acts at once. */
@@ -62,8 +64,11 @@
 /** Pause before an engine is tried again that did not take its order, in milliseconds. */
 const retryMs = 300;
 
-/** Part of the engines that are ordered at the same time: loads slow each other down beyond a quarter to a third of them. */
-const waveShare = 0.25;
+/** Part of the engines that load at the same time: loads slow each other down beyond a quarter to a third of them. */
+const loadShare = 0.25;
+
+/** Longest time for which running requests are waited for before an engine loads, in milliseconds: most have ended, and what the others still make is little. */
+const drainMs = 500;
 
 /** Difference between wall and monotonic time that shows that the process was suspended, in milliseconds. */
 const suspendMs = 400;
@@ -77,6 +82,8 @@
 export class WeightsRollout {
 	readonly #deps: RolloutDeps;
 	readonly #active = new Map<string, Promise<void>>();
+	/** Engines that were ordered to load and have not finished. */
+	readonly #loading = new Set<string>();
 	readonly #retryAtMs = new Map<string, number>();
 	#refreshedMs = -Infinity;
 	#behindSinceMs: number | undefined;
@@ -166,74 +173,58 @@
 		this.#wallOffsetMs = offsetMs;
 	}
 
+	/** Starts with the engines that have least to finish; while one part of them loads, the next one already gets no new requests. */
 	#startOrders(behind: readonly Behind[], signal: AbortSignal): void {
-		const {clock} = this.#deps;
-		const most = Math.max(1, Math.round(this.#deps.listEngines().length * waveShare));
-		for (const one of behind) {
+		const {clock, listEngines, countRequests} = this.#deps;
+		const most = 2 * Math.max(1, Math.round(listEngines().length * loadShare));
+		const waiting = behind.filter(({target: {incarnation}}) => !this.#active.has(incarnation) && (this.#retryAtMs.get(incarnation) ?? 0) <= clock.now())
+			.map(one => ({one, requests: countRequests(one.target)}))
+			.toSorted((a, b) => a.requests - b.requests);
+		for (const {one} of waiting.slice(0, Math.max(0, most - this.#active.size))) {
 			const {incarnation} = one.target;
-			if (this.#active.size >= most) {
-				return;
-			}
-
-			if (!this.#active.has(incarnation) && (this.#retryAtMs.get(incarnation) ?? 0) <= clock.now()) {
-				this.#active.set(incarnation, this.#bring(one, signal).finally(() => {
-					this.#active.delete(incarnation);
-				}));
-			}
+			this.#active.set(incarnation, this.#bring(one, signal).finally(() => {
+				this.#active.delete(incarnation);
+				this.#loading.delete(incarnation);
+			}));
 		}
 	}
 
+	/** Whether one more engine may load now. */
+	#mayLoad(): boolean {
+		return this.#loading.size < Math.max(1, Math.round(this.#deps.listEngines().length * loadShare));
+	}
+
 	/** Brings one engine to its weights. */
 	async #bring({target, model, version}: Behind, signal: AbortSignal): Promise<void> {
-		const {clock, control, lease, tell, telemetry} = this.#deps;
+		const {clock, lease, tell, telemetry, control} = this.#deps;
 		const {incarnation} = target;
-		const endMs = clock.now() + orderLimitMs;
-		let isTold = false;
-		while (!signal.aborted && clock.now() < endMs) {
+		const startedMs = clock.now();
+		tell({
+			incarnation, model, version, isLoading: true,
+		});
+		while (!signal.aborted && clock.now() - startedMs < orderLimitMs) {
 			const report = await control.readReport(target);
-			const loaded = report?.weights.get(model) ?? 0;
-			if (loaded >= version) {
-				tell({
-					incarnation, model, version: loaded, isLoading: false,
-				});
-				return;
-			}
-
 			if (!report) {
 				break;
 			}
 
-			if (report.isBusy) {
-				await clock.sleep(pollMs, signal);
-				continue;
-			}
-
-			this.#checkSuspension();
-			if (lease.remainingMs <= this.#deps.leastTermMs) {
-				break;
-			}
-
-			if (!isTold) {
-				isTold = true;
+			const loaded = report.weights.get(model) ?? 0;
+			if (loaded >= version) {
+				telemetry.log('weights loaded', {
+					target: target.id, model, version: loaded, ms: Math.round(clock.now() - startedMs),
+				});
 				tell({
-					incarnation, model, version, isLoading: true,
+					incarnation, model, version: loaded, isLoading: false,
 				});
+				return;
 			}
 
-			const outcome = await control.sendOrder(target, {
-				model, version, holder: this.#deps.name, fencing: lease.fencing, ifAcceptedOrders: report.acceptedOrders,
-			});
-			telemetry.count('weights_orders_total', {outcome});
-			telemetry.log('weights ordered', {
-				target: target.id, model, version, fencing: lease.fencing, outcome,
-			});
-			const step = outcomeSteps[outcome];
-			if (step === 'drop') {
-				lease.drop();
-			}
-
-			if (step !== 'poll') {
-				break;
+			const isDrained = report.running + report.waiting === 0 || clock.now() - startedMs >= drainMs;
+			if (!report.isBusy && isDrained && this.#mayLoad()) {
+				this.#checkSuspension();
+				if (lease.remainingMs <= this.#deps.leastTermMs || !await this.#order({target, model, version}, report)) {
+					break;
+				}
 			}
 
 			await clock.sleep(pollMs, signal);
@@ -241,4 +232,24 @@
 
 		this.#retryAtMs.set(incarnation, clock.now() + retryMs);
 	}
+
+	/** @returns whether it is worth looking whether the engine loads */
+	async #order({target, model, version}: Behind, report: EngineReport): Promise<boolean> {
+		const {name, lease, control, telemetry} = this.#deps;
+		this.#loading.add(target.incarnation);
+		const {fencing} = lease;
+		const outcome = await control.sendOrder(target, {
+			model, version, holder: name, fencing, ifAcceptedOrders: report.acceptedOrders, keepsRuns: report.running > 0,
+		});
+		telemetry.count('weights_orders_total', {outcome});
+		telemetry.log('weights ordered', {
+			target: target.id, model, version, fencing, running: report.running, waiting: report.waiting, outcome,
+		});
+		const step = outcomeSteps[outcome];
+		if (step === 'drop') {
+			lease.drop();
+		}
+
+		return step === 'poll';
+	}
 }
