--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -39,6 +39,8 @@
 	isAmongFirst(duty: string, count: number): boolean;
 	/** Place of this instance among those that could do a duty; 0 is the first. */
 	readRank(duty: string): number;
+	/** Replaces the addresses to begin with. */
+	setSeeds(addresses: readonly string[]): void;
 	/** Tells the peers that this instance will stop. */
 	markLeaving(): void;
 	/** Tells the peers that this instance stops now, and ends all connections. */
@@ -61,6 +63,9 @@
 			listInstances: () => [{...self, status: readStatus()}],
 			isAmongFirst: () => true,
 			readRank: () => 0,
+			setSeeds() {
+				// There is nobody to reach.
+			},
 			markLeaving() {
 				// There is nobody to tell.
 			},
@@ -93,6 +98,9 @@
 		listInstances: () => membership.listInstances(),
 		isAmongFirst: (duty, count) => membership.isAmongFirst(duty, count),
 		readRank: duty => membership.readRank(duty),
+		setSeeds(addresses) {
+			membership.setSeeds(addresses);
+		},
 		markLeaving() {
 			membership.markLeaving();
 		},
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -77,6 +77,10 @@
 	lifecycle: Lifecycle;
 	peers: Peers;
 	targets: TargetSet;
+	/** Requests in progress. */
+	countRunning(): number;
+	/** Replaces the addresses of peers to begin with. */
+	setSeeds(addresses: readonly string[]): void;
 	stop(): Promise<void>;
 }>;
 
@@ -145,7 +149,8 @@
 			mirrorRelay.hear(peer, status);
 		},
 	});
-	const {bus} = peers;
+	const started = peers;
+	const {bus} = started;
 	mirrorRelay.join(bus);
 
 	// Weights.
@@ -259,6 +264,10 @@
 
 	return {
 		gateway, lifecycle, peers, targets,
+		countRunning: () => relay.running,
+		setSeeds(addresses) {
+			started.setSeeds(addresses);
+		},
 		async stop() {
 			stopping.abort();
 			await peers.stop();
