--- a/packages/mirror/kind-mirror.test.ts
+++ b/packages/mirror/kind-mirror.test.ts
@@ -10,7 +10,7 @@
 }
 
 function write(mirror: KindMirror): Readonly<Record<string, number>> {
-	return Object.fromEntries(mirror.list().map(({key, revision}) => [key, revision]).toSorted());
+	return Object.fromEntries(mirror.list().map(({key, revision}) => [key, revision] as const).toSorted(([a], [b]) => a < b ? -1 : 1));
 }
 
 t.test('an older list changes nothing', async t => {
@@ -84,7 +84,7 @@
 		}
 
 		const last = ahead.diff(behind.revision);
-		return last !== undefined && behind.apply(last, behind.revision) && t.same(write(behind), write(ahead));
+		return last !== undefined && behind.apply(last, behind.revision) && JSON.stringify(write(behind)) === JSON.stringify(write(ahead));
 	}), {seed: 7, numRuns: 300});
 });
 
