--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -4,7 +4,7 @@
 } from './settings.ts';
 export {createRouter, type Router, type RouterDeps} from './router.ts';
 export {
-	startRelayInstance, type RelayBounds, type RelayInstance, type RelayInstanceDeps, type StoredFormats,
+	startRelayInstance, type RelayBounds, type RelayInstance, type RelayInstanceDeps, type StoredFormats, type TargetCalls,
 } from './relay-instance.ts';
 export {startInstance, type Instance} from './instance.ts';
 export {
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -19,7 +19,8 @@
 } from '#object-store';
 import {runShareExchange} from '#placement';
 import {
-	PlacedParts, Relay, runPartExchange, TargetListing, TargetSet, WeightsBoard, type ConnectionOptions, type TargetDialect,
+	PlacedParts, Relay, runPartExchange, TargetListing, TargetSet, watchEngines, WeightsBoard, type ConnectionOptions,
+	type ProbeTarget, type ReadPartEvents, type TargetDialect,
 } from '#relay';
 import {WeightsRollout, type EngineControl, type WeightsNews} from '#rollout';
 import type {Telemetry} from '#telemetry';
@@ -54,6 +55,9 @@
 	checksFencing: boolean;
 }>;
 
+/** Calls to targets beside callers' requests. */
+export type TargetCalls = EngineControl & Readonly<{probe: ProbeTarget; readEvents: ReadPartEvents}>;
+
 /** What a relay instance is made of. */
 export type RelayInstanceDeps = Readonly<{
 	settings: Pick<Settings, 'name' | 'zone' | 'peers'>;
@@ -64,7 +68,7 @@
 	storeRates: StoreRates;
 	formats: StoredFormats;
 	dialect: TargetDialect;
-	createControl: (targets: TargetSet) => EngineControl;
+	createCalls: (targets: TargetSet) => TargetCalls;
 	connections: ConnectionOptions;
 	bounds: RelayBounds;
 	/** Called with each configuration that comes into force. */
@@ -125,12 +129,13 @@
 		platform: deps.store, clock, random, telemetry, countInstances: () => peers?.listInstances().length ?? 1,
 	}, {rates: deps.storeRates, expectedInstances});
 	const targets = new TargetSet(clock, deps.connections);
+	const calls = deps.createCalls(targets);
 	const listing = new TargetListing(clock);
 	const board = new WeightsBoard(clock);
 	const placed = new PlacedParts();
 	const relay = new Relay({
 		clock, random, telemetry, targets, dialect: deps.dialect, zone: settings.zone,
-		weights: board, placed, weightsMs: bounds.weightsMs,
+		weights: board, placed, probe: calls.probe, weightsMs: bounds.weightsMs,
 		budget: new RetryBudget({perAttempt: bounds.retryRatio, capacity: bounds.retrySlack * slackShare / expectedInstances}),
 	});
 	const gateway = new Gateway({
@@ -176,13 +181,13 @@
 		noteNews(news);
 	});
 	const rollout = new WeightsRollout({
-		name: settings.name, clock, telemetry, control: deps.createControl(targets), leastTermMs: bounds.checksFencing ? 0 : unfencedTermMs,
+		name: settings.name, clock, telemetry, control: calls, leastTermMs: bounds.checksFencing ? 0 : unfencedTermMs,
 		lease: new Lease(weightsDuty, {
 			platform: store.leases, clock, random, telemetry, holder: settings.name,
 		}, {termMs: bounds.leaseMs, guardMs: leaseGuardMs, kind: kinds.leases}),
 		listEngines: () => targets.list().filter(({target}) => !target.isLeaving && target.weights.size > 0)
 			.map(({target, weights}) => ({...target, weights})),
-		countRequests: ({id}) => targets.get(id)?.sumWork(clock.now()).requests ?? 0,
+		countRequests: ({id}) => targets.get(id)?.countRequests(clock.now()) ?? 0,
 		listNamed: () => board.listVersions(),
 		readRank() {
 			if (clock.now() - holderHeardMs < holderActiveMs) {
@@ -257,6 +262,9 @@
 		rollout.run(stopping.signal),
 		runShareExchange({views: targets, bus, clock}, stopping.signal),
 		runPartExchange({placed, bus, clock}, stopping.signal),
+		watchEngines({
+			clock, telemetry, targets, placed, bus, readEvents: calls.readEvents, isReader: ({id}) => started.readRank(`read ${id}`) === 0,
+		}, stopping.signal),
 		register({
 			store: store.status, key: `${kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
 		}, stopping.signal),
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -5,6 +5,7 @@
 const maxNameLength = 200;
 const maxEntries = 4096;
 const maxCrashes = 16;
+const maxUrgencies = 10;
 
 const nameSchema = z.string().max(maxNameLength);
 
@@ -28,7 +29,11 @@
 	/** What the sender has in progress on targets. */
 	z.object({
 		kind: z.literal('sent'),
-		targets: z.array(z.object({target: nameSchema, requests: z.number(), tokens: z.number()})).max(maxEntries),
+		targets: z.array(z.object({
+			target: nameSchema, requests: z.number(), tokens: z.number(),
+			/** Tokens by urgency, where engines read by urgency. */
+			byUrgency: z.array(z.number()).max(maxUrgencies).optional(),
+		})).max(maxEntries),
 	}),
 	strikeSchema,
 	/** A struck request begins, goes on with or ends its turn on a target. */
@@ -56,6 +61,10 @@
 	z.object({
 		kind: z.literal('parts'), parts: z.array(z.object({key: nameSchema, incarnation: nameSchema})).max(maxEntries),
 	}),
+	/** An engine does not answer the sender, which watches it. */
+	z.object({kind: z.literal('silent'), incarnation: nameSchema}),
+	/** Parts of prompts that an engine no longer holds. */
+	z.object({kind: z.literal('evicted'), incarnation: nameSchema, keys: z.array(nameSchema).max(maxEntries)}),
 	/** An engine begins to load weights, or has loaded them; the sender gave the order. */
 	z.object({
 		kind: z.literal('weights'), incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -18,7 +18,9 @@
 } from './eligible.ts';
 export {explainPlacement, type PlacementExplanation} from './explain.ts';
 export {KeyRates, type KeyRatesOptions} from './key-rates.ts';
-export {runShareExchange, type ShareExchangeDeps, type ShareExchangeOptions} from './share-exchange.ts';
+export {
+	runShareExchange, type SharedWork, type ShareExchangeDeps, type ShareExchangeOptions,
+} from './share-exchange.ts';
 export {pickHomes, type HomeOptions} from './rendezvous.ts';
 export {
 	classifyHead, type AnswerHead, type HeadVerdict, type HeadContext,
--- a/packages/placement/share-exchange.ts
+++ b/packages/placement/share-exchange.ts
@@ -46,7 +46,7 @@
 		}
 
 		if (!hasSameShares(shares, last) || (isDue && shares.length > 0)) {
-			bus.sample({kind: 'sent', targets: [...shares]});
+			bus.sample({kind: 'sent', targets: shares.map(({byUrgency, ...share}) => byUrgency ? {...share, byUrgency: [...byUrgency]} : share)});
 			last = shares;
 		}
 
--- a/packages/placement/views.ts
+++ b/packages/placement/views.ts
@@ -28,7 +28,13 @@
 }>;
 
 /** What this instance has in progress on a target. */
-export type TargetShare = Readonly<{target: string; requests: number; tokens: number}>;
+export type TargetShare = Readonly<{
+	target: string;
+	requests: number;
+	tokens: number;
+	/** Tokens by urgency, where engines read by urgency. */
+	byUrgency?: readonly number[];
+}>;
 
 /** Options of {@link TargetViews}. */
 export type TargetViewsOptions = Readonly<{
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -1,11 +1,13 @@
 /** What is known of one request over all its attempts. */
+import type {AttemptEnd} from './_attempt.ts';
+import type {TargetChoice} from './choose-target.ts';
 import type {RelayPool, RelayRequest, RunState} from '#core';
 import {classifyRun, mergeRunStates, type AttemptCause} from '#dispatch';
 
 /** An attempt as the log shows it. */
 export type AttemptNote = Readonly<{
 	target: string;
-	/** Expected time until the answer begins, with the prices of the choice, in milliseconds. */
+	/** Expected time until the answer begins with the prices of the choice, in milliseconds. */
 	costMs: number;
 	/** Version of the weights that was assumed. */
 	weights: number | undefined;
@@ -26,30 +28,40 @@
 	readonly pool: RelayPool;
 	/** Targets that are not tried again. */
 	readonly excluded = new Set<string>();
+	/** What became of each attempt, for the log. */
+	readonly attempts: AttemptNote[] = [];
 	/** Requests sent to targets, whatever became of them. */
 	sends = 0;
 	/** Targets that may have run it. */
 	runs = 0;
 	ran: RunState = 'not_run';
-	/** How the last attempt ended. */
-	cause: AttemptCause | 'none' = 'none';
-	retryAfterMs: number | undefined;
-	/** What became of each attempt, for the log. */
-	readonly attempts: AttemptNote[] = [];
+	/** How the last attempt ended, or why there was none. */
+	cause: AttemptCause | 'none' | 'overloaded' = 'none';
+	/** When a refused caller should come back, in milliseconds; absent where nothing is known. */
+	returnMs: number | undefined;
 
 	constructor(request: RelayRequest, pool: RelayPool) {
 		this.request = request;
 		this.pool = pool;
 	}
 
-	/** Takes in the end of an attempt. */
-	noteEnd(target: string, cause: AttemptCause, retryAfterMs: number | undefined): void {
-		const ran = classifyRun(cause, false);
-		this.excluded.add(target);
-		this.cause = cause;
+	/** Takes in how an attempt ended. */
+	noteAttempt(choice: TargetChoice, startMs: number, endMs: number, end: AttemptEnd | undefined): void {
+		const {target} = choice.state;
+		this.attempts.push({
+			target: target.id, costMs: Math.round(choice.costMs), weights: choice.weights, unreadTokens: choice.unreadTokens,
+			source: choice.source?.target.id, fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
+			end: end?.cause ?? 'answered', ...(end ? {detail: end.detail} : {}),
+		});
+		if (!end) {
+			return;
+		}
+
+		const ran = classifyRun(end.cause, false);
+		this.excluded.add(target.id);
+		this.cause = end.cause;
 		this.ran = mergeRunStates(this.ran, ran);
 		this.runs += ran === 'not_run' ? 0 : 1;
-		this.sends -= cause === 'not_sent' ? 1 : 0;
-		this.retryAfterMs = retryAfterMs ?? this.retryAfterMs;
+		this.sends += end.cause === 'not_sent' ? 0 : 1;
 	}
 }
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -27,6 +27,8 @@
 	prompt: Prompt | undefined;
 	/** Scope within which cached parts of the prompt may be shared. */
 	cacheScope: string | undefined;
+	/** Urgency that the engine is told; 0 is the most urgent. */
+	urgency: number;
 	/** Absent where none were named for the prompt's model. */
 	named: NamedWeights | undefined;
 	/** Time after which no request may begin on older weights, in milliseconds. */
@@ -41,7 +43,9 @@
 /** A chosen target and what the choice assumes. */
 export type TargetChoice = Readonly<{
 	state: TargetState;
-	/** Expected time until the answer begins, in milliseconds, with the prices of the choice. */
+	/** Expected time until the answer begins, in milliseconds. */
+	waitMs: number;
+	/** The same with the prices of the choice. */
 	costMs: number;
 	/** Prompt tokens that the target is expected to read. */
 	unreadTokens: number;
@@ -130,12 +134,13 @@
 
 /** A target that is no engine: its queue, its own pace and the way. */
 function ratePlain({zone, nowMs, random}: TargetQuery, state: TargetState): TargetChoice {
-	const {requests} = state.sumWork(nowMs);
+	const requests = state.countRequests(nowMs);
 	const {slots} = state.target;
 	const queueMs = Math.max(0, requests + 1 - slots) * state.serviceMs / Math.max(1, slots);
 	const fullness = Math.min(1, requests / Math.max(1, slots));
+	const waitMs = queueMs + state.serviceMs;
 	return {
-		state, costMs: queueMs + (state.serviceMs * (1 + fullness) / 2) + computeWayMs(zone, state) + (random.next() * jitterMs),
+		state, waitMs, costMs: waitMs + (state.serviceMs * fullness / 2) + computeWayMs(zone, state) + (random.next() * jitterMs),
 		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, partKeys: [],
 	};
 }
@@ -177,16 +182,17 @@
 		const keptTokens = sumTokens(view.parts, 0, kept);
 		const fetchedTokens = source ? sumTokens(view.parts, kept, source.depth) : 0;
 		const unreadTokens = Math.max(0, prompt.inputTokens - keptTokens - fetchedTokens);
-		const {requests, tokens} = state.sumWork(query.nowMs);
-		const costMs = ((tokens + unreadTokens) * state.msPerToken)
-			+ (requests * neighbourMs)
+		const {requests, tokens} = state.sumWork(query.nowMs, query.urgency);
+		const waitMs = ((tokens + unreadTokens) * state.msPerToken)
 			+ (Math.max(0, requests + 1 - engine.slots) * slotWaitMs)
-			+ computeFetchMs(engine, fetchedTokens)
+			+ computeFetchMs(engine, fetchedTokens);
+		const costMs = waitMs
+			+ (requests * neighbourMs)
 			+ (kept === view.parts.length || view.affinity === state.target.id ? 0 : awayMs)
 			+ computeWayMs(query.zone, state)
 			+ (isOld(query, weights) && query.named!.ageMs > freeWeightsMs ? oldWeightsMs : 0);
 		return {
-			state, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
+			state, waitMs, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
 		};
 	};
 }
--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -72,10 +72,12 @@
 	/**
 	 * Sends a request.
 	 *
+	 * @param heard called when something of the answer has arrived; gives the time, in milliseconds
 	 * @param ended called when the exchange is over
 	 */
-	start(request: ExchangeRequest, ended: (isReusable: boolean) => void): Exchange {
+	start(request: ExchangeRequest, heard: () => number, ended: (isReusable: boolean) => void): Exchange {
 		const exchange = new Exchange({
+			heard,
 			hasBeenReset: () => this.#wasReset,
 			ended: isReusable => {
 				this.#idleSinceMs = this.#clock.now();
--- a/packages/relay/connections.ts
+++ b/packages/relay/connections.ts
@@ -21,12 +21,17 @@
 	readonly #address: string;
 	readonly #clock: Clock;
 	readonly #options: ConnectionOptions;
+	readonly #heard: () => number;
 	/** Idle connections, the one used last at the end. */
 	readonly #idle: TargetConnection[] = [];
 	readonly #open = new Set<TargetConnection>();
 
-	/** @param address `host:port` */
-	constructor(address: string, clock: Clock, options: ConnectionOptions) {
+	/**
+	 * @param address `host:port`
+	 * @param heard called when something of an answer has arrived; gives the time, in milliseconds
+	 */
+	constructor(address: string, clock: Clock, heard: () => number, options: ConnectionOptions) {
+		this.#heard = heard;
 		this.#address = address;
 		this.#clock = clock;
 		this.#options = options;
@@ -41,7 +46,7 @@
 	start(request: ExchangeRequest, choice: ConnectionChoice): StartedExchange {
 		const kept = this.#takeIdle(choice);
 		const connection = kept ?? this.#create();
-		const exchange = connection.start(request, isReusable => {
+		const exchange = connection.start(request, this.#heard, isReusable => {
 			if (isReusable) {
 				this.#idle.push(connection);
 			}
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -39,6 +39,8 @@
 
 /** What an exchange asks of its connection. */
 export type ExchangeOwner = Readonly<{
+	/** Called when something of the answer has arrived; gives the time, in milliseconds. */
+	heard: () => number;
 	/** Whether the connection was reset, which undici does not tell for answers that end with it. */
 	hasBeenReset: () => boolean;
 	/**
@@ -57,6 +59,8 @@
 
 /** An exchange in progress; the handler of undici's dispatch. */
 export class Exchange implements Dispatcher.DispatchHandler {
+	/** Time at which something of the answer last arrived, in milliseconds; the past before that. */
+	heardMs = Number.NEGATIVE_INFINITY;
 	readonly #owner: ExchangeOwner;
 	readonly #chunks: Uint8Array[] = [];
 	#waitingBytes = 0;
@@ -128,11 +132,13 @@
 			return;
 		}
 
+		this.heardMs = this.#owner.heard();
 		this.#head = {status, headers: decodeLines(controller.rawHeaders)};
 		this.#notify();
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
+		this.heardMs = this.#owner.heard();
 		this.#chunks.push(bytes);
 		this.#waitingBytes += bytes.length;
 		if (this.#waitingBytes > maxWaitingBytes) {
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -7,8 +7,12 @@
 } from './exchange.ts';
 export type {ConnectionOptions} from './connection.ts';
 export {TargetConnections} from './connections.ts';
+export {
+	watchEngines, type EngineWatchDeps, type PartEvent, type PartEvents, type ReadPartEvents,
+} from './engine-watch.ts';
+export type {ProbeTarget} from './_silence.ts';
 export {TargetListing} from './target-listing.ts';
-export {TargetSet, type TargetShare} from './target-set.ts';
+export {TargetSet} from './target-set.ts';
 export {TargetState, type TargetLoad, type TargetWork} from './target-state.ts';
 export type {AttemptFacts, TargetAnswer, TargetDialect} from './dialect.ts';
 export type {RelayCaller} from './caller.ts';
--- a/packages/relay/placed-parts.ts
+++ b/packages/relay/placed-parts.ts
@@ -76,6 +76,13 @@
 		return [...this.#parts.get(key) ?? []].filter(([, atMs]) => nowMs - atMs <= keptMs).map(([incarnation]) => incarnation).toReversed();
 	}
 
+	/** Renews that a target holds a part, where the part is one that this instance knows. */
+	confirm(key: string, incarnation: string, nowMs: number): void {
+		if (this.#parts.has(key)) {
+			this.note(key, incarnation, nowMs);
+		}
+	}
+
 	/** Forgets what a target holds, as after it crashed or refused. */
 	forget(key: string, incarnation: string): void {
 		this.#parts.get(key)?.delete(incarnation);
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -1,12 +1,10 @@
 /** The targets that are listed now, by pool, with what is known of each. */
 import type {ConnectionOptions} from './connection.ts';
 import {TargetConnections} from './connections.ts';
-import {TargetState, type TargetWork} from './target-state.ts';
+import {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
-
-/** What an instance has in progress on one target. */
-export type TargetShare = TargetWork & Readonly<{target: string}>;
+import type {TargetShare} from '#placement';
 
 /** Targets by identity; a further start of the same target is a new one. */
 export class TargetSet {
@@ -51,7 +49,7 @@
 				known.update(target);
 			} else {
 				known?.connections.closeIdle();
-				this.#states.set(target.id, new TargetState(target, new TargetConnections(target.address, this.#clock, this.#options)));
+				this.#states.set(target.id, this.#create(target));
 			}
 		}
 
@@ -69,7 +67,9 @@
 	listShares(): readonly TargetShare[] {
 		return [...this.#states.values()]
 			.filter(({inFlight}) => inFlight > 0)
-			.map(({target, inFlight, pendingTokens}) => ({target: target.id, requests: inFlight, tokens: pendingTokens}));
+			.map(({target, inFlight, pending}) => ({
+				target: target.id, requests: inFlight, tokens: pending.total, byUrgency: pending.list(),
+			}));
 	}
 
 	/** Takes in what a peer has in progress; it replaces what that peer said before. */
@@ -79,8 +79,8 @@
 		}
 
 		this.#sharesOfPeers.set(peer, shares.map(({target}) => target));
-		for (const {target, ...work} of shares) {
-			this.#states.get(target)?.setPeerWork(peer, work, nowMs);
+		for (const {target, requests, tokens, byUrgency = [tokens]} of shares) {
+			this.#states.get(target)?.setPeerWork(peer, {requests, byUrgency}, nowMs);
 		}
 	}
 
@@ -100,6 +100,14 @@
 			connections.close();
 		}
 	}
+
+	#create(target: RelayTarget): TargetState {
+		const state: TargetState = new TargetState(target, new TargetConnections(target.address, this.#clock, () => {
+			state.heardMs = this.#clock.now();
+			return state.heardMs;
+		}, this.#options));
+		return state;
+	}
 }
 
 function groupByPool(states: Iterable<TargetState>): ReadonlyMap<string, readonly TargetState[]> {
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -3,6 +3,7 @@
  * was sent to it by this instance and its peers, and how fast it has been.
  */
 import type {TargetConnections} from './connections.ts';
+import {sumAhead, TokenQueue} from './token-queue.ts';
 import type {RelayTarget} from '#core';
 
 /** Load as a target stated it in an answer. */
@@ -15,8 +16,8 @@
 /** What an instance has in progress on a target. */
 export type TargetWork = Readonly<{
 	requests: number;
-	/** Prompt tokens that are still to be read, of requests that have not begun to answer. */
-	tokens: number;
+	/** Prompt tokens that are still to be read, of requests that have not begun to answer, by urgency. */
+	byUrgency: readonly number[];
 }>;
 
 type PeerWork = TargetWork & Readonly<{atMs: number}>;
@@ -47,7 +48,7 @@
 	/** Requests of this instance in progress there. */
 	inFlight = 0;
 	/** Prompt tokens that are still to be read, of this instance's requests there that have not begun to answer. */
-	pendingTokens = 0;
+	readonly pending = new TokenQueue();
 	/** Last word of the target on its load. */
 	load: TargetLoad | undefined;
 	/** Time of that word, in milliseconds. */
@@ -56,12 +57,15 @@
 	readonly weights = new Map<string, number>();
 	/** Time until which the target is taken to load weights and to refuse requests, in milliseconds. */
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
-	/** Time until which the target is passed over where others can serve, in milliseconds. */
-	suspectUntilMs = Number.NEGATIVE_INFINITY;
+	/** Time of the last answer or part of one from the target, in milliseconds. */
+	heardMs = Number.NEGATIVE_INFINITY;
+	/** Called when the target falls silent, for the requests that wait for it. */
+	readonly silenceHandlers = new Set<() => void>();
 	/** Time in which the target reads a token of a prompt, in milliseconds. */
 	msPerToken = firstMsPerToken;
 	/** Time from sending a request to its whole answer, of a target that is no engine, in milliseconds. */
 	serviceMs = firstServiceMs;
+	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
 
 	constructor(target: RelayTarget, connections: TargetConnections) {
@@ -70,6 +74,25 @@
 		this.update(target);
 	}
 
+	/** Time until which the target is passed over where others can serve, in milliseconds. */
+	get suspectUntilMs(): number {
+		return this.#suspectUntilMs;
+	}
+
+	/** Passes the target over for a time; idle connections may have gone silent with it. */
+	suspect(untilMs: number): void {
+		this.#suspectUntilMs = Math.max(this.#suspectUntilMs, untilMs);
+		this.connections.closeIdle();
+		for (const handler of this.silenceHandlers) {
+			handler();
+		}
+	}
+
+	/** Ends {@link TargetState.suspect}, as the target has answered. */
+	trust(): void {
+		this.#suspectUntilMs = Number.NEGATIVE_INFINITY;
+	}
+
 	/** Takes in the target's entry as it is listed now. */
 	update(target: RelayTarget): void {
 		this.target = target;
@@ -112,14 +135,23 @@
 		this.#peers.delete(peer);
 	}
 
-	/** What this instance and, as far as they said so lately, its peers have in progress there. */
-	sumWork(nowMs: number): TargetWork {
+	/** Requests that this instance and, as far as they said so lately, its peers have in progress there. */
+	countRequests(nowMs: number): number {
+		return this.sumWork(nowMs, 0).requests;
+	}
+
+	/**
+	 * What this instance and, as far as they said so lately, its peers have in progress there.
+	 *
+	 * @param urgency of a further request; only what is read before it counts among the tokens
+	 */
+	sumWork(nowMs: number, urgency: number): Readonly<{requests: number; tokens: number}> {
 		let requests = this.inFlight;
-		let tokens = this.pendingTokens;
+		let tokens = this.pending.sumAhead(urgency);
 		for (const work of this.#peers.values()) {
 			if (nowMs - work.atMs <= peerWorkMs) {
 				requests += work.requests;
-				tokens += work.tokens;
+				tokens += sumAhead(work.byUrgency, urgency);
 			}
 		}
 
