--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -36,6 +36,7 @@
 	target_failed: {status: 502, ran: 'ran', message: 'The target failed while running the request.'},
 	target_lost: {status: 502, ran: 'unknown', message: 'The connection to the target was lost; the request may have run.'},
 	quarantined: {status: 422, ran: 'unknown', message: 'Targets crashed while running this request; it is not sent to another.'},
+	crashes_targets: {status: 503, ran: 'not_run', message: 'Targets crashed while running this request; it is not sent to another for the time being.'},
 	stale_weights: {status: 503, ran: 'unknown', message: 'No target serves the configured weights version.'},
 	answer_too_long: {status: 502, ran: 'ran', message: 'The target\'s answer is longer than this instance accepts.'},
 	not_configured: {status: 503, ran: 'not_run', message: 'This instance has no configuration yet.'},
--- a/packages/mirror/relay-mirrors.ts
+++ b/packages/mirror/relay-mirrors.ts
@@ -6,14 +6,13 @@
  */
 import type {KindMirror} from './kind-mirror.ts';
 import type {Clock} from '#clock';
-import {
-	createQuietBus, type Peer, type PeerBus, type PeerStatus,
-} from '#peer-protocol';
+import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import type {Telemetry} from '#telemetry';
 
 /** What the relay of mirrors works with. */
 export type MirrorRelayDeps = Readonly<{
 	mirrors: readonly KindMirror[];
+	bus: PeerBus;
 	clock: Clock;
 	telemetry: Telemetry;
 }>;
@@ -26,17 +25,11 @@
 	readonly #deps: MirrorRelayDeps;
 	readonly #byKind: ReadonlyMap<string, KindMirror>;
 	readonly #asking = new Set<string>();
-	#bus: PeerBus = createQuietBus();
 
 	constructor(deps: MirrorRelayDeps) {
 		this.#deps = deps;
 		this.#byKind = new Map(deps.mirrors.map(mirror => [mirror.kind, mirror]));
-	}
-
-	/** Begins to answer the peers, and to ask them. */
-	join(bus: PeerBus): void {
-		this.#bus = bus;
-		bus.answer('changes', ({objects, since}) => {
+		deps.bus.answer('changes', ({objects, since}) => {
 			const mirror = this.#byKind.get(objects);
 			return mirror && mirror.revision > 0 ? makeAnswer(mirror, since) : undefined;
 		});
@@ -61,10 +54,10 @@
 	}
 
 	async #catchUp(mirror: KindMirror, peer: Peer, revision: number): Promise<void> {
-		const {telemetry} = this.#deps;
+		const {bus, telemetry} = this.#deps;
 		const since = mirror.revision;
 		if (since < revision) {
-			const answer = await this.#bus.request(peer, {kind: 'changes', objects: mirror.kind, since});
+			const answer = await bus.request(peer, {kind: 'changes', objects: mirror.kind, since});
 			telemetry.count('mirror_fetches_total', {kind: mirror.kind, result: answer.ok ? 'fetched' : answer.error});
 			if (answer.ok) {
 				const {isWhole, changed, deleted, revision: reached} = answer.value;
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -5,6 +5,8 @@
  */
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
+import {StoreCopies} from './_store-copies.ts';
+import {createWeightsDuty} from './_weights-duty.ts';
 import type {Settings} from './settings.ts';
 import type {Clock} from '#clock';
 import type {
@@ -12,17 +14,16 @@
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {Gateway} from '#gateway';
-import {Lease} from '#lease';
-import {followKind, KindMirror, MirrorRelay} from '#mirror';
 import {
 	createObjectStoreClient, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
 import {runShareExchange} from '#placement';
+import {Quarantine} from '#quarantine';
 import {
-	PlacedParts, Relay, runPartExchange, TargetListing, TargetSet, watchEngines, WeightsBoard, type ConnectionOptions,
+	PlacedParts, Relay, runPartExchange, TargetSet, watchEngines, WeightsBoard, type ConnectionOptions,
 	type ProbeTarget, type ReadPartEvents, type TargetDialect,
 } from '#relay';
-import {WeightsRollout, type EngineControl, type WeightsNews} from '#rollout';
+import type {EngineControl} from '#rollout';
 import type {Telemetry} from '#telemetry';
 
 /** Reads the objects of a platform. */
@@ -97,45 +98,49 @@
 /** Part of the shared slack of repeats that is used: instances that restart begin with a full share again. */
 const slackShare = 0.7;
 
-/** Time for which an engine that begins to load weights is passed over without further news, in milliseconds. */
-const loadingMs = 3000;
+/** Crashes of targets under one request after which it is sent to no other. */
+const crashLimit = 3;
 
-/** Time that a holder's term must have left for an order to engines that check no fencing token, in milliseconds. */
-const unfencedTermMs = 800;
-
-/** Time beyond a lease's term that a successor waits, in milliseconds. */
-const leaseGuardMs = 500;
-
-/** Time after a holder's last news for which the other instances leave the roll-out to it, in milliseconds: an order takes that long. */
-const holderActiveMs = 1500;
+/** Time for which crashes are held against a request, in milliseconds. */
+const strikeHoldMs = 60_000;
 
 /** Pause before the entry of this instance is written again, in milliseconds; doubled with each failure. */
 const registerRetryMs = 500;
 const maxRegisterRetryMs = 10_000;
 
-const weightsDuty = 'weights';
+/** Parts that the peers' side asks for its heartbeats; they exist once the peers have started. */
+type Started = {relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; copies?: StoreCopies; peers?: Peers};
 
 /** Wires an instance and starts its background tasks. */
 export async function startRelayInstance(deps: RelayInstanceDeps): Promise<RelayInstance> {
 	const {
 		settings, clock, random, telemetry, formats, bounds,
 	} = deps;
-	const {kinds} = formats;
-	const mirrors = {
-		configuration: new KindMirror(kinds.configuration), targets: new KindMirror(kinds.targets), weights: new KindMirror(kinds.weights),
-	};
-	let peers: Peers | undefined; // eslint-disable-line prefer-const -- the store's client asks for them before they have started
+	const started: Started = {};
 	const store = createObjectStoreClient({
-		platform: deps.store, clock, random, telemetry, countInstances: () => peers?.listInstances().length ?? 1,
+		platform: deps.store, clock, random, telemetry, countInstances: () => started.peers?.listInstances().length ?? 1,
 	}, {rates: deps.storeRates, expectedInstances});
+	const peers = await startPeers({
+		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
+		readStatus: () => ({
+			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
+			running: started.relay?.running ?? 0, revisions: started.copies?.readRevisions() ?? {},
+		}),
+		heard(peer, status) {
+			started.copies?.hear(peer, status);
+		},
+	});
+	const {bus} = peers;
 	const targets = new TargetSet(clock, deps.connections);
 	const calls = deps.createCalls(targets);
-	const listing = new TargetListing(clock);
 	const board = new WeightsBoard(clock);
 	const placed = new PlacedParts();
+	const quarantine = new Quarantine({
+		clock, random, telemetry, bus,
+	}, {limit: crashLimit, holdMs: strikeHoldMs});
 	const relay = new Relay({
-		clock, random, telemetry, targets, dialect: deps.dialect, zone: settings.zone,
-		weights: board, placed, probe: calls.probe, weightsMs: bounds.weightsMs,
+		clock, random, telemetry, targets, placed, quarantine, dialect: deps.dialect, zone: settings.zone,
+		weights: board, probe: calls.probe, weightsMs: bounds.weightsMs,
 		budget: new RetryBudget({perAttempt: bounds.retryRatio, capacity: bounds.retrySlack * slackShare / expectedInstances}),
 	});
 	const gateway = new Gateway({
@@ -144,140 +149,44 @@
 	const lifecycle = new Lifecycle({
 		clock, telemetry, countRunning: () => relay.running, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs,
 	});
-	const mirrorRelay = new MirrorRelay({mirrors: Object.values(mirrors), clock, telemetry});
-	peers = await startPeers({
-		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
-		readStatus: () => ({
-			generation: gateway.configuration?.version ?? 0, ready: lifecycle.isReady, running: relay.running, revisions: mirrorRelay.readRevisions(),
-		}),
-		heard(peer, status) {
-			mirrorRelay.hear(peer, status);
-		},
-	});
-	const started = peers;
-	const {bus} = started;
-	mirrorRelay.join(bus);
-
-	// Weights.
-
-	let lastHolder: string | undefined;
-	let holderHeardMs = -Infinity;
-	const noteNews = ({incarnation, model, version, isLoading}: WeightsNews) => {
-		const state = targets.findIncarnation(incarnation);
-		if (!state) {
-			return;
-		}
-
-		if (isLoading) {
-			state.loadingUntilMs = clock.now() + loadingMs;
-		} else {
-			state.noteWeights(model, version);
-		}
-	};
-
-	bus.subscribe('weights', (news, from) => {
-		lastHolder = from.name;
-		holderHeardMs = clock.now();
-		noteNews(news);
-	});
-	const rollout = new WeightsRollout({
-		name: settings.name, clock, telemetry, control: calls, leastTermMs: bounds.checksFencing ? 0 : unfencedTermMs,
-		lease: new Lease(weightsDuty, {
-			platform: store.leases, clock, random, telemetry, holder: settings.name,
-		}, {termMs: bounds.leaseMs, guardMs: leaseGuardMs, kind: kinds.leases}),
-		listEngines: () => targets.list().filter(({target}) => !target.isLeaving && target.weights.size > 0)
-			.map(({target, weights}) => ({...target, weights})),
-		countRequests: ({id}) => targets.get(id)?.countRequests(clock.now()) ?? 0,
-		listNamed: () => board.listVersions(),
-		readRank() {
-			if (clock.now() - holderHeardMs < holderActiveMs) {
-				return Infinity;
-			}
-
-			const isHolderLive = bus.listPeers().some(({name}) => name === lastHolder);
-			return isHolderLive ? 1 + peers.readRank(weightsDuty) : peers.readRank(weightsDuty);
-		},
-		tell(news) {
-			lastHolder = undefined;
-			holderHeardMs = -Infinity;
-			noteNews(news);
-			bus.sample({kind: 'weights', ...news});
-		},
+	const rollout = createWeightsDuty({
+		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, board, control: calls, bus,
+		readRank: duty => peers.readRank(duty), leaseMs: bounds.leaseMs, checksFencing: bounds.checksFencing,
 	});
-
-	// Copies of the store.
-
-	const checkReady = () => {
-		if (gateway.configuration && mirrors.targets.revision > 0) {
+	const copies = new StoreCopies({
+		formats, clock, telemetry, bus, gateway, targets, board, rollout,
+		configured: deps.configured,
+		complete() {
 			lifecycle.markReady();
-		}
-	};
-
-	const updateTargets = () => {
-		targets.update(listing.list());
-		rollout.wake();
-		const holdMs = listing.readHoldMs();
-		if (holdMs !== undefined) {
-			clock.after(holdMs + 1, updateTargets);
-		}
-	};
-
-	mirrors.configuration.events.on('changed', () => {
-		for (const stored of mirrors.configuration.list()) {
-			const decoded = formats.decodeConfiguration(stored);
-			if (!decoded.ok) {
-				telemetry.count('configuration_rejected_total');
-				telemetry.log('configuration not understood', {name: stored.key, fault: decoded.error});
-			} else if (gateway.install(decoded.value)) {
-				deps.configured(decoded.value);
-			}
-		}
-
-		checkReady();
+		},
 	});
-	mirrors.targets.events.on('changed', () => {
-		listing.update(mirrors.targets.list().map(stored => formats.decodeTarget(stored)).filter(target => target !== undefined));
-		updateTargets();
-		checkReady();
+	Object.assign(started, {
+		relay, gateway, lifecycle, copies, peers,
 	});
-	mirrors.weights.events.on('changed', () => {
-		for (const stored of mirrors.weights.list()) {
-			const weights = formats.decodeWeights(stored);
-			if (weights && board.note(weights.model, weights.version)) {
-				telemetry.log('weights named', weights);
-			}
-		}
-
-		rollout.wake();
-	});
-
 	const stopping = new AbortController();
+	const {signal} = stopping;
 	const tasks = [
-		...Object.values(mirrors).map(async mirror => followKind({
-			mirror, store: store.configuration, clock, random, telemetry,
-			heard(isAnswered) {
-				listing.noteStore(isAnswered);
-			},
-		}, stopping.signal)),
-		rollout.run(stopping.signal),
-		runShareExchange({views: targets, bus, clock}, stopping.signal),
-		runPartExchange({placed, bus, clock}, stopping.signal),
+		copies.run(store.configuration, random, signal),
+		rollout.run(signal),
+		runShareExchange({views: targets, bus, clock}, signal),
+		runPartExchange({placed, bus, clock}, signal),
 		watchEngines({
-			clock, telemetry, targets, placed, bus, readEvents: calls.readEvents, isReader: ({id}) => started.readRank(`read ${id}`) === 0,
-		}, stopping.signal),
+			clock, telemetry, targets, placed, bus, readEvents: calls.readEvents, isReader: ({id}) => peers.readRank(`read ${id}`) === 0,
+		}, signal),
 		register({
-			store: store.status, key: `${kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
-		}, stopping.signal),
+			store: store.status, key: `${formats.kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
+		}, signal),
 	];
 
 	return {
 		gateway, lifecycle, peers, targets,
 		countRunning: () => relay.running,
 		setSeeds(addresses) {
-			started.setSeeds(addresses);
+			peers.setSeeds(addresses);
 		},
 		async stop() {
 			stopping.abort();
+			quarantine.close();
 			await peers.stop();
 			await Promise.all(tasks);
 			targets.close();
--- a/packages/quarantine/fingerprint.ts
+++ b/packages/quarantine/fingerprint.ts
@@ -1,6 +1,8 @@
 /** Fingerprints that recognise a request when its caller sends it again. */
 import {Buffer} from 'node:buffer';
-import {hash64, type RoutedRequest, type Work} from '#core';
+import {
+	hash64, type RelayRequest, type RoutedRequest, type Work,
+} from '#core';
 
 /**
  * Hashes customer, route and body.
@@ -11,6 +13,11 @@
 	return hash64(`${customer.name}\n${route.name}\n${writeBody(work)}`);
 }
 
+/** Hashes customer, method, path and body of a relayed request. */
+export function makeRelayFingerprint({customer, method, path, body}: RelayRequest): string {
+	return hash64(`${customer?.name ?? ''}\n${method} ${path}\n${body ? Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('latin1') : ''}`);
+}
+
 function writeBody(work: Work): string {
 	return work.kind === 'chat'
 		? JSON.stringify([work.messages, work.maxTokens, work.extra])
--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -1,5 +1,5 @@
 /** Isolation of requests that crash the targets which run them. */
-export {makeFingerprint} from './fingerprint.ts';
+export {makeFingerprint, makeRelayFingerprint} from './fingerprint.ts';
 export {Quarantine, type QuarantineDeps, type QuarantineOptions} from './quarantine.ts';
 export {
 	StruckTurns, type Turn, type TurnDeps, type TurnOptions, type TurnRequest,
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -11,7 +11,7 @@
 import type {PlacedParts} from './placed-parts.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
 import type {Clock} from '#clock';
-import type {RelayRequest} from '#core';
+import type {RelayPool, RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
 
 /** What attempts work with. */
@@ -25,6 +25,7 @@
 /** One attempt. */
 export type Attempt = Readonly<{
 	request: RelayRequest;
+	pool: RelayPool;
 	choice: TargetChoice;
 	/** Urgency that the engine is told; 0 is the most urgent. */
 	urgency: number;
@@ -64,7 +65,9 @@
 		clock.after(request.deadlineMs - clock.now(), () => {
 			exchange.abort('deadline');
 		}),
-		watchSilence({clock, probe: deps.probe}, {request, choice, exchange}),
+		watchSilence({clock, probe: deps.probe}, {
+			request, pool: attempt.pool, choice, exchange,
+		}),
 	];
 	try {
 		return await receive(deps, attempt, exchange, work.begun);
--- a/packages/relay/_silence.ts
+++ b/packages/relay/_silence.ts
@@ -6,16 +6,16 @@
 import type {TargetChoice} from './choose-target.ts';
 import type {Exchange} from './exchange.ts';
 import type {Cancel, Clock} from '#clock';
-import type {RelayRequest, RelayTarget} from '#core';
+import type {RelayPool, RelayRequest, RelayTarget} from '#core';
 
-/** Asks a target for a sign of life, within a bounded time; one that has no cheap way to give it gives none. */
-export type ProbeTarget = (target: RelayTarget) => Promise<boolean>;
+/** Asks a target for a sign of life, within a bounded time. */
+export type ProbeTarget = (target: RelayTarget, pool: RelayPool) => Promise<boolean>;
 
 /** What watching works with. */
 export type SilenceDeps = Readonly<{clock: Clock; probe: ProbeTarget}>;
 
 /** What is watched. */
-export type WatchedExchange = Readonly<{request: RelayRequest; choice: TargetChoice; exchange: Exchange}>;
+export type WatchedExchange = Readonly<{request: RelayRequest; pool: RelayPool; choice: TargetChoice; exchange: Exchange}>;
 
 /** Silence after which a target is asked for a sign of life, in expected times to the answer's beginning. */
 const doubtFactor = 2;
@@ -36,7 +36,7 @@
 const never: Cancel = () => undefined;
 
 /** Watches until the returned function is called. */
-export function watchSilence({clock, probe}: SilenceDeps, {request, choice, exchange}: WatchedExchange): Cancel {
+export function watchSilence({clock, probe}: SilenceDeps, {request, pool, choice, exchange}: WatchedExchange): Cancel {
 	const {state, waitMs} = choice;
 	if (request.route.repetition === 'once') {
 		return never;
@@ -48,7 +48,7 @@
 	const readSilenceMs = () => clock.now() - Math.max(startedMs, exchange.heardMs);
 	const doubt = async () => {
 		isAsking = true;
-		const isAlive = await probe(state.target);
+		const isAlive = pool.engine !== undefined && await probe(state.target, pool);
 		isAsking = false;
 		if (isAlive) {
 			state.heardMs = clock.now();
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -17,6 +17,7 @@
 import {
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
 } from '#dispatch';
+import {makeRelayFingerprint, type Quarantine} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
 /** What a relay works with. */
@@ -25,6 +26,7 @@
 	telemetry: Telemetry;
 	targets: TargetSet;
 	budget: RetryBudget;
+	quarantine: Quarantine;
 	weights: WeightsBoard;
 	/** Time after which no request may begin on older weights than were named, in milliseconds. */
 	weightsMs: number;
@@ -90,13 +92,13 @@
 		const {request} = progress;
 		for (;;) {
 			const choice = this.#choose(progress);
-			if (typeof choice === 'string' || !this.#mayBegin(progress, choice)) {
+			if (typeof choice === 'string' || this.#isQuarantined(progress) || !this.#mayBegin(progress, choice)) {
 				return this.#give(progress, answer, caller);
 			}
 
 			const fromMs = clock.now();
 			const end = await runAttempt(this.#deps, {
-				request, choice, urgency: readUrgency(request), caller, answer,
+				request, pool: progress.pool, choice, urgency: readUrgency(request), caller, answer,
 			});
 			progress.noteAttempt(choice, fromMs, clock.now(), end);
 			if (caller.hasLeft()) {
@@ -104,10 +106,15 @@
 			}
 
 			if (!end) {
+				this.#clearStrikes(progress);
 				return 'answered';
 			}
 
 			this.#suspect(choice, end.cause);
+			if (end.cause === 'lost') {
+				await this.#examineLoss(progress, choice);
+			}
+
 			if (!this.#mayRetry(progress, end.cause)) {
 				return this.#give(progress, answer, caller);
 			}
@@ -161,6 +168,41 @@
 		return true;
 	}
 
+	/** Whether targets have crashed under this request too often. */
+	#isQuarantined(progress: RelayProgress): boolean {
+		const {quarantine} = this.#deps;
+		if (quarantine.size === 0) {
+			return false;
+		}
+
+		const refusalMs = quarantine.readRefusalMs(makeRelayFingerprint(progress.request));
+		if (refusalMs > 0) {
+			progress.cause = 'quarantined';
+			progress.returnMs = refusalMs;
+		}
+
+		return refusalMs > 0;
+	}
+
+	/** Holds the request against itself where its target has crashed with it. */
+	async #examineLoss({request, pool}: RelayProgress, {state: {target}}: TargetChoice): Promise<void> {
+		const {probe, quarantine, telemetry} = this.#deps;
+		if (!await probe(target, pool)) {
+			const fingerprint = makeRelayFingerprint(request);
+			quarantine.recordCrash(fingerprint, target.id, target.incarnation);
+			telemetry.log('target crashed under a request', {
+				id: request.id, target: target.id, fingerprint, strikes: quarantine.countStrikes(fingerprint),
+			});
+		}
+	}
+
+	#clearStrikes({request}: RelayProgress): void {
+		const {quarantine} = this.#deps;
+		if (quarantine.size > 0) {
+			quarantine.recordCompletion(makeRelayFingerprint(request));
+		}
+	}
+
 	#suspect({state}: TargetChoice, cause: AttemptCause): void {
 		if (causeRules[cause].outcome === 'unknown' || causeRules[cause].outcome === 'notSent') {
 			state.suspect(this.#deps.clock.now() + suspectMs);
@@ -203,11 +245,11 @@
 	return Math.min(leastUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
 }
 
-const giveReasons = {none: 'no_target', overloaded: 'promise_unreachable'} as const;
+const giveReasons = {none: 'no_target', overloaded: 'promise_unreachable', quarantined: 'crashes_targets'} as const;
 
 /** A refusal whose status promises no more than is known. */
 function makeTrueRefusal({cause, ran, returnMs}: RelayProgress): Refusal {
-	const reason = cause === 'none' || cause === 'overloaded' ? giveReasons[cause] : causeRules[cause].reason;
+	const reason = cause === 'none' || cause === 'overloaded' || cause === 'quarantined' ? giveReasons[cause] : causeRules[cause].reason;
 	const refusal = makeRefusal(reason, {ran, ...(returnMs === undefined ? {} : {retryAfterMs: returnMs})});
 	return ran !== 'not_run' && promiseStatuses.has(refusal.status) ? {...refusal, status: badGateway} : refusal;
 }
