--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -93,8 +93,10 @@
 	/** Takes the next part of the body that has arrived; waits for one where none has. */
 	async readBody(): Promise<BodyRead> {
 		while (this.#chunks.length === 0 && !this.#isEnded) {
+			// Data may arrive while the connection is being resumed.
+			const woken = this.#wait();
 			this.#controller?.resume();
-			await this.#wait();
+			await woken;
 		}
 
 		const bytes = this.#chunks.shift();
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -15,3 +15,6 @@
 export {PeerTransportStandin, type PeerTransportOptions} from './peer-transport.ts';
 export {PeerNetworkStandin, type PeerNetworkOptions} from './peer-network.ts';
 export {ScriptedTarget, type AttemptScript} from './scripted-target.ts';
+export {
+	startRawTarget, type RawReply, type RawRequest, type RawScript, type RawTarget,
+} from './raw-target.ts';
