--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -113,8 +113,8 @@
 	const targets = [makeState(0)];
 	targets[0]!.pending.add(1, 50_000);
 	const prompt = makePrompt([['x', 300], ['own', 1000]]);
-	t.ok(choose(makeQuery(targets, {prompt, urgency: 0})).waitMs < 100);
-	t.ok(choose(makeQuery(targets, {prompt, urgency: 1})).waitMs > 500);
+	t.ok(choose(makeQuery(targets, {prompt, urgency: 0})).queueMs < 100);
+	t.ok(choose(makeQuery(targets, {prompt, urgency: 1})).queueMs > 500);
 });
 
 /** Prompt tokens that an engine of these tests reads in a millisecond; the smaller deployment's figure. */
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -43,6 +43,8 @@
 /** A chosen target and what the choice assumes. */
 export type TargetChoice = Readonly<{
 	state: TargetState;
+	/** Expected time until the target turns to the request, in milliseconds. */
+	queueMs: number;
 	/** Expected time until the answer begins, in milliseconds. */
 	waitMs: number;
 	/** The same with the prices of the choice. */
@@ -141,7 +143,7 @@
 	const fullness = Math.min(1, requests / Math.max(1, slots)) ** 2;
 	const waitMs = queueMs + state.serviceMs;
 	return {
-		state, waitMs, costMs: waitMs + (state.serviceMs * fullness / 2) + computeWayMs(zone, state) + (random.next() * jitterMs),
+		state, queueMs, waitMs, costMs: waitMs + (state.serviceMs * fullness / 2) + computeWayMs(zone, state) + (random.next() * jitterMs),
 		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, partKeys: [],
 	};
 }
@@ -184,16 +186,15 @@
 		const fetchedTokens = source ? sumTokens(view.parts, kept, source.depth) : 0;
 		const unreadTokens = Math.max(0, prompt.inputTokens - keptTokens - fetchedTokens);
 		const {requests, tokens} = state.sumWork(query.nowMs, query.urgency);
-		const waitMs = ((tokens + unreadTokens) * state.msPerToken)
-			+ (Math.max(0, requests + 1 - engine.slots) * slotWaitMs)
-			+ computeFetchMs(engine, fetchedTokens);
+		const queueMs = (tokens * state.msPerToken) + (Math.max(0, requests + 1 - engine.slots) * slotWaitMs);
+		const waitMs = queueMs + (unreadTokens * state.msPerToken) + computeFetchMs(engine, fetchedTokens);
 		const costMs = waitMs
 			+ (requests * neighbourMs)
 			+ (kept === view.parts.length || view.affinity === state.target.id ? 0 : awayMs)
 			+ computeWayMs(query.zone, state)
 			+ (isOld(query, weights) && query.named!.ageMs > freeWeightsMs ? oldWeightsMs : 0);
 		return {
-			state, waitMs, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
+			state, queueMs, waitMs, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
 		};
 	};
 }
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -10,7 +10,7 @@
 import {WeightsBoard} from './named-weights.ts';
 import {ManualClock} from '#clock';
 import {
-	createRandom, prepareHash, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
+	createRandom, prepareHash, type Prompt, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {createQuietBus} from '#peer-protocol';
@@ -21,7 +21,13 @@
 /** A dialect for these tests. */
 const dialect: TargetDialect = {
 	encodeHead: (request, facts) => [
-		...request.headers, 'x-id', request.id, 'x-left', String(Math.floor(facts.remainingMs)), ...(facts.lastEventId === undefined ? [] : ['x-after', facts.lastEventId]),
+		...request.headers,
+		'x-id',
+		request.id,
+		'x-left',
+		String(Math.floor(facts.remainingMs)),
+		...(facts.lastEventId === undefined ? [] : ['x-after', facts.lastEventId]),
+		...(facts.urgency === undefined ? [] : ['x-urgency', String(facts.urgency)]),
 	],
 	decodeHead: ({status, headers}) => ({
 		status, headers: headers.filter((_line, index) => headers[index - (index % 2)]!.toLowerCase() === 'x-signed'),
@@ -32,6 +38,11 @@
 
 const telemetry = createTelemetry({level: 'silent'});
 const pool: RelayPool = {name: 'p', healthPath: '/health', maxConnections: 10};
+const enginePool: RelayPool = {
+	...pool, engine: {
+		slots: 64, cacheTokens: 100_000, bytesPerToken: 1000, linkMbps: 1_000_000, models: ['m'],
+	},
+};
 const safeRoute: RelayRoute = {
 	name: 'r', host: 'h', pathPrefix: '/', pools: [{pool: 'p', weight: 1}], isStream: false, repetition: 'any', maxTargets: 2,
 	timeoutMs: 800, promisedMs: 100, gapMs: 0, priority: 2, isPublic: true,
@@ -135,18 +146,18 @@
 	});
 
 	/** Starts a request; it goes first to the target of the given number. */
-	const begin = (route: RelayRoute, first = 0, id = 'a') => {
+	const begin = (route: RelayRoute, first = 0, id = 'a', prompt?: Prompt) => {
 		const caller = new NotedCaller();
 		for (const [index, state] of targets.list().entries()) {
 			state.serviceMs = index === first ? 1 : 30;
 		}
 
 		const request: RelayRequest = {
-			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt: undefined,
+			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
 			cacheScope: undefined, lastEventId: undefined, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
 		let isDone = false;
-		const done = relay.run(request, pool, caller).then(() => {
+		const done = relay.run(request, prompt ? enginePool : pool, caller).then(() => {
 			isDone = true;
 		});
 		return {caller, done, isDone: () => isDone};
@@ -349,6 +360,31 @@
 	t.match(notes.at(-1), /^refused 503 crashes_targets not_run$/v);
 });
 
+const prompt: Prompt = {
+	model: 'm', inputTokens: 1000, maxOutputTokens: 50, parts: [{key: 'k', tokens: 500}, {key: 'own', tokens: 500}],
+};
+
+t.test('a prompt that will be late goes behind the others, one that its caller would not wait for is refused', async t => {
+	const whole = answer(`${streamHead}${makeEvent(1)}0\r\n\r\n`);
+	const urgencies: Array<string | undefined> = [];
+	for (const queued of [100, 40_000, 160_000]) {
+		const world = await start(t, whole);
+		const state = world.targets.get('t0')!;
+		state.pending.add(0, queued);
+		const {caller, isDone} = world.begin(streamRoute, 0, 'a', prompt);
+		await world.until(isDone);
+		urgencies.push(String(world.raw[0]!.requests[0]?.headers['x-urgency']));
+		if (queued === 160_000) {
+			t.strictSame(caller.notes, ['refused 503 promise_unreachable not_run']);
+			t.ok(caller.refusal!.retryAfterMs! > 0);
+		} else {
+			t.strictSame(caller.notes, ['200 s3', 'end']);
+		}
+	}
+
+	t.strictSame(urgencies, ['2', '9', 'undefined']);
+});
+
 t.test('no target is a true refusal at once', async t => {
 	const {caller, clock} = await carry(t, onceRoute);
 	t.strictSame(caller.notes, ['refused 503 no_target not_run']);
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -37,11 +37,10 @@
 /** Time for which a target is passed over after an exchange with it was lost, in milliseconds: a crashed one is back after some seconds. */
 const suspectMs = 2000;
 
-/** Expected wait beyond which a request is refused, in promised times: it would be late, and make others late. */
-const refusalFactor = 1.25;
+/** Time for which callers wait for the first event, in promised times. */
+const patienceFactor = 4;
 
-/** Bounds of the time after which a refused request should come back, in milliseconds. */
-const leastReturnMs = 200;
+/** Longest time after which a refused request should come back, in milliseconds. */
 const mostReturnMs = 3000;
 
 /** Time to come back after all targets refused, in milliseconds: a queue moves on in that time. */
@@ -58,6 +57,9 @@
 
 const badGateway = 502;
 
+/** Where a request goes, and its urgency there. */
+type Plan = Readonly<{choice: TargetChoice; urgency: number}>;
+
 /** Relays requests. */
 export class Relay {
 	readonly #deps: RelayDeps;
@@ -94,14 +96,16 @@
 		const {clock, telemetry} = this.#deps;
 		const {request} = progress;
 		for (;;) {
-			const choice = this.#choose(progress);
-			if (typeof choice === 'string' || this.#isQuarantined(progress) || !this.#mayBegin(progress, choice)) {
+			const plan = this.#plan(progress);
+			if (!plan) {
 				return this.#give(progress, answer, caller);
 			}
 
+			const {choice, urgency} = plan;
+
 			const fromMs = clock.now();
 			const end = await runAttempt(this.#deps, {
-				request, pool: progress.pool, choice, urgency: readUrgency(request), caller, answer,
+				request, pool: progress.pool, choice, urgency, caller, answer,
 			});
 			progress.noteAttempt(choice, fromMs, clock.now(), end);
 			if (caller.hasLeft()) {
@@ -126,14 +130,14 @@
 		}
 	}
 
-	#choose(progress: RelayProgress): TargetChoice | NoTarget {
+	#choose(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
 		const {request, pool, excluded} = progress;
 		const {
 			targets, zone, clock, random, weights, weightsMs, placed,
 		} = this.#deps;
 		const choice = chooseRelayTarget({
 			targets: targets.listPool(pool.name), excluded, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
-			urgency: readUrgency(request), named: request.prompt && weights.read(request.prompt.model), weightsMs, placed, zone,
+			urgency, named: request.prompt && weights.read(request.prompt.model), weightsMs, placed, zone,
 			nowMs: clock.now(), random,
 		});
 		if (typeof choice === 'string') {
@@ -143,16 +147,39 @@
 		return choice;
 	}
 
-	/** Refuses at once what would be late; what was sent before goes on. */
-	#mayBegin(progress: RelayProgress, {waitMs}: TargetChoice): boolean {
-		const {promisedMs} = progress.request.route;
-		if (progress.sends > 0 || !progress.request.prompt || waitMs <= promisedMs * refusalFactor) {
-			return true;
+	/**
+	 * Decides where a request goes next, and how urgent it is there. One that
+	 * will be late goes behind those that need not be; one that its caller would
+	 * not wait for is refused at once.
+	 *
+	 * @returns nothing where it is given up
+	 */
+	#plan(progress: RelayProgress): Plan | undefined {
+		const {request} = progress;
+		const urgency = readUrgency(request);
+		const choice = this.#choose(progress, urgency);
+		if (typeof choice === 'string' || this.#isQuarantined(progress)) {
+			return undefined;
+		}
+
+		const {promisedMs} = request.route;
+		if (!request.prompt || choice.queueMs <= promisedMs) {
+			return {choice, urgency};
+		}
+
+		const behind = this.#choose(progress, leastUrgency);
+		if (typeof behind === 'string') {
+			return undefined;
+		}
+
+		const patienceMs = Math.min(promisedMs * patienceFactor, request.deadlineMs - this.#deps.clock.now());
+		if (progress.sends === 0 && behind.queueMs > patienceMs) {
+			progress.cause = 'overloaded';
+			progress.returnMs = Math.min(mostReturnMs, behind.queueMs - promisedMs) * (0.75 + (this.#deps.random.next() / 2));
+			return undefined;
 		}
 
-		progress.cause = 'overloaded';
-		progress.returnMs = Math.min(mostReturnMs, Math.max(leastReturnMs, waitMs - (promisedMs / 2))) * (0.75 + (this.#deps.random.next() / 2));
-		return false;
+		return {choice: behind, urgency: leastUrgency};
 	}
 
 	/** A further send to a target draws on the pool's budget; one that reached none does not. */
