--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -102,6 +102,8 @@
 	id: string;
 	/** Changes at each start of the target's process. */
 	incarnation: string;
+	/** Time of that start as the target states it, in Unix milliseconds; 0 where it states none. */
+	startedWallMs: number;
 	pool: string;
 	/** `host:port`. */
 	address: string;
--- a/packages/dispatch/dispatcher.test.ts
+++ b/packages/dispatch/dispatcher.test.ts
@@ -195,7 +195,7 @@
 	const rig = start({a, b});
 	await rig.run();
 	t.equal(readBytes(rig.events).toString(), 'abc');
-	const none = start({a, b: a}, {budget: new RetryBudget({capacity: 0})});
+	const none = start({a, b: a}, {budget: new RetryBudget(new ManualClock(), {slack: 0, ratio: 0})});
 	await none.run();
 	t.equal(readRefusal(none.events), 'retry_budget_spent ran');
 	t.equal(listKinds(none.events), 'refused');
@@ -279,7 +279,7 @@
 
 t.test('stops retrying when the budget is spent', async t => {
 	const a = new ScriptedTarget(() => [lost]);
-	const {run, events, telemetry} = start({a, b: a, c: a}, {budget: new RetryBudget({capacity: 2})});
+	const {run, events, telemetry} = start({a, b: a, c: a}, {budget: new RetryBudget(new ManualClock(), {slack: 2})});
 	await run();
 	t.equal(readRefusal(events), 'retry_budget_spent unknown');
 	t.equal(a.calls.length, 2);
--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -46,7 +46,7 @@
 	constructor(deps: DispatcherDeps, options: DispatcherOptions = {}) {
 		this.#deps = deps;
 		this.#maxBytes = options.maxAnswerBytes ?? 8_388_608;
-		this.#budget = options.budget ?? new RetryBudget();
+		this.#budget = options.budget ?? new RetryBudget(deps.clock);
 		this.#guard = new CrashGuard(deps);
 	}
 
--- a/packages/dispatch/retry-budget.ts
+++ b/packages/dispatch/retry-budget.ts
@@ -1,52 +1,94 @@
 /**
- * Retry budgets: one token bucket per target pool that fills with first
- * attempts, so that retries stay a share of the load and cannot multiply it in
- * an outage. Half of the bucket is kept for streams that have begun.
+ * Retry budgets: in any window of time, a target pool gets at most a share of
+ * its first attempts as retries, and some beyond, so that retries cannot
+ * multiply the load in an outage. Half of those beyond is kept for streams that
+ * have begun. Shares of several instances add up to the budget of all.
  */
+import type {Clock} from '#clock';
 
 /** Options of {@link RetryBudget}. */
 export type RetryBudgetOptions = Readonly<{
-	/** Tokens added by each first attempt. Default: 0.2. */
-	perAttempt?: number;
-	/** Size of a full bucket, in retries; buckets start full. Default: 32. */
-	capacity?: number;
+	/** Retries for each first attempt. Default: 0.2. */
+	ratio?: number;
+	/** Retries beyond that. Default: 32. */
+	slack?: number;
+	/** Length of the window, in milliseconds. Default: 10 000. */
+	windowMs?: number;
 }>;
 
-/** Token buckets by pool name. */
+/** What happened in one part of the window. */
+type Slot = {readonly startMs: number; attempts: number; retries: number};
+
+const slotsPerWindow = 20;
+
+/** Sliding windows by pool name. */
 export class RetryBudget {
-	readonly #tokens = new Map<string, number>();
-	readonly #perAttempt: number;
-	readonly #capacity: number;
+	readonly #clock: Clock;
+	readonly #pools = new Map<string, Slot[]>();
+	readonly #ratio: number;
+	readonly #slack: number;
+	readonly #windowMs: number;
 
-	constructor(options: RetryBudgetOptions = {}) {
-		this.#perAttempt = options.perAttempt ?? 0.2;
-		this.#capacity = options.capacity ?? 32;
+	constructor(clock: Clock, options: RetryBudgetOptions = {}) {
+		this.#clock = clock;
+		this.#ratio = options.ratio ?? 0.2;
+		this.#slack = options.slack ?? 32;
+		this.#windowMs = options.windowMs ?? 10_000;
 	}
 
 	/** Records a first attempt, which earns a share of a retry. */
 	recordAttempt(pool: string): void {
-		this.#tokens.set(pool, Math.min(this.#capacity, this.read(pool) + this.#perAttempt));
+		this.#getSlot(pool).attempts++;
 	}
 
 	/**
-	 * Takes one retry out of the pool's bucket.
+	 * Takes one retry out of the pool's budget.
 	 *
 	 * @param begun whether a part of the answer was delivered already; only such requests may use the reserved half
 	 * @returns `false` when nothing is left
 	 */
 	take(pool: string, begun: boolean): boolean {
-		const tokens = this.read(pool);
-		const reserved = begun ? 0 : this.#capacity / 2;
-		if (tokens - 1 < reserved) {
+		const reserved = begun ? 0 : this.#slack / 2;
+		if (this.read(pool) - 1 < reserved) {
 			return false;
 		}
 
-		this.#tokens.set(pool, tokens - 1);
+		this.#getSlot(pool).retries++;
 		return true;
 	}
 
-	/** Retries that the pool's bucket holds. */
+	/** Retries that are left in the present window. */
 	read(pool: string): number {
-		return this.#tokens.get(pool) ?? this.#capacity;
+		const slots = this.#pools.get(pool) ?? [];
+		const sinceMs = this.#clock.now() - this.#windowMs;
+		let left = this.#slack;
+		for (const {startMs, attempts, retries} of slots) {
+			// The oldest slot lies partly outside: its retries count, its attempts do not.
+			left += startMs >= sinceMs ? this.#ratio * attempts : 0;
+			left -= startMs + this.#slotMs > sinceMs ? retries : 0;
+		}
+
+		return left;
+	}
+
+	get #slotMs(): number {
+		return this.#windowMs / slotsPerWindow;
+	}
+
+	#getSlot(pool: string): Slot {
+		const nowMs = this.#clock.now();
+		const slots = this.#pools.get(pool) ?? [];
+		this.#pools.set(pool, slots);
+		while (slots.length > 0 && slots[0]!.startMs + this.#slotMs <= nowMs - this.#windowMs) {
+			slots.shift();
+		}
+
+		let slot = slots.at(-1);
+		if (!slot || slot.startMs + this.#slotMs <= nowMs) {
+			slot = {startMs: nowMs, attempts: 0, retries: 0};
+			slots.push(slot);
+		}
+
+		return slot;
 	}
 }
--- a/packages/dispatch/retry.test.ts
+++ b/packages/dispatch/retry.test.ts
@@ -4,6 +4,7 @@
 	causeRules, classifyRun, decideRetry, mergeRunStates, type AttemptCause,
 } from './retry.ts';
 import {RetryBudget} from './retry-budget.ts';
+import {ManualClock} from '#clock';
 import type {RunState} from '#core';
 
 const causes = Object.keys(causeRules) as AttemptCause[]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the keys of a closed table
@@ -36,7 +37,7 @@
 
 t.test('keeps retries a share of first attempts', async t => {
 	fc.assert(fc.property(fc.array(fc.record({isFirst: fc.boolean(), begun: fc.boolean()}), {maxLength: 400}), steps => {
-		const budget = new RetryBudget({perAttempt: 0.2, capacity: 10});
+		const budget = new RetryBudget(new ManualClock(), {ratio: 0.2, slack: 10});
 		let first = 0;
 		let retries = 0;
 		for (const {isFirst, begun} of steps) {
@@ -52,8 +53,31 @@
 	}), {seed: 13});
 });
 
+t.test('keeps retries within their share in every window', async () => {
+	const steps = fc.array(fc.record({waitMs: fc.nat(800), isFirst: fc.boolean(), begun: fc.boolean()}), {minLength: 50, maxLength: 400});
+	await fc.assert(fc.asyncProperty(steps, async list => {
+		const clock = new ManualClock();
+		const budget = new RetryBudget(clock, {ratio: 0.2, slack: 5});
+		const seen: Array<Readonly<{atMs: number; isFirst: boolean}>> = [];
+		for (const {waitMs, isFirst, begun} of list) {
+			await clock.advance(waitMs);
+			if (isFirst) {
+				budget.recordAttempt('p');
+			}
+
+			if (isFirst || budget.take('p', begun)) {
+				seen.push({atMs: clock.now(), isFirst});
+			}
+		}
+
+		const count = (untilMs: number, isFirst: boolean) => seen.filter(step => step.isFirst === isFirst && step.atMs > untilMs - 10_000 && step.atMs <= untilMs).length;
+		// A retry early in a window was earned by first attempts before it: the share is of the window, the one before it or the one half before it.
+		return seen.every(({atMs}) => count(atMs, false) <= 5 + (0.2 * Math.max(count(atMs, true), count(atMs - 5000, true), count(atMs - 10_000, true))));
+	}), {seed: 14, numRuns: 40});
+});
+
 t.test('keeps half of the budget for streams that have begun', async t => {
-	const budget = new RetryBudget({capacity: 4});
+	const budget = new RetryBudget(new ManualClock(), {slack: 4});
 	t.ok(budget.take('p', false) && budget.take('p', false));
 	t.notOk(budget.take('p', false));
 	t.ok(budget.take('p', true) && budget.take('p', true));
--- a/packages/node/_weights-duty.ts
+++ b/packages/node/_weights-duty.ts
@@ -22,6 +22,8 @@
 	board: WeightsBoard;
 	control: EngineControl;
 	bus: PeerBus;
+	/** Called when another process has taken an engine's address. */
+	replaced: (incarnation: string) => void;
 	/** Place of this instance among those that could do a duty; 0 is the first. */
 	readRank: (duty: string) => number;
 	/** Time for which two holders of the lease must not take turns, in milliseconds. */
@@ -84,6 +86,9 @@
 			const isHolderLive = bus.listPeers().some(peer => peer.name === lastHolder);
 			return (isHolderLive ? 1 : 0) + deps.readRank(dutyName);
 		},
+		replaced({incarnation}) {
+			deps.replaced(incarnation);
+		},
 		tell(news) {
 			lastHolder = undefined;
 			holderHeardMs = -Infinity;
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -5,6 +5,7 @@
  */
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
+import {Surprises} from './_surprises.ts';
 import {StoreCopies} from './_store-copies.ts';
 import {createWeightsDuty} from './_weights-duty.ts';
 import type {Settings} from './settings.ts';
@@ -40,8 +41,9 @@
 
 /** Bounds that a deployment sets. */
 export type RelayBounds = Readonly<{
-	/** Repeats that a pool may get for each request. */
+	/** Repeats that a pool may get for each request, in a window of {@link RelayBounds.retryWindowMs}. */
 	retryRatio: number;
+	retryWindowMs: number;
 	/** Repeats that a pool may get beyond the ratio, over all instances. */
 	retrySlack: number;
 	/** Time in which the balancer has surely turned away, in milliseconds. */
@@ -95,6 +97,9 @@
 /** Time between reads of the list of instances, in milliseconds: peers tell the rest. */
 const listIntervalMs = 20_000;
 
+/** Part of the ratio of repeats that is used: windows of different instances do not begin together. */
+const ratioShare = 0.9;
+
 /** Part of the shared slack of repeats that is used: instances that restart begin with a full share again. */
 const slackShare = 0.7;
 
@@ -138,10 +143,18 @@
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
 	}, {limit: crashLimit, holdMs: strikeHoldMs});
+	const surprises = new Surprises({
+		targets, calls, bus, clock, telemetry,
+	});
 	const relay = new Relay({
 		clock, random, telemetry, targets, placed, quarantine, dialect: deps.dialect, zone: settings.zone,
 		weights: board, probe: calls.probe, weightsMs: bounds.weightsMs,
-		budget: new RetryBudget({perAttempt: bounds.retryRatio, capacity: bounds.retrySlack * slackShare / expectedInstances}),
+		surprised(state, surprise) {
+			surprises.handle(state, surprise);
+		},
+		budget: new RetryBudget(clock, {
+			ratio: bounds.retryRatio * ratioShare, slack: bounds.retrySlack * slackShare / expectedInstances, windowMs: bounds.retryWindowMs,
+		}),
 	});
 	const gateway = new Gateway({
 		clock, random, telemetry, relay,
@@ -151,6 +164,9 @@
 	});
 	const rollout = createWeightsDuty({
 		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, board, control: calls, bus,
+		replaced(incarnation) {
+			surprises.tellReplaced(incarnation);
+		},
 		readRank: duty => peers.readRank(duty), leaseMs: bounds.leaseMs, checksFencing: bounds.checksFencing,
 	});
 	const copies = new StoreCopies({
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -63,6 +63,8 @@
 	}),
 	/** An engine does not answer the sender, which watches it. */
 	z.object({kind: z.literal('silent'), incarnation: nameSchema}),
+	/** Another process has taken a target's address. */
+	z.object({kind: z.literal('replaced'), incarnation: nameSchema}),
 	/** Parts of prompts that an engine no longer holds. */
 	z.object({kind: z.literal('evicted'), incarnation: nameSchema, keys: z.array(nameSchema).max(maxEntries)}),
 	/** An engine begins to load weights, or has loaded them; the sender gave the order. */
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -10,6 +10,7 @@
 import type {Exchange} from './exchange.ts';
 import type {PlacedParts} from './placed-parts.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
+import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
 import type {RelayPool, RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
@@ -20,8 +21,13 @@
 	dialect: TargetDialect;
 	placed: PlacedParts;
 	probe: ProbeTarget;
+	/** Called when a target is not what was assumed: its process has been replaced, or it serves other weights. */
+	surprised: (state: TargetState, surprise: Surprise) => void;
 }>;
 
+/** How a target differs from what was assumed. */
+export type Surprise = 'replaced' | 'other_weights';
+
 /** One attempt. */
 export type Attempt = Readonly<{
 	request: RelayRequest;
@@ -177,8 +183,8 @@
 }
 
 /** A refusal may say that the target serves other weights than were assumed; what was to be cached is not. */
-function learnFromRefusal({placed}: AttemptDeps, {request, choice: {state, partKeys}}: Attempt, answer: TargetAnswer): void {
-	if (!request.prompt || !(answer.hasNotRun || answer.isMisdirected)) {
+function learnFromRefusal({placed, surprised}: AttemptDeps, {choice: {state, partKeys}}: Attempt, answer: TargetAnswer): void {
+	if (!answer.hasNotRun && !answer.isMisdirected) {
 		return;
 	}
 
@@ -186,8 +192,8 @@
 		placed.forget(key, state.target.incarnation);
 	}
 
-	if (answer.isMisdirected && answer.weights !== undefined) {
-		state.noteWeights(request.prompt.model, answer.weights);
+	if (answer.isMisdirected) {
+		surprised(state, answer.targetId === undefined || answer.targetId === state.target.id ? 'other_weights' : 'replaced');
 	}
 }
 
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -16,7 +16,7 @@
 function makeState(index: number, options: Partial<RelayTarget> = {}): TargetState {
 	const clock = new ManualClock();
 	const target: RelayTarget = {
-		id: `e${index}`, incarnation: `e${index}@1`, pool: 'p', address: '127.0.0.1:1', zone: zones[index % zones.length]!, slots: 64, isLeaving: false,
+		id: `e${index}`, incarnation: `e${index}@1`, startedWallMs: 0, pool: 'p', address: '127.0.0.1:1', zone: zones[index % zones.length]!, slots: 64, isLeaving: false,
 		weights: new Map([['m', 1]]), ...options,
 	};
 	return new TargetState(target, new TargetConnections(target.address, clock, () => clock.now(), {connectMs: 1, idleMs: 1}));
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -96,7 +96,7 @@
 
 /** Chooses a target. */
 export function chooseRelayTarget(query: TargetQuery): TargetChoice | NoTarget {
-	const listed = query.targets.filter(({target}) => !target.isLeaving && !query.excluded.has(target.id));
+	const listed = query.targets.filter(({target, isGone}) => !target.isLeaving && !isGone && !query.excluded.has(target.id));
 	const current = listed.filter(state => !isTooOld(query, state));
 	if (current.length === 0) {
 		return listed.length > 0 ? 'old_weights' : 'none_listed';
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -24,3 +24,4 @@
 export {PlacedParts, type PlacedPart} from './placed-parts.ts';
 export {runPartExchange, type PartExchangeDeps} from './part-exchange.ts';
 export {Relay, type RelayDeps} from './relay.ts';
+export type {Surprise} from './_attempt.ts';
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -32,7 +32,7 @@
 	decodeHead: ({status, headers}) => ({
 		status, headers: headers.filter((_line, index) => headers[index - (index % 2)]!.toLowerCase() === 'x-signed'),
 		requestId: findHeader(headers, 'x-id'), isSigned: findHeader(headers, 'x-signed') !== undefined,
-		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: undefined, load: undefined, weights: undefined,
+		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'), load: undefined, weights: undefined,
 	}),
 };
 
@@ -128,16 +128,20 @@
 
 	const targets = new TargetSet(clock, {connectMs: 1000, idleMs: 30_000});
 	targets.update(raw.map(({address}, index) => ({
-		id: `t${index}`, incarnation: `t${index}@1`, pool: 'p', address, zone: 'z', slots: 4, isLeaving: false, weights: new Map(),
+		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address, zone: 'z', slots: 4, isLeaving: false, weights: new Map(),
 	})));
+	const surprises: string[] = [];
 	const alive = new Set(raw.map((_target, index) => `t${index}`));
 	const quarantine = new Quarantine({
 		clock, random: createRandom(1), telemetry, bus: createQuietBus(),
 	}, {limit: 3});
-	const budget = new RetryBudget({perAttempt: 0, capacity: 8});
+	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, placed: new PlacedParts(), weights: new WeightsBoard(clock),
 		weightsMs: 8000, zone: 'z', probe: async ({id}) => alive.has(id),
+		surprised(state, surprise) {
+			surprises.push(`${state.target.id} ${surprise}`);
+		},
 	});
 	t.teardown(async () => {
 		quarantine.close();
@@ -179,7 +183,7 @@
 	};
 
 	return {
-		clock, raw, targets, quarantine, budget, alive, begin, until,
+		clock, raw, targets, quarantine, budget, alive, begin, until, surprises,
 	};
 }
 
@@ -245,6 +249,13 @@
 	}
 });
 
+t.test('a misdirected request tells whether the process or the weights were another', async t => {
+	const other = await carry(t, onceRoute, answer('HTTP/1.1 421 Other\r\nx-target: t9\r\ncontent-length: 0\r\n\r\n'), answer(ok));
+	t.strictSame(other.surprises, ['t0 replaced']);
+	const same = await carry(t, onceRoute, answer('HTTP/1.1 421 Other\r\nx-target: t0\r\ncontent-length: 0\r\n\r\n'), answer(ok));
+	t.strictSame(same.surprises, ['t0 other_weights']);
+});
+
 t.test('a refusal by all targets is true and says when to come back', async t => {
 	const {caller} = await carry(t, onceRoute, answer(notRun), answer(notRun));
 	t.strictSame(caller.notes, ['refused 503 target_refused not_run']);
--- /dev/null
+++ b/packages/relay/target-set.test.ts
@@ -0,0 +1,70 @@
+import t from 'tap';
+import {TargetSet} from './target-set.ts';
+import {ManualClock} from '#clock';
+import type {RelayTarget} from '#core';
+
+function makeTarget(id: string, options: Partial<RelayTarget> = {}): RelayTarget {
+	return {
+		id, incarnation: `${id}@1`, startedWallMs: 1, pool: 'p', address: `10.0.0.1:${id.length}`, zone: 'z', slots: 4, isLeaving: false, weights: new Map(), ...options,
+	};
+}
+
+function start() {
+	const clock = new ManualClock();
+	return {clock, targets: new TargetSet(clock, {connectMs: 1, idleMs: 1})};
+}
+
+t.test('of two targets at one address the one that started last counts', async t => {
+	const {targets} = start();
+	targets.update([makeTarget('old', {address: '10.0.0.1:80'}), makeTarget('new', {address: '10.0.0.1:80', startedWallMs: 5, pool: 'q'}), makeTarget('other')]);
+	t.strictSame(targets.list().map(({target}) => target.id), ['new', 'other']);
+	t.equal(targets.listPool('p').length, 1);
+});
+
+t.test('without starts both are kept', async t => {
+	const {targets} = start();
+	targets.update([makeTarget('a', {address: '10.0.0.1:80', startedWallMs: 0}), makeTarget('b', {address: '10.0.0.1:80', startedWallMs: 0})]);
+	t.equal(targets.list().length, 2);
+});
+
+t.test('another start under the same id is another target', async t => {
+	const {targets} = start();
+	targets.update([makeTarget('a', {weights: new Map([['m', 2]])})]);
+	const before = targets.get('a')!;
+	before.markGone();
+	targets.update([makeTarget('a', {incarnation: 'a@2', startedWallMs: 2, weights: new Map([['m', 1]])})]);
+	const after = targets.get('a')!;
+	t.not(after, before);
+	t.notOk(after.isGone);
+	t.equal(after.weights.get('m'), 1);
+});
+
+t.test('the same start keeps what is known of it', async t => {
+	const {targets} = start();
+	targets.update([makeTarget('a', {weights: new Map([['m', 1]])})]);
+	targets.get('a')!.noteWeights('m', 3);
+	targets.update([makeTarget('a', {weights: new Map([['m', 2]]), isLeaving: true})]);
+	t.equal(targets.get('a')!.weights.get('m'), 3);
+	t.ok(targets.get('a')!.target.isLeaving);
+});
+
+t.test('what peers have in progress counts for a while, the newest word of each', async t => {
+	const {clock, targets} = start();
+	targets.update([makeTarget('a')]);
+	const state = targets.get('a')!;
+	state.inFlight = 1;
+	targets.applyPeerShares('one', [{
+		target: 'a', requests: 2, tokens: 50, byUrgency: [20, 30],
+	}], clock.now());
+	targets.applyPeerShares('two', [{target: 'a', requests: 3, tokens: 10}], clock.now());
+	t.equal(state.countRequests(clock.now()), 6);
+	t.equal(state.sumWork(clock.now(), 0).tokens, 30);
+	t.equal(state.sumWork(clock.now(), 9).tokens, 60);
+	targets.applyPeerShares('one', [], clock.now());
+	t.equal(state.countRequests(clock.now()), 4);
+	targets.forgetPeersExcept(['one']);
+	t.equal(state.countRequests(clock.now()), 1);
+	targets.applyPeerShares('one', [{target: 'a', requests: 2, tokens: 0}], clock.now());
+	await clock.advance(3000);
+	t.equal(state.countRequests(clock.now()), 1);
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -42,7 +42,7 @@
 	/** Replaces the list. Connections of targets that are no longer listed are closed once idle. */
 	update(targets: readonly RelayTarget[]): void {
 		const listed = new Set<string>();
-		for (const target of targets) {
+		for (const target of dropReplaced(targets)) {
 			listed.add(target.id);
 			const known = this.#states.get(target.id);
 			if (known && isSameProcess(known.target, target)) {
@@ -110,6 +110,16 @@
 	}
 }
 
+/** Of two targets at one address, only the one that started last is there: the other's entry has yet to lapse. */
+function dropReplaced(targets: readonly RelayTarget[]): readonly RelayTarget[] {
+	const newest = new Map<string, number>();
+	for (const {address, startedWallMs} of targets) {
+		newest.set(address, Math.max(newest.get(address) ?? 0, startedWallMs));
+	}
+
+	return targets.filter(({address, startedWallMs}) => startedWallMs === newest.get(address));
+}
+
 function groupByPool(states: Iterable<TargetState>): ReadonlyMap<string, readonly TargetState[]> {
 	const pools = new Map<string, TargetState[]>();
 	for (const state of states) {
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -57,6 +57,8 @@
 	readonly weights = new Map<string, number>();
 	/** Time until which the target is taken to load weights and to refuse requests, in milliseconds. */
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
+	/** Whether another process has taken the target's address. */
+	isGone = false;
 	/** Time of the last answer or part of one from the target, in milliseconds. */
 	heardMs = Number.NEGATIVE_INFINITY;
 	/** Called when the target falls silent, for the requests that wait for it. */
@@ -88,6 +90,12 @@
 		}
 	}
 
+	/** Never uses the target again: its process has ended. */
+	markGone(): void {
+		this.isGone = true;
+		this.suspect(Infinity);
+	}
+
 	/** Ends {@link TargetState.suspect}, as the target has answered. */
 	trust(): void {
 		this.#suspectUntilMs = Number.NEGATIVE_INFINITY;
@@ -101,7 +109,12 @@
 		}
 	}
 
-	/** Takes in that the target serves a version. */
+	/** Takes in which version the target serves now, as it says itself. */
+	setWeights(model: string, version: number): void {
+		this.weights.set(model, version);
+	}
+
+	/** Takes in that the target serves a version, unless a newer one is known. */
 	noteWeights(model: string, version: number): void {
 		if (version > (this.weights.get(model) ?? 0)) {
 			this.weights.set(model, version);
--- a/packages/rollout/engine-control.ts
+++ b/packages/rollout/engine-control.ts
@@ -36,10 +36,11 @@
  * - `conflict`: another order is in progress, or one was accepted meanwhile
  * - `fenced`: a newer holder has given orders
  * - `rejected`: the engine does not know the version yet, or does not take the order
- * - `gone`: another process has the address, or nothing listens there
+ * - `replaced`: another process has the address
+ * - `unreachable`: nothing listens there
  * - `unknown`: no answer came; the order may still be carried out
  */
-export type OrderOutcome = 'accepted' | 'holds' | 'conflict' | 'fenced' | 'rejected' | 'gone' | 'unknown';
+export type OrderOutcome = 'accepted' | 'holds' | 'conflict' | 'fenced' | 'rejected' | 'replaced' | 'unreachable' | 'unknown';
 
 /** Reads and orders engines. Every call ends within a bounded time. */
 export type EngineControl = Readonly<{
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -39,7 +39,7 @@
 
 	listTargets(): readonly RelayTarget[] {
 		return this.engines.map(engine => ({
-			id: engine.id, incarnation: `${engine.id}@1`, pool: 'p', address: '', zone: 'z', slots: 64, isLeaving: false,
+			id: engine.id, incarnation: `${engine.id}@1`, startedWallMs: 0, pool: 'p', address: '', zone: 'z', slots: 64, isLeaving: false,
 			weights: new Map([['m', this.#settle(engine).version]]),
 		}));
 	}
@@ -118,6 +118,9 @@
 		const rollout = new WeightsRollout({
 			name, clock, telemetry, lease, control: fleet, leastTermMs: 0, listEngines: () => fleet.listTargets(), listNamed: () => named,
 			countRequests: ({id}) => fleet.engines.find(engine => engine.id === id)!.running, readRank: () => rank,
+			replaced() {
+				// No engine of this fleet is replaced.
+			},
 			tell(step) {
 				news.push(step);
 			},
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -37,6 +37,8 @@
 	readRank: () => number;
 	/** Least time of the lease's term that must be left for an order, in milliseconds; 0 where engines refuse old fencing tokens. */
 	leastTermMs: number;
+	/** Called when another process has taken an engine's address. */
+	replaced: (target: RelayTarget) => void;
 	/** Called with each step of an engine, to be told to all instances. */
 	tell: (news: WeightsNews) => void;
 }>;
@@ -78,7 +80,7 @@
 
 /** Decides what follows from an order's outcome. */
 const outcomeSteps: Readonly<Record<OrderOutcome, 'poll' | 'retry' | 'stop' | 'drop'>> = {
-	accepted: 'poll', holds: 'poll', conflict: 'poll', unknown: 'poll', rejected: 'retry', gone: 'stop', fenced: 'drop',
+	accepted: 'poll', holds: 'poll', conflict: 'poll', unknown: 'poll', rejected: 'retry', replaced: 'stop', unreachable: 'retry', fenced: 'drop',
 };
 
 /** The roll-out of one instance. */
@@ -253,6 +255,10 @@
 			lease.drop();
 		}
 
+		if (outcome === 'replaced') {
+			this.#deps.replaced(target);
+		}
+
 		return step === 'poll';
 	}
 }
