--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -74,7 +74,7 @@
 const slotWaitMs = 50;
 
 /** Price of a target other than those that hold the prompt's parts, in milliseconds: a copy takes memory there. */
-const awayMs = 15;
+const awayMs = 50;
 
 /** Time to begin a fetch of cached parts, in milliseconds. */
 const fetchStartMs = 2;
