--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -144,6 +144,8 @@
 	cacheScope: string | undefined;
 	/** Id of the last event that the caller has, where it resumes a stream itself. */
 	lastEventId: string | undefined;
+	/** Version of the configuration by which it was accepted. */
+	configurationVersion: number;
 	/** Monotonic time at which it arrived, in milliseconds. */
 	arrivedMs: number;
 	/** Monotonic time at which its answer must have ended, in milliseconds. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock} from '#clock';
 import {
-	fail, hash64, makeRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalReason, type RelayConfiguration, type RelayCustomer,
+	fail, hash64, makeRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalOptions, type RefusalReason, type RelayConfiguration, type RelayCustomer,
 	type RelayRoute, type Result,
 } from '#core';
 import type {Relay, RelayCaller} from '#relay';
@@ -66,6 +66,9 @@
 /** Time to come back after a refusal while no configuration is known, in milliseconds: a start reads it in less. */
 const notConfiguredRetryMs = 500;
 
+/** Longest part of a path that a log line shows, in characters. */
+const maxLoggedPath = 100;
+
 /** Accepts callers' requests. */
 export class Gateway {
 	readonly #deps: GatewayDeps;
@@ -99,28 +102,28 @@
 	/** Decides whether a request may be read and run. */
 	accept(head: RequestHead): Result<AcceptedRequest, Refusal> {
 		if (!this.#inForce) {
-			return fail(makeRefusal('not_configured', {retryAfterMs: notConfiguredRetryMs}));
+			return fail(this.refuse(head, 'not_configured', {retryAfterMs: notConfiguredRetryMs}));
 		}
 
 		const {configuration, routes, sharedScope} = this.#inForce;
 		const route = findRoute(routes, head.host, head.path);
 		if (!route) {
-			return this.#refuse('route_unknown');
+			return fail(this.refuse(head, 'route_unknown'));
 		}
 
 		const customer = head.key === undefined ? undefined : configuration.customers?.get(head.key);
 		const needsKey = configuration.customers !== undefined && !route.isPublic;
 		if (needsKey && !customer) {
-			return this.#refuse('unauthenticated');
+			return fail(this.refuse(head, 'unauthenticated'));
 		}
 
 		const {maxHeaderBytes, maxBodyBytes} = configuration.limits;
 		if (head.headerBytes > maxHeaderBytes) {
-			return this.#refuse('headers_too_large');
+			return fail(this.refuse(head, 'headers_too_large'));
 		}
 
 		if ((head.bodyBytes ?? 0) > maxBodyBytes) {
-			return this.#refuse('body_too_large');
+			return fail(this.refuse(head, 'body_too_large'));
 		}
 
 		const arrivedMs = this.#deps.clock.now();
@@ -135,20 +138,26 @@
 		const {random, relay} = this.#deps;
 		const pool = configuration.pools.get(pickPool(route.pools, random.next()) ?? '');
 		if (!pool) {
-			caller.refuse(makeRefusal('no_target', {retryAfterMs: notConfiguredRetryMs}));
+			caller.refuse(this.refuse(head, 'no_target', {retryAfterMs: notConfiguredRetryMs}));
 			return;
 		}
 
 		await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.passed, body, route, customer, prompt: head.prompt, cacheScope,
-			lastEventId: head.lastEventId, arrivedMs, deadlineMs,
+			lastEventId: head.lastEventId, configurationVersion: configuration.version, arrivedMs, deadlineMs,
 		}, pool, caller);
 	}
 
-	#refuse(reason: RefusalReason): Result<never, Refusal> {
-		const refusal = makeRefusal(reason);
-		this.#deps.telemetry.count('refusals_total', {reason, ran: refusal.ran});
-		return fail(refusal);
+	/** Makes, counts and logs the refusal of a request that reached no target. */
+	refuse({requestId, host, path, headerBytes, bodyBytes, key}: RequestHead, reason: RefusalReason, options: RefusalOptions = {}): Refusal {
+		const {telemetry} = this.#deps;
+		const refusal = makeRefusal(reason, options);
+		telemetry.count('refusals_total', {reason, ran: refusal.ran});
+		telemetry.log('request refused', {
+			id: requestId, reason, status: refusal.status, configuration: this.configuration?.version, host, path: path.slice(0, maxLoggedPath),
+			hasKey: key !== undefined, headerBytes, bodyBytes, returnMs: refusal.retryAfterMs,
+		});
+		return refusal;
 	}
 }
 
--- a/packages/relay/_delivered-answer.ts
+++ b/packages/relay/_delivered-answer.ts
@@ -8,6 +8,7 @@
 import type {TargetAnswer} from './dialect.ts';
 import {EventSplitter} from './event-splitter.ts';
 import type {Exchange} from './exchange.ts';
+import type {Clock} from '#clock';
 import type {RelayRequest} from '#core';
 
 /** Largest answer that is collected whole, in bytes; longer ones go out as they come. */
@@ -15,22 +16,29 @@
 
 /** Delivers to one caller. */
 export class DeliveredAnswer {
-	/** Whether the caller was sent a part of the answer. */
-	hasBegun = false;
+	/** Time at which the caller was sent the answer's head, in milliseconds; absent before that. */
+	begunMs: number | undefined;
 	/** Id of the last event that the caller was sent. */
 	lastEventId: string | undefined;
 	readonly #caller: RelayCaller;
+	readonly #clock: Clock;
 	readonly #isResumable: boolean;
 	readonly #isStream: boolean;
 	readonly #splitter = new EventSplitter();
 	#failure: Readonly<{answer: TargetAnswer; body: Uint8Array}> | undefined;
 
-	constructor({route}: RelayRequest, caller: RelayCaller) {
+	constructor({route}: RelayRequest, caller: RelayCaller, clock: Clock) {
 		this.#caller = caller;
+		this.#clock = clock;
 		this.#isStream = route.isStream;
 		this.#isResumable = route.isStream && route.repetition === 'resume';
 	}
 
+	/** Whether the caller was sent a part of the answer. */
+	get hasBegun(): boolean {
+		return this.begunMs !== undefined;
+	}
+
 	/** Keeps a target's failure, to be delivered where no other attempt gives an answer. */
 	keepFailure(answer: TargetAnswer, body: Uint8Array): void {
 		this.#failure = {answer, body};
@@ -126,7 +134,7 @@
 
 	#begin(answer: TargetAnswer, bodyBytes: number | undefined): void {
 		if (!this.hasBegun) {
-			this.hasBegun = true;
+			this.begunMs = this.#clock.now();
 			this.#caller.begin(answer.status, answer.headers, bodyBytes);
 		}
 	}
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -9,6 +9,10 @@
 	target: string;
 	/** Expected time until the answer begins with the prices of the choice, in milliseconds. */
 	costMs: number;
+	/** Expected wait behind other requests, in milliseconds. */
+	queueMs: number;
+	/** Age of the target's last word on its load, in milliseconds; absent where it has said nothing. */
+	loadAgeMs: number | undefined;
 	/** Version of the weights that was assumed. */
 	weights: number | undefined;
 	/** Prompt tokens that the target was expected to read. */
@@ -49,7 +53,7 @@
 	noteAttempt(choice: TargetChoice, startMs: number, endMs: number, end: AttemptEnd | undefined): void {
 		const {target} = choice.state;
 		this.attempts.push({
-			target: target.id, costMs: Math.round(choice.costMs), weights: choice.weights, unreadTokens: choice.unreadTokens,
+			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: readAge(choice, startMs), weights: choice.weights, unreadTokens: choice.unreadTokens,
 			source: choice.source?.target.id, fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			end: end?.cause ?? 'answered', ...(end ? {detail: end.detail} : {}),
 		});
@@ -65,3 +69,7 @@
 		this.sends += end.cause === 'not_sent' ? 0 : 1;
 	}
 }
+
+function readAge({state: {loadAtMs}}: TargetChoice, nowMs: number): number | undefined {
+	return Number.isFinite(loadAtMs) ? Math.max(0, Math.round(nowMs - loadAtMs)) : undefined;
+}
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -158,7 +158,7 @@
 
 		const request: RelayRequest = {
 			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
-			cacheScope: undefined, lastEventId: undefined, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
+			cacheScope: undefined, lastEventId: undefined, configurationVersion: 1, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
 		let isDone = false;
 		const done = relay.run(request, prompt ? enginePool : pool, caller).then(() => {
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -12,7 +12,7 @@
 import {RelayProgress} from './_progress.ts';
 import type {TargetSet} from './target-set.ts';
 import {
-	makeRefusal, type Random, type Refusal, type RelayPool, type RelayRequest,
+	makeRefusal, type Random, type Refusal, type RelayPool, type RelayRequest, type RunState,
 } from '#core';
 import {
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
@@ -57,6 +57,16 @@
 
 const badGateway = 502;
 
+/** What became of a request, for the log and the metrics. */
+type RelayOutcome = Readonly<{
+	kind: 'answered' | 'caller_left' | 'cut' | 'refused' | 'target_failed';
+	/** Why the caller has no whole answer. */
+	reason?: string;
+	ran?: RunState;
+	/** When a refused caller should come back, in milliseconds. */
+	returnMs?: number | undefined;
+}>;
+
 /** Where a request goes, and its urgency there. */
 type Plan = Readonly<{choice: TargetChoice; urgency: number}>;
 
@@ -84,15 +94,14 @@
 		this.#deps.budget.recordAttempt(pool.name);
 		const progress = new RelayProgress(request, pool);
 		try {
-			const outcome = await this.#runAttempts(progress, new DeliveredAnswer(request, caller), caller);
-			this.#note(progress, outcome);
+			const answer = new DeliveredAnswer(request, caller, this.#deps.clock);
+			this.#note(progress, answer, await this.#runAttempts(progress, answer, caller));
 		} finally {
 			this.#running--;
 		}
 	}
 
-	/** @returns what became of the request, for the log */
-	async #runAttempts(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): Promise<string> {
+	async #runAttempts(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): Promise<RelayOutcome> {
 		const {clock, telemetry} = this.#deps;
 		const {request} = progress;
 		for (;;) {
@@ -109,12 +118,12 @@
 			});
 			progress.noteAttempt(choice, fromMs, clock.now(), end);
 			if (caller.hasLeft()) {
-				return 'caller left';
+				return {kind: 'caller_left'};
 			}
 
 			if (!end) {
 				this.#clearStrikes(progress);
-				return 'answered';
+				return {kind: 'answered'};
 			}
 
 			this.#suspect(choice, end.cause);
@@ -239,19 +248,15 @@
 		}
 	}
 
-	/**
-	 * Ends a request that no attempt will answer.
-	 *
-	 * @returns what became of it, for the log
-	 */
-	#give(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): string {
+	/** Ends a request that no attempt will answer. */
+	#give(progress: RelayProgress, answer: DeliveredAnswer, caller: RelayCaller): RelayOutcome {
 		if (answer.hasBegun) {
 			caller.cut();
-			return 'cut';
+			return {kind: 'cut', reason: progress.cause};
 		}
 
 		if (answer.deliverFailure()) {
-			return 'target\'s failure';
+			return {kind: 'target_failed'};
 		}
 
 		if (progress.ran === 'not_run') {
@@ -261,15 +266,29 @@
 		const refusal = makeTrueRefusal(progress);
 		this.#deps.telemetry.count('refusals_total', {reason: refusal.reason, ran: refusal.ran});
 		caller.refuse(refusal);
-		return `${refusal.status} ${refusal.reason}`;
+		return {
+			kind: 'refused', reason: `${refusal.status} ${refusal.reason}`, ran: refusal.ran, returnMs: refusal.retryAfterMs,
+		};
 	}
 
 	/** One line for each request: what became of it, and what each attempt on the way ended with. */
-	#note({request, pool, attempts}: RelayProgress, outcome: string): void {
+	#note({request, pool, attempts}: RelayProgress, {begunMs}: DeliveredAnswer, {kind, ...ending}: RelayOutcome): void {
 		const {clock, telemetry} = this.#deps;
+		const {route, arrivedMs} = request;
+		const ms = clock.now() - arrivedMs;
+		const labels = {route: route.name, outcome: kind};
+		telemetry.observe('relay_ms', ms, {...labels, phase: 'whole'});
+		if (begunMs !== undefined) {
+			telemetry.observe('relay_ms', begunMs - arrivedMs, {...labels, phase: 'first_byte'});
+		}
+
+		if (attempts.length > 1) {
+			telemetry.observe('relay_ms', attempts.at(-1)!.fromMs, {...labels, phase: 'failed_attempts'});
+		}
+
 		telemetry.log('request ended', {
-			id: request.id, route: request.route.name, customer: request.customer?.name, pool: pool.name, outcome,
-			ms: Math.round(clock.now() - request.arrivedMs), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
+			id: request.id, route: route.name, customer: request.customer?.name, pool: pool.name, configuration: request.configurationVersion,
+			outcome: kind, ...ending, ms: Math.round(ms), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
 		});
 	}
 }
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -60,6 +60,10 @@
 	admission_wait_ms: {help: 'Time that admitted requests waited for their pool, in milliseconds.', labels: ['pool'], buckets: latencyBucketsMs},
 	first_token_ms: {help: 'Time to the first token, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
 	answer_ms: {help: 'Time to the whole answer, in milliseconds.', labels: ['route'], buckets: latencyBucketsMs},
+	relay_ms: {
+		help: 'Time of relayed requests, in milliseconds: until the whole answer, until its first byte, and spent on failed attempts.',
+		labels: ['route', 'outcome', 'phase'], buckets: latencyBucketsMs,
+	},
 } as const satisfies Readonly<Record<string, HistogramRule>>;
 
 /** Name of a counter. */
