--- /dev/null
+++ b/packages/relay/engine-watch.test.ts
@@ -0,0 +1,114 @@
+import t, {type Test} from 'tap';
+import {watchEngines, type PartEvents} from './engine-watch.ts';
+import {PlacedParts} from './placed-parts.ts';
+import {TargetSet} from './target-set.ts';
+import {ManualClock} from '#clock';
+import type {RelayTarget} from '#core';
+import {PeerNetworkStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
+
+const engine: RelayTarget = {
+	id: 'e1', incarnation: 'e1@1', startedWallMs: 1, pool: 'p', address: '127.0.0.1:1', zone: 'z', slots: 4, isLeaving: false, weights: new Map([['m', 1]]),
+};
+const plain: RelayTarget = {
+	...engine, id: 't1', incarnation: 't1@1', address: '127.0.0.1:2', weights: new Map(),
+};
+
+/** Two instances, the first of which reads the engine. */
+function start(t: Test) {
+	const clock = new ManualClock();
+	const network = new PeerNetworkStandin(clock);
+	const telemetry = createTelemetry({level: 'silent'});
+	const stopping = new AbortController();
+	const reads: Array<readonly [string, string, number]> = [];
+	const answers: Array<PartEvents | undefined> = [];
+	let idle: PartEvents | undefined = {
+		epoch: 'x', next: 7, isGap: false, events: [],
+	};
+	const join = (name: string) => {
+		const targets = new TargetSet(clock, {connectMs: 1000, idleMs: 1000});
+		targets.update([engine, plain]);
+		const placed = new PlacedParts();
+		void watchEngines({
+			clock, telemetry, targets, placed, bus: network.join({name, zone: 'z', incarnation: name}), isReader: () => name === 'a',
+			async readEvents(target, since) {
+				reads.push([name, target.id, since]);
+				return answers.length > 0 ? answers.shift() : idle;
+			},
+		}, stopping.signal);
+		return {targets, placed, engine: targets.get('e1')!};
+	};
+
+	t.teardown(async () => {
+		stopping.abort();
+		await clock.advance(1000);
+	});
+	return {
+		clock, reads, answers, a: join('a'), b: join('b'),
+		silence(isSilent: boolean) {
+			idle = isSilent
+				? undefined
+				: {
+					epoch: 'x', next: 7, isGap: false, events: [],
+				};
+		},
+	};
+}
+
+t.test('only the reader reads, only engines, and from where it was', async t => {
+	const {clock, reads} = start(t);
+	await clock.advance(1000);
+	t.strictSame(reads[0], ['a', 'e1', 0]);
+	t.ok(reads.slice(1).every(([name, id, since]) => name === 'a' && id === 'e1' && since === 7));
+	t.ok(reads.length <= 5, 'four reads a second');
+});
+
+t.test('a silent engine is passed over by all within 600 ms, and trusted again once heard', async t => {
+	const {clock, a, b, silence} = start(t);
+	await clock.advance(2000);
+	silence(true);
+	await clock.advance(600);
+	t.ok(a.engine.suspectUntilMs > clock.now());
+	t.ok(b.engine.suspectUntilMs > clock.now());
+	silence(false);
+	await clock.advance(300);
+	t.ok(a.engine.suspectUntilMs <= clock.now());
+});
+
+t.test('an own answer from the engine outweighs a peer\'s word of its silence', async t => {
+	const {clock, b, silence} = start(t);
+	silence(true);
+	for (let step = 0; step < 20; step++) {
+		b.engine.heardMs = clock.now();
+		await clock.advance(50);
+	}
+
+	t.ok(b.engine.suspectUntilMs <= clock.now());
+});
+
+t.test('evicted parts are forgotten everywhere', async t => {
+	const {clock, answers, a, b} = start(t);
+	await clock.advance(100);
+	for (const {placed} of [a, b]) {
+		placed.note('s/x', 'e1@1', clock.now());
+		placed.note('s/y', 'e1@1', clock.now());
+	}
+
+	answers.push({
+		epoch: 'x', next: 9, isGap: false, events: [{isStored: false, scope: 's', part: 'x'}, {isStored: true, scope: 's', part: 'new'}],
+	});
+	await clock.advance(300);
+	for (const {placed} of [a, b]) {
+		t.notOk(placed.has('s/x', 'e1@1', clock.now()));
+		t.ok(placed.has('s/y', 'e1@1', clock.now()));
+		t.equal(placed.size, 2);
+	}
+});
+
+t.test('after another start of the engine its events are read from the beginning', async t => {
+	const {clock, reads, answers} = start(t);
+	const batch = {next: 40, isGap: false, events: []};
+	answers.push({...batch, epoch: 'x'}, {...batch, epoch: 'y'});
+	await clock.advance(1000);
+	t.strictSame(reads.slice(0, 4).map(read => read[2]), [0, 7, 40, 0]);
+});
