--- /dev/null
+++ b/packages/gateway/gateway.test.ts
@@ -0,0 +1,159 @@
+import t from 'tap';
+import {Gateway, type RequestHead} from './gateway.ts';
+import {ManualClock} from '#clock';
+import {
+	createRandom, makeRefusal, prepareHash, type Refusal, type RelayConfiguration, type RelayPool, type RelayRequest, type RelayRoute,
+} from '#core';
+import type {RelayCaller} from '#relay';
+import {createTelemetry} from '#telemetry';
+
+const route: RelayRoute = {
+	name: 'r', host: 'h', pathPrefix: '/a/', pools: [{pool: 'p', weight: 1}], isStream: false, repetition: 'any', maxTargets: 1,
+	timeoutMs: 800, promisedMs: 100, gapMs: 0, priority: 2, isPublic: false,
+};
+const prompt = {
+	model: 'm', inputTokens: 10, maxOutputTokens: 5, parts: [],
+};
+const head: RequestHead = {
+	requestId: 'a', method: 'GET', path: '/a/1', host: 'h', remainingMs: undefined, key: 'k1', lastEventId: undefined, prompt: undefined, passed: [],
+	headerBytes: 100, bodyBytes: undefined,
+};
+const caller: RelayCaller = {
+	hasLeft: () => false,
+	listenLeave: () => () => undefined,
+	begin() {
+		// Nothing is sent here.
+	},
+	write: () => true,
+	async waitForRoom() {
+		// There is always room.
+	},
+	end() {
+		// Nothing is sent here.
+	},
+	cut() {
+		// Nothing is sent here.
+	},
+	refuse() {
+		// Nothing is sent here.
+	},
+};
+
+function makeConfiguration(version: number, options: Partial<RelayConfiguration> = {}): RelayConfiguration {
+	return {
+		version, routes: [route, {
+			...route, name: 'open', pathPrefix: '/open/', isPublic: true,
+		}],
+		pools: new Map([['p', {name: 'p', healthPath: '/', maxConnections: 9}]]), keptStores: [],
+		customers: new Map([['k1', {name: 'ann', isIsolated: false}], ['k2', {name: 'bo', isIsolated: true}]]),
+		limits: {
+			maxHeaderBytes: 1000, maxBodyBytes: 500, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		}, ...options,
+	};
+}
+
+function start() {
+	const clock = new ManualClock();
+	const telemetry = createTelemetry({level: 'silent'});
+	const runs: Array<readonly [RelayRequest, RelayPool]> = [];
+	const gateway = new Gateway({
+		clock, telemetry, random: createRandom(4),
+		relay: {
+			async run(request, pool) {
+				runs.push([request, pool]);
+			},
+		},
+	});
+	const accept = (changes: Partial<RequestHead> = {}) => {
+		const accepted = gateway.accept({...head, ...changes});
+		if (!accepted.ok) {
+			throw new TypeError(accepted.error.reason);
+		}
+
+		return accepted.value;
+	};
+
+	return {
+		clock, telemetry, gateway, runs, accept,
+	};
+}
+
+t.before(prepareHash);
+
+t.test('nothing is accepted before the first configuration, and the caller is told when to come back', async t => {
+	const {gateway, telemetry} = start();
+	t.match(gateway.accept(head), {ok: false, error: {reason: 'not_configured', ran: 'not_run', retryAfterMs: Number}});
+	t.equal(telemetry.read('refusals_total', {reason: 'not_configured', ran: 'not_run'}), 1);
+});
+
+const refusals: ReadonlyArray<readonly [string, Partial<RequestHead>, Refusal['reason']]> = [
+	['an unknown host', {host: 'other'}, 'route_unknown'],
+	['an unknown path', {path: '/b/1'}, 'route_unknown'],
+	['no key', {key: undefined}, 'unauthenticated'],
+	['an unknown key', {key: 'k9'}, 'unauthenticated'],
+	['long headers', {headerBytes: 1001}, 'headers_too_large'],
+	['a long body', {bodyBytes: 501}, 'body_too_large'],
+];
+
+for (const [name, changes, reason] of refusals) {
+	t.test(`${name}: ${reason}`, async t => {
+		const {gateway} = start();
+		gateway.install(makeConfiguration(1));
+		t.match(gateway.accept({...head, ...changes}), {ok: false, error: makeRefusal(reason)});
+	});
+}
+
+t.test('a public route needs no key', async t => {
+	const {gateway, accept} = start();
+	gateway.install(makeConfiguration(1));
+	t.equal(accept({path: '/open/1', key: undefined}).customer, undefined);
+});
+
+t.test('an older configuration never replaces a newer one', async t => {
+	const {gateway} = start();
+	t.ok(gateway.install(makeConfiguration(5)));
+	t.notOk(gateway.install(makeConfiguration(4)));
+	t.notOk(gateway.install(makeConfiguration(5)));
+	t.equal(gateway.configuration?.version, 5);
+});
+
+t.test('the deadline is the caller\'s or the route\'s, whichever is sooner', async t => {
+	const {clock, gateway, accept} = start();
+	gateway.install(makeConfiguration(1));
+	await clock.advance(50);
+	t.equal(accept().deadlineMs, 850);
+	t.equal(accept({remainingMs: 300}).deadlineMs, 350);
+	t.equal(accept({remainingMs: 9000}).deadlineMs, 850);
+});
+
+t.test('isolated customers share nothing; the others share less once one of them is isolated', async t => {
+	const {gateway, accept} = start();
+	gateway.install(makeConfiguration(1));
+	const shared = accept({prompt}).cacheScope;
+	t.not(accept({prompt, key: 'k2'}).cacheScope, shared);
+	t.equal(accept().cacheScope, undefined, 'what is no prompt has no scope');
+	gateway.install(makeConfiguration(2, {customers: new Map([['k1', {name: 'ann', isIsolated: false}], ['k3', {name: 'cy', isIsolated: true}]])}));
+	t.not(accept({prompt}).cacheScope, shared);
+});
+
+t.test('an accepted request runs by the configuration that accepted it', async t => {
+	const {gateway, accept, runs} = start();
+	gateway.install(makeConfiguration(1));
+	const accepted = accept();
+	gateway.install(makeConfiguration(2, {pools: new Map()}));
+	await gateway.run(accepted, undefined, caller);
+	t.match(runs, [[{id: 'a', configurationVersion: 1}, {name: 'p'}]]);
+});
+
+t.test('a route whose pool is not there is refused', async t => {
+	const {gateway, accept, runs} = start();
+	gateway.install(makeConfiguration(1, {pools: new Map()}));
+	const told: Refusal[] = [];
+	await gateway.run(accept(), undefined, {
+		...caller, refuse(refusal) {
+			told.push(refusal);
+		},
+	});
+	t.match(told, [{reason: 'no_target', ran: 'not_run'}]);
+	t.equal(runs.length, 0);
+});
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -18,7 +18,7 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	relay: Relay;
+	relay: Pick<Relay, 'run'>;
 }>;
 
 /** The head of a caller's request. */
