Weights: the lease is given up when a roll-out is over, and the next holder watches it

The holder of the roll-out before had been restarted and left its lease standing, so the next one first waited its turn (one second) and then the whole term and guard from its own first look at the lease. Ruled out: the store (its answers came within 15 ms) and late news (all instances knew version 4 within 100 ms). The holder now gives the lease up one term after its last order, so that holders still do not take turns, and instances next in rank look at the lease once in a third of its term.

--- a/packages/lease/lease.ts
+++ b/packages/lease/lease.ts
@@ -48,9 +48,10 @@
 export class Lease {
 	/** Time that a successor waits beyond the term, in milliseconds. */
 	readonly guardMs: number;
+	/** Length of a term, in milliseconds. */
+	readonly termMs: number;
 	readonly #deps: LeaseDeps;
 	readonly #key: string;
-	readonly #termMs: number;
 	#seen: Seen | undefined;
 	#fencing = 0;
 	#validUntilMs = -Infinity;
@@ -59,7 +60,7 @@
 	constructor(name: string, deps: LeaseDeps, options: LeaseOptions = {}) {
 		this.#deps = deps;
 		this.#key = `${options.kind ?? 'leases'}/${name}`;
-		this.#termMs = options.termMs ?? 6000;
+		this.termMs = options.termMs ?? 6000;
 		this.guardMs = options.guardMs ?? 2000;
 	}
 
@@ -78,9 +79,14 @@
 		return this.remainingMs > 0;
 	}
 
+	/** Whether this instance was the last holder that it knows of, also when its term is over. */
+	get isOwn(): boolean {
+		return this.#seen?.record?.holder === this.#deps.holder;
+	}
+
 	/** Time between calls of {@link Lease.refresh}, in milliseconds. */
 	get refreshMs(): number {
-		return this.#termMs / renewalsPerTerm;
+		return this.termMs / renewalsPerTerm;
 	}
 
 	/**
@@ -89,12 +95,12 @@
 	 * @param isCandidate whether this instance should take a lapsed lease
 	 */
 	async refresh(isCandidate: boolean): Promise<void> {
-		const isOwn = this.#seen?.record?.holder === this.#deps.holder && this.isHeld;
-		if (!isOwn && !isCandidate) {
+		const isHolder = this.isOwn && this.isHeld;
+		if (!isHolder && !isCandidate) {
 			return;
 		}
 
-		if (isOwn) {
+		if (isHolder) {
 			await this.#write(this.#seen!, this.#fencing);
 			return;
 		}
@@ -119,16 +125,18 @@
 		}
 	}
 
-	/** Gives the lease up, so that a successor need not wait. No order may be on its way. */
+	/** Gives the lease up, so that a successor need not wait; also one whose term is over, if no other has taken it. No order may be on its way. */
 	async release(): Promise<void> {
-		if (!this.isHeld || !this.#seen) {
+		if (!this.isOwn) {
 			return;
 		}
 
+		const seen = this.#seen!;
 		this.#validUntilMs = -Infinity;
+		this.#seen = undefined;
 		const record: LeaseRecord = {holder: '', fencing: this.#fencing, nonce: this.#deps.random.id()};
-		await this.#deps.platform.put(this.#key, JSON.stringify(record), {ifVersion: this.#seen.version});
-		this.#count('released');
+		const put = await this.#deps.platform.put(this.#key, JSON.stringify(record), {ifVersion: seen.version});
+		this.#count(put.ok ? 'released' : 'not_released');
 	}
 
 	/** Forgets the term at once, as after a target has named a newer fencing number. */
@@ -147,7 +155,7 @@
 			return true;
 		}
 
-		return this.#deps.clock.now() - seen.sinceMs >= this.#termMs + this.guardMs;
+		return this.#deps.clock.now() - seen.sinceMs >= this.termMs + this.guardMs;
 	}
 
 	async #write(seen: Seen, fencing: number): Promise<void> {
@@ -160,7 +168,7 @@
 		if (stored) {
 			this.#seen = {version: stored.version, sinceMs: clock.now(), record: {holder, fencing, nonce}};
 			this.#fencing = fencing;
-			this.#validUntilMs = startedMs + this.#termMs;
+			this.#validUntilMs = startedMs + this.termMs;
 			if (!wasHeld) {
 				this.#count('taken');
 			}
--- a/packages/node/_weights-duty.ts
+++ b/packages/node/_weights-duty.ts
@@ -86,6 +86,7 @@
 			const isHolderLive = bus.listPeers().some(peer => peer.name === lastHolder);
 			return (isHolderLive ? 1 : 0) + deps.readRank(dutyName);
 		},
+		isStandby: () => deps.readRank(dutyName) <= 1,
 		replaced({incarnation}) {
 			deps.replaced(incarnation);
 		},
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -110,14 +110,14 @@
 	const news: WeightsNews[] = [];
 
 	/** Starts the roll-out of one instance. */
-	const join = (name: string, rank: number) => {
+	const join = (name: string, rank: number, readRank = () => rank) => {
 		const stopping = new AbortController();
 		const lease = new Lease('weights', {
 			platform, clock, random: createRandom(rank + 1), telemetry, holder: name,
 		}, {termMs: 3000, guardMs: 500});
 		const rollout = new WeightsRollout({
 			name, clock, telemetry, lease, control: fleet, leastTermMs: 0, listEngines: () => fleet.listTargets(), listNamed: () => named,
-			countRequests: ({id}) => fleet.engines.find(engine => engine.id === id)!.running, readRank: () => rank,
+			countRequests: ({id}) => fleet.engines.find(engine => engine.id === id)!.running, readRank, isStandby: () => rank <= 1,
 			replaced() {
 				// No engine of this fleet is replaced.
 			},
@@ -242,6 +242,58 @@
 	t.ok(first!.fencing > last!.fencing);
 });
 
+t.test('a successor watches the holder, so that it need not wait a whole term from when it is due', async t => {
+	const {clock, fleet, join, name} = start(12);
+	const a = join('a', 0);
+	let isHolderActive = true;
+	const b = join('b', 1, () => isHolderActive ? Infinity : 1);
+	name(2);
+	a.rollout.wake();
+	b.rollout.wake();
+	await clock.advance(1500);
+	a.stopping.abort();
+	clock.after(1500, () => {
+		isHolderActive = false;
+	});
+	await clock.advance(20);
+	const last = fleet.orders.findLast(({holder}) => holder === 'a')!;
+	t.ok(await clock.advanceUntil(() => fleet.orders.some(({holder}) => holder === 'b'), 10_000, 10));
+	const waitedMs = fleet.orders.find(({holder}) => holder === 'b')!.atMs - last.atMs;
+	t.ok(waitedMs >= 3000 && waitedMs < 4800, `${waitedMs} ms`);
+});
+
+t.test('a roll-out that is over leaves no term for the next holder to wait for', async t => {
+	const {clock, fleet, join, name, isLevel} = start(4);
+	const a = join('a', 0);
+	name(2);
+	a.rollout.wake();
+	t.ok(await clock.advanceUntil(() => isLevel(2), 8000, 10));
+	await clock.advance(5500);
+	a.stopping.abort();
+	const b = join('b', 0);
+	name(3);
+	const namedMs = clock.now();
+	b.rollout.wake();
+	t.ok(await clock.advanceUntil(() => fleet.orders.some(({holder}) => holder === 'b'), 10_000, 10));
+	t.ok(clock.now() - namedMs < 1000, `${clock.now() - namedMs} ms`);
+});
+
+t.test('holders do not take turns, although the first one is done and stops', async t => {
+	const {clock, fleet, join, name, isLevel} = start(4);
+	const a = join('a', 0);
+	name(2);
+	a.rollout.wake();
+	t.ok(await clock.advanceUntil(() => isLevel(2), 8000, 10));
+	a.stopping.abort();
+	await clock.advance(10);
+	const b = join('b', 0);
+	name(3);
+	b.rollout.wake();
+	t.ok(await clock.advanceUntil(() => isLevel(3), 12_000, 10));
+	const last = fleet.orders.findLast(({holder}) => holder === 'a')!;
+	t.ok(fleet.orders.find(({holder}) => holder === 'b')!.atMs - last.atMs >= 3000);
+});
+
 t.test('a holder that was suspended gives its lease up', async t => {
 	const {clock, fleet, join, name} = start(12);
 	const {rollout, lease} = join('a', 0);
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -35,6 +35,8 @@
 	listNamed: () => ReadonlyMap<string, number>;
 	/** Place of this instance among those that may act; 0 acts at once. */
 	readRank: () => number;
+	/** Whether this instance is among the first to follow the holder, and therefore watches the lease. */
+	isStandby: () => boolean;
 	/** Least time of the lease's term that must be left for an order, in milliseconds; 0 where engines refuse old fencing tokens. */
 	leastTermMs: number;
 	/** Called when another process has taken an engine's address. */
@@ -91,6 +93,7 @@
 	readonly #loading = new Set<string>();
 	readonly #retryAtMs = new Map<string, number>();
 	#refreshedMs = -Infinity;
+	#orderedMs = -Infinity;
 	#behindSinceMs: number | undefined;
 	#wallOffsetMs: number;
 	#wake: (() => void) | undefined;
@@ -112,15 +115,13 @@
 			const behind = this.#listBehind();
 			if (behind.length === 0) {
 				this.#behindSinceMs = undefined;
-				await this.#rest(signal);
+				await (this.#mayRelease() ? lease.release() : this.#rest(signal));
 				continue;
 			}
 
 			this.#behindSinceMs ??= clock.now();
 			this.#checkSuspension();
-			if (this.#isDue()) {
-				await this.#refreshLease();
-			}
+			await this.#followLease();
 
 			if (lease.isHeld) {
 				this.#startOrders(behind, signal);
@@ -130,6 +131,9 @@
 		}
 
 		await Promise.all(this.#active.values());
+		if (this.#mayRelease()) {
+			await lease.release();
+		}
 	}
 
 	/** Sleeps until news or the end of the rest. */
@@ -157,13 +161,23 @@
 		return clock.now() - this.#behindSinceMs! >= readRank() * rankDelayMs;
 	}
 
-	async #refreshLease(): Promise<void> {
-		const {clock, lease} = this.#deps;
-		const dueMs = lease.isHeld ? lease.refreshMs : retakeMs;
-		if (clock.now() - this.#refreshedMs >= dueMs) {
-			this.#refreshedMs = clock.now();
-			await lease.refresh(true);
+	/** Holds the lease or tries to take it; one that is next after the holder sees how old the lease is. */
+	async #followLease(): Promise<void> {
+		const {clock, lease, isStandby} = this.#deps;
+		const isDue = this.#isDue();
+		const everyMs = isDue && !lease.isHeld ? retakeMs : lease.refreshMs;
+		if (clock.now() - this.#refreshedMs < everyMs || !(isDue || isStandby())) {
+			return;
 		}
+
+		this.#refreshedMs = clock.now();
+		await (isDue ? lease.refresh(true) : lease.observe());
+	}
+
+	/** Whether the lease can be given up. Within a term of its last order the holder keeps it, so that holders do not take turns. */
+	#mayRelease(): boolean {
+		const {clock, lease} = this.#deps;
+		return lease.isOwn && this.#active.size === 0 && clock.now() - this.#orderedMs >= lease.termMs;
 	}
 
 	/** A process that was suspended does not know how long: its term may be over. */
@@ -243,6 +257,7 @@
 		const {name, lease, control, telemetry} = this.#deps;
 		this.#loading.add(target.incarnation);
 		const {fencing} = lease;
+		this.#orderedMs = this.#deps.clock.now();
 		const outcome = await control.sendOrder(target, {
 			model, version, holder: name, fencing, ifAcceptedOrders: report.acceptedOrders, keepsRuns: report.running > 0,
 		});
