Relay: limits of the whole fleet are divided by the instances that are there; a target's connections are bounded

Causes, read from the code: the slack of repeats was divided by eight whatever the fleet, so 82 instances could repeat ten times what the deployment allows; the connections that a target accepts from all callers together were read from the configuration and never used; streams that broke off in the middle drew on the half of the slack that others may use and not on the half that is kept for them. Tests first, each failing before. A target whose connections are used up is passed over; where all are, the request is refused at once with a time to come back.

--- a/packages/dispatch/retry-budget.ts
+++ b/packages/dispatch/retry-budget.ts
@@ -14,6 +14,8 @@
 	slack?: number;
 	/** Length of the window, in milliseconds. Default: 10 000. */
 	windowMs?: number;
+	/** Instances that share the retries beyond the ratio. Default: one. */
+	countInstances?: () => number;
 }>;
 
 /** What happened in one part of the window. */
@@ -27,12 +29,14 @@
 	readonly #pools = new Map<string, Slot[]>();
 	readonly #ratio: number;
 	readonly #slack: number;
+	readonly #countInstances: () => number;
 	readonly #windowMs: number;
 
 	constructor(clock: Clock, options: RetryBudgetOptions = {}) {
 		this.#clock = clock;
 		this.#ratio = options.ratio ?? 0.2;
 		this.#slack = options.slack ?? 32;
+		this.#countInstances = options.countInstances ?? (() => 1);
 		this.#windowMs = options.windowMs ?? 10_000;
 	}
 
@@ -48,7 +52,7 @@
 	 * @returns `false` when nothing is left
 	 */
 	take(pool: string, begun: boolean): boolean {
-		const reserved = begun ? 0 : this.#slack / 2;
+		const reserved = begun ? 0 : this.#readSlack() / 2;
 		if (this.read(pool) - 1 < reserved) {
 			return false;
 		}
@@ -61,7 +65,7 @@
 	read(pool: string): number {
 		const slots = this.#pools.get(pool) ?? [];
 		const sinceMs = this.#clock.now() - this.#windowMs;
-		let left = this.#slack;
+		let left = this.#readSlack();
 		for (const {startMs, attempts, retries} of slots) {
 			// The oldest slot lies partly outside: its retries count, its attempts do not.
 			left += startMs >= sinceMs ? this.#ratio * attempts : 0;
@@ -71,6 +75,10 @@
 		return left;
 	}
 
+	#readSlack(): number {
+		return this.#slack / this.#countInstances();
+	}
+
 	get #slotMs(): number {
 		return this.#windowMs / slotsPerWindow;
 	}
--- a/packages/dispatch/retry.test.ts
+++ b/packages/dispatch/retry.test.ts
@@ -76,6 +76,16 @@
 	}), {seed: 14, numRuns: 40});
 });
 
+t.test('a larger fleet shares the same slack', async t => {
+	let instances = 8;
+	const budget = new RetryBudget(new ManualClock(), {ratio: 0, slack: 80, countInstances: () => instances});
+	t.equal(budget.read('p'), 10);
+	instances = 40;
+	t.equal(budget.read('p'), 2);
+	t.ok(budget.take('p', true) && budget.take('p', true));
+	t.notOk(budget.take('p', true));
+});
+
 t.test('keeps half of the budget for streams that have begun', async t => {
 	const budget = new RetryBudget(new ManualClock(), {slack: 4});
 	t.ok(budget.take('p', false) && budget.take('p', false));
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -16,7 +16,7 @@
 import {RetryBudget} from '#dispatch';
 import {Gateway} from '#gateway';
 import {
-	createObjectStoreClient, type ObjectStore, type StoredObject, type StoreRates,
+	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
 import {runShareExchange} from '#placement';
 import {Quarantine} from '#quarantine';
@@ -91,7 +91,7 @@
 	stop(): Promise<void>;
 }>;
 
-/** Instances assumed before the peers are known. */
+/** Instances assumed before the peers are known, and at least. */
 const expectedInstances = 8;
 
 /** Time between reads of the list of instances, in milliseconds: peers tell the rest. */
@@ -122,8 +122,11 @@
 		settings, clock, random, telemetry, formats, bounds,
 	} = deps;
 	const started: Started = {};
+	const countLive = () => started.peers?.listInstances().length ?? 1;
+	const sharers = new InstanceCount(clock, countLive, expectedInstances);
+	const countSharers = () => sharers.read();
 	const store = createObjectStoreClient({
-		platform: deps.store, clock, random, telemetry, countInstances: () => started.peers?.listInstances().length ?? 1,
+		platform: deps.store, clock, random, telemetry, countInstances: countLive,
 	}, {rates: deps.storeRates, expectedInstances});
 	const peers = await startPeers({
 		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
@@ -148,12 +151,12 @@
 	});
 	const relay = new Relay({
 		clock, random, telemetry, targets, placed, quarantine, dialect: deps.dialect, zone: settings.zone,
-		weights: board, probe: calls.probe, weightsMs: bounds.weightsMs,
+		weights: board, probe: calls.probe, weightsMs: bounds.weightsMs, countInstances: countSharers,
 		surprised(state, surprise) {
 			surprises.handle(state, surprise);
 		},
 		budget: new RetryBudget(clock, {
-			ratio: bounds.retryRatio * ratioShare, slack: bounds.retrySlack * slackShare / expectedInstances, windowMs: bounds.retryWindowMs,
+			ratio: bounds.retryRatio * ratioShare, slack: bounds.retrySlack * slackShare, windowMs: bounds.retryWindowMs, countInstances: countSharers,
 		}),
 	});
 	const gateway = new Gateway({
--- a/packages/object-store/client.ts
+++ b/packages/object-store/client.ts
@@ -4,7 +4,7 @@
  * docs/design/platform-use.md gives the reasons.
  */
 import {Breaker} from './_breaker.ts';
-import {InstanceCount} from './_instance-count.ts';
+import {InstanceCount} from './instance-count.ts';
 import {RateBudget, type BudgetRule} from './_rate-budget.ts';
 import type {ObjectStore, StoreFailure} from './object-store.ts';
 import type {Clock} from '#clock';
--- a/packages/object-store/_instance-count.ts
+++ b/packages/object-store/instance-count.ts
@@ -1,4 +1,4 @@
-/** The number of instances that the platform's rates are divided by. */
+/** The number of instances that limits of the whole fleet are divided by. */
 import type {Clock} from '#clock';
 
 const memoryMs = 300_000;
@@ -6,7 +6,7 @@
 /**
  * Follows the number of live instances: a rise counts at once, a fall only
  * after five minutes. An instance that is cut off from its peers, or has just
- * started, therefore does not take the rates of the whole fleet for its own.
+ * started, therefore does not take the limits of the whole fleet for its own.
  */
 export class InstanceCount {
 	readonly #clock: Clock;
--- a/packages/object-store/mod.ts
+++ b/packages/object-store/mod.ts
@@ -10,3 +10,4 @@
 export {
 	createObjectStoreClient, type StoreCallKind, type ObjectStoreClient, type ObjectStoreClientDeps, type ObjectStoreClientOptions, type StoreRates,
 } from './client.ts';
+export {InstanceCount} from './instance-count.ts';
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -40,7 +40,7 @@
 	runs = 0;
 	ran: RunState = 'not_run';
 	/** How the last attempt ended, or why there was none. */
-	cause: AttemptCause | 'none' | 'overloaded' | 'quarantined' = 'none';
+	cause: AttemptCause | 'none' | 'full' | 'overloaded' | 'quarantined' = 'none';
 	/** When a refused caller should come back, in milliseconds; absent where nothing is known. */
 	returnMs: number | undefined;
 
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -25,7 +25,7 @@
 function makeQuery(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetQuery {
 	return {
 		targets, excluded: new Set(), engine, prompt: undefined, cacheScope: 's', urgency: 0, named: undefined, weightsMs: 8000,
-		placed: new PlacedParts(), zone: 'a', nowMs: 0, random: createRandom(5), ...options,
+		placed: new PlacedParts(), zone: 'a', mostConnections: 46, nowMs: 0, random: createRandom(5), ...options,
 	};
 }
 
@@ -53,6 +53,14 @@
 	t.equal(chooseRelayTarget(makeQuery(targets, {excluded: new Set(['e1', 'e2'])})), 'none_listed');
 });
 
+t.test('a burst: a target whose connections are used up is passed over, and where all are, none is chosen', async t => {
+	const targets = [makeState(0), makeState(1)];
+	targets[0]!.connections.canStart = () => false;
+	t.equal(choose(makeQuery(targets)).state.target.id, 'e1');
+	targets[1]!.connections.canStart = most => most > 46;
+	t.equal(chooseRelayTarget(makeQuery(targets)), 'connections_used');
+});
+
 t.test('a loading or silent target is chosen only where there is no other', async t => {
 	const targets = [makeState(0), makeState(1)];
 	targets[0]!.loadingUntilMs = 100;
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -36,6 +36,8 @@
 	placed: PlacedParts;
 	/** This instance's availability zone. */
 	zone: string;
+	/** This instance's share of the connections that a target accepts. */
+	mostConnections: number;
 	nowMs: number;
 	random: Random;
 }>;
@@ -62,7 +64,7 @@
 }>;
 
 /** Why no target could be chosen. */
-export type NoTarget = 'none_listed' | 'old_weights';
+export type NoTarget = 'none_listed' | 'old_weights' | 'connections_used';
 
 /** Way to another availability zone and back, with the price of the bytes, in milliseconds. */
 const otherZoneMs = 4;
@@ -102,7 +104,12 @@
 		return listed.length > 0 ? 'old_weights' : 'none_listed';
 	}
 
-	const ready = preferIf(current, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
+	const reachable = current.filter(({connections}) => connections.canStart(query.mostConnections));
+	if (reachable.length === 0) {
+		return 'connections_used';
+	}
+
+	const ready = preferIf(reachable, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const open = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const rate = query.prompt && query.engine ? ratePrompt(query, query.prompt, query.engine) : (state: TargetState) => ratePlain(query, state);
 	let best: TargetChoice | undefined;
--- a/packages/relay/connections.ts
+++ b/packages/relay/connections.ts
@@ -42,6 +42,11 @@
 		return this.#open.size;
 	}
 
+	/** Whether a further exchange can begin while no more than `most` connections are open. */
+	canStart(most: number): boolean {
+		return this.#idle.length > 0 || this.#open.size < most;
+	}
+
 	/** Sends a request over a kept connection, or over a new one where none fits. */
 	start(request: ExchangeRequest, choice: ConnectionChoice): StartedExchange {
 		const kept = this.#takeIdle(choice);
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -138,7 +138,7 @@
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, placed: new PlacedParts(), weights: new WeightsBoard(clock),
-		weightsMs: 8000, zone: 'z', probe: async ({id}) => alive.has(id),
+		weightsMs: 8000, zone: 'z', countInstances: () => 2, probe: async ({id}) => alive.has(id),
 		surprised(state, surprise) {
 			surprises.push(`${state.target.id} ${surprise}`);
 		},
@@ -314,6 +314,40 @@
 	t.equal(repeats, 4);
 });
 
+t.test('streams that have begun may use the half of the budget that others leave', async t => {
+	const breakOff: RawScript = (_request, reply) => {
+		reply.write(`${streamHead}${makeEvent(1)}`);
+		reply.reset();
+	};
+
+	const world = await start(t, breakOff, breakOff);
+	for (let request = 0; request < 8; request++) {
+		world.raw[1]!.play(answer(`${streamHead}${makeEvent(2)}0\r\n\r\n`));
+		world.targets.get('t0')!.trust();
+		const {isDone} = world.begin(streamRoute, 0, `a${request}`);
+		await world.until(isDone);
+	}
+
+	t.equal(world.raw[1]!.requests.length, 8);
+});
+
+t.test('a burst beyond this instance\'s connections is refused at once, and served when they are free', async t => {
+	const world = await start(t, silent);
+	const begun = Array.from({length: 7}, (_item, index) => world.begin(onceRoute, 0, `a${index}`));
+	await world.until(() => begun.filter(({isDone}) => isDone()).length === 2);
+	t.equal(world.clock.now(), 0);
+	for (const {caller} of begun.slice(5)) {
+		t.strictSame(caller.notes, ['refused 503 queue_full not_run']);
+		t.ok(caller.refusal!.retryAfterMs! > 0);
+	}
+
+	await world.until(() => world.raw[0]!.requests.length === 5);
+	begun[0]!.caller.leave();
+	await world.until(begun[0]!.isDone);
+	world.begin(onceRoute, 0, 'late');
+	await world.until(() => world.raw[0]!.requests.length === 6);
+});
+
 t.test('a caller that leaves ends the work', async t => {
 	const world = await start(t, silent);
 	const {caller, isDone} = world.begin(onceRoute);
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -32,6 +32,8 @@
 	weightsMs: number;
 	/** This instance's availability zone. */
 	zone: string;
+	/** Instances that share the targets' connections. */
+	countInstances: () => number;
 }>;
 
 /** Time for which a target is passed over after an exchange with it was lost, in milliseconds: a crashed one is back after some seconds. */
@@ -46,8 +48,12 @@
 /** Time to come back after all targets refused, in milliseconds: a queue moves on in that time. */
 const refusedReturnMs = 300;
 
-/** Time to come back where no target is listed, in milliseconds: entries of targets are that late. */
-const noTargetReturnMs = 1000;
+/** What follows where no target can be chosen. Entries of targets are about a second late; connections are given back as answers end. */
+const noTargetRules = {
+	none_listed: {cause: 'none', returnMs: 1000},
+	old_weights: {cause: 'none', returnMs: 1000},
+	connections_used: {cause: 'full', returnMs: 300},
+} as const satisfies Readonly<Record<NoTarget, Readonly<{cause: RelayProgress['cause']; returnMs: number}>>>;
 
 /** Statuses by which an answer says that its request has not run and never will. */
 const promiseStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -131,7 +137,7 @@
 				await this.#examineLoss(progress, choice);
 			}
 
-			if (!this.#mayRetry(progress, end.cause)) {
+			if (!this.#mayRetry(progress, end.cause, answer.hasBegun)) {
 				return this.#give(progress, answer, caller);
 			}
 
@@ -142,15 +148,16 @@
 	#choose(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
 		const {request, pool, excluded} = progress;
 		const {
-			targets, zone, clock, random, weights, weightsMs, placed,
+			targets, zone, clock, random, weights, weightsMs, placed, countInstances,
 		} = this.#deps;
 		const choice = chooseRelayTarget({
 			targets: targets.listPool(pool.name), excluded, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
 			urgency, named: request.prompt && weights.read(request.prompt.model), weightsMs, placed, zone,
-			nowMs: clock.now(), random,
+			nowMs: clock.now(), random, mostConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
 		});
 		if (typeof choice === 'string') {
-			progress.returnMs = noTargetReturnMs;
+			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
+			progress.returnMs = noTargetRules[choice].returnMs;
 		}
 
 		return choice;
@@ -192,14 +199,14 @@
 	}
 
 	/** A further send to a target draws on the pool's budget; one that reached none does not. */
-	#mayRetry({request, pool, runs, sends}: RelayProgress, cause: AttemptCause): boolean {
+	#mayRetry({request, pool, runs, sends}: RelayProgress, cause: AttemptCause, hasBegun: boolean): boolean {
 		const {clock, budget, telemetry} = this.#deps;
 		const {repetition, maxTargets} = request.route;
 		if (runs >= maxTargets || decideRetry(cause, repetition !== 'once') === 'never' || clock.now() >= request.deadlineMs) {
 			return false;
 		}
 
-		if (sends > 0 && !budget.take(pool.name, false)) {
+		if (sends > 0 && !budget.take(pool.name, hasBegun)) {
 			telemetry.count('retries_refused_total', {reason: 'budget'});
 			return false;
 		}
@@ -298,11 +305,13 @@
 	return Math.min(leastUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
 }
 
-const giveReasons = {none: 'no_target', overloaded: 'promise_unreachable', quarantined: 'crashes_targets'} as const;
+const giveReasons = {
+	none: 'no_target', full: 'queue_full', overloaded: 'promise_unreachable', quarantined: 'crashes_targets',
+} as const;
 
 /** A refusal whose status promises no more than is known. */
 function makeTrueRefusal({cause, ran, returnMs}: RelayProgress): Refusal {
-	const reason = cause === 'none' || cause === 'overloaded' || cause === 'quarantined' ? giveReasons[cause] : causeRules[cause].reason;
+	const reason = cause in giveReasons ? giveReasons[cause as keyof typeof giveReasons] : causeRules[cause as AttemptCause].reason;
 	const refusal = makeRefusal(reason, {ran, ...(returnMs === undefined ? {} : {retryAfterMs: returnMs})});
 	return ran !== 'not_run' && promiseStatuses.has(refusal.status) ? {...refusal, status: badGateway} : refusal;
 }
