Membership: cached ranks, messages that spread to all, exchange periods by the fleet's size

Beyond twelve instances a sampled message reaches only the neighbours: news of weights, of replaced and of silent engines did not reach the others at all. They now go to all, by relay where not all are neighbours. Load and parts, which only neighbours hear there, are told less often; the place for a shared duty is computed once for each change of the members instead of twice a second for each engine (about 11 000 hashes at 82 instances and 63 engines).

--- a/packages/membership/membership.test.ts
+++ b/packages/membership/membership.test.ts
@@ -69,6 +69,32 @@
 	t.same(members[0]!.membership.listInstances().map(({status}) => status?.generation).toSorted((a, b) => a! - b!), [1, 2, 3, 4, 5, 6, 7, 8]);
 });
 
+t.test('a spread message goes straight to all neighbours, or by relay where they are not all', async t => {
+	for (const count of [6, 20]) {
+		const fleet = createFleet();
+		const members = await startMany(fleet, count);
+		t.ok(await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === count), 20_000, 50));
+		await fleet.clock.advance(3000);
+		const before = fleet.telemetry.read('peer_messages_total', {kind: 'leaving'});
+		members[2]!.membership.bus.spread({kind: 'leaving', name: 'e1', incarnation: 'x'});
+		await fleet.clock.advance(100);
+		t.equal(members.filter(({heard}) => heard.length === 1).length, count - 1, 'each other instance hears it once');
+		t.equal(fleet.telemetry.read('peer_messages_total', {kind: 'leaving'}) - before, count - 1);
+	}
+});
+
+t.test('a leaving instance gives its place to the next', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 5);
+	t.ok(await fleet.clock.advanceUntil(() => members.every(member => countLive(member) === 5), 5000, 10));
+	const readRanks = () => members.map(({membership}) => membership.readRank('duty'));
+	const before = readRanks();
+	t.strictSame(before.toSorted((a, b) => a - b), [0, 1, 2, 3, 4]);
+	members[before.indexOf(0)]!.membership.markLeaving();
+	await fleet.clock.advance(300);
+	t.strictSame(readRanks().filter((_rank, index) => before[index] !== 0).toSorted((a, b) => a - b), [0, 1, 2, 3]);
+});
+
 t.test('connections stay bounded among many', async t => {
 	const fleet = createFleet();
 	const members = await startMany(fleet, 48);
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -7,12 +7,12 @@
 import type {Duplex} from 'node:stream';
 import {Links} from './links.ts';
 import {MemberTable} from './member-table.ts';
-import {sortByHash} from './neighbours.ts';
 import type {InstanceStatus, MembershipDeps, MembershipOptions} from './types.ts';
 import {listWanted} from './_wanted.ts';
 import {
 	PeerLink, type Envelope, type LinkEnd, type MemberRecord, type Peer, type PeerBus,
 } from '#peer-protocol';
+import {hash64} from '#core';
 
 const defaults: Required<MembershipOptions> = {
 	seeds: [], suspectMs: 3000, reviewMs: 500, connectMs: 1500, minRedialMs: 200, maxRedialMs: 5000, goneMs: 900_000, limits: {},
@@ -33,6 +33,8 @@
 	readonly #dialling = new Map<string, AbortController>();
 	readonly #running = new Set<Promise<unknown>>();
 	readonly #suspectedMs = new Map<string, number>();
+	/** Places by duty, as long as no record changes. */
+	readonly #ranks = new Map<string, number>();
 	readonly #resyncedMs = new WeakMap<PeerLink, number>();
 	readonly #news = new Map<string, Readonly<{record: MemberRecord; from?: Peer}>>();
 	#seeds: ReadonlySet<string>;
@@ -119,8 +121,15 @@
 
 	/** Place of this instance by the same hash; 0 is the first. Leaving instances come last. */
 	readRank(duty: string): number {
-		const live = this.#listLive().filter(({leaving}) => !leaving).map(({peer}) => peer);
-		return sortByHash([this.#deps.self, ...live], ({incarnation}) => `${duty} ${incarnation}`).indexOf(this.#deps.self);
+		let rank = this.#ranks.get(duty);
+		if (rank === undefined) {
+			const makeKey = (incarnation: string) => hash64(`${duty} ${incarnation}`);
+			const own = makeKey(this.#deps.self.incarnation);
+			rank = this.#listLive().filter(({leaving, peer}) => !leaving && makeKey(peer.incarnation) < own).length;
+			this.#ranks.set(duty, rank);
+		}
+
+		return rank;
 	}
 
 	#createBus(): PeerBus {
@@ -131,6 +140,13 @@
 			relay(message) {
 				links.relay(message);
 			},
+			spread: message => {
+				if (this.#listLive().every(({peer}) => links.get(peer.incarnation) !== undefined)) {
+					links.sendToAll(message, false);
+				} else {
+					links.relay(message);
+				}
+			},
 			sample(message) {
 				links.sendToAll(message, true);
 			},
@@ -155,6 +171,7 @@
 		}
 
 		const {peer, state, version} = changed;
+		this.#ranks.clear();
 		this.#news.set(peer.incarnation, {record: changed, from});
 		if (state === 'suspect' && peer.incarnation !== self.incarnation) {
 			clock.after(this.#options.suspectMs, () => {
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -5,5 +5,5 @@
 export {Membership} from './membership.ts';
 export type {InstanceStatus, MembershipDeps, MembershipOptions} from './types.ts';
 export {MemberTable, mergeRecords} from './member-table.ts';
-export {chooseNeighbours, type NeighbourOptions} from './neighbours.ts';
+export {chooseNeighbours, meshPeers, type NeighbourOptions} from './neighbours.ts';
 export {followList, type FollowListDeps} from './follow-list.ts';
--- a/packages/membership/neighbours.ts
+++ b/packages/membership/neighbours.ts
@@ -8,6 +8,9 @@
 import {hash64} from '#core';
 import type {PeerIdentity} from '#peer-protocol';
 
+/** Other instances up to which all are neighbours; beyond, a message to the neighbours reaches a part of the fleet. */
+export const meshPeers = 11;
+
 /** Options of {@link chooseNeighbours}. */
 export type NeighbourOptions = Readonly<{
 	/** Up to this many others, all are neighbours. Default: 11. */
@@ -28,7 +31,7 @@
  * @param others the live instances besides it
  */
 export function chooseNeighbours(self: PeerIdentity, others: readonly PeerIdentity[], options: NeighbourOptions = {}): readonly PeerIdentity[] {
-	const {allUpTo = 11, ring = 2, zoneRing = 1, chance = 2} = options;
+	const {allUpTo = meshPeers, ring = 2, zoneRing = 1, chance = 2} = options;
 	if (others.length <= allUpTo) {
 		return others;
 	}
@@ -48,7 +51,7 @@
 }
 
 /** Sorts by hash of a text made from each peer. */
-export function sortByHash(peers: readonly PeerIdentity[], makeText: (peer: PeerIdentity) => string): readonly PeerIdentity[] {
+function sortByHash(peers: readonly PeerIdentity[], makeText: (peer: PeerIdentity) => string): readonly PeerIdentity[] {
 	const keyed = peers.map(peer => ({peer, key: hash64(makeText(peer))}));
 	keyed.sort((a, b) => a.key < b.key ? -1 : 1);
 	return keyed.map(({peer}) => peer);
--- a/packages/node/_surprises.ts
+++ b/packages/node/_surprises.ts
@@ -44,7 +44,7 @@
 		if (state && !state.isGone) {
 			telemetry.log('target replaced', {target: state.target.id, address: state.target.address});
 			state.markGone();
-			bus.sample({kind: 'replaced', incarnation});
+			bus.spread({kind: 'replaced', incarnation});
 		}
 	}
 
--- a/packages/node/_weights-duty.ts
+++ b/packages/node/_weights-duty.ts
@@ -94,7 +94,7 @@
 			lastHolder = undefined;
 			holderHeardMs = -Infinity;
 			noteNews(news);
-			bus.sample({kind: 'weights', ...news});
+			bus.spread({kind: 'weights', ...news});
 		},
 	});
 }
--- a/packages/peer-protocol/bus.ts
+++ b/packages/peer-protocol/bus.ts
@@ -31,6 +31,8 @@
 	listNeighbours(): readonly Peer[];
 	/** Sends a rare message to every peer; peers relay it, so that the cost stays bounded. */
 	relay(message: PeerMessage): void;
+	/** Sends a message to every peer, directly where all are neighbours, else as {@link PeerBus.relay} does. */
+	spread(message: PeerMessage): void;
 	/** Sends a periodic message to a bounded sample of the peers; to all of them while they are few. */
 	sample(message: PeerMessage): void;
 	subscribe<Kind extends PeerMessageKind>(kind: Kind, handler: PeerHandler<Kind>): Cancel;
--- a/packages/peer-protocol/quiet-bus.ts
+++ b/packages/peer-protocol/quiet-bus.ts
@@ -10,6 +10,9 @@
 		relay() {
 			// There is nobody to tell.
 		},
+		spread() {
+			// There is nobody to tell.
+		},
 		sample() {
 			// There is nobody to tell.
 		},
--- a/packages/placement/share-exchange.test.ts
+++ b/packages/placement/share-exchange.test.ts
@@ -35,6 +35,23 @@
 	stopping.abort();
 });
 
+t.test('many instances: each tells once a second at most', async t => {
+	const {clock, network, stopping, a} = start();
+	for (let other = 0; other < 20; other++) {
+		network.join({name: `o${other}`, zone: 'esbjerg', incarnation: `o${other}`});
+	}
+
+	await clock.advance(1000);
+	const before = network.delivered.get('sent') ?? 0;
+	for (let request = 0; request < 100; request++) {
+		a.addInFlight('e1', 1);
+		await clock.advance(30);
+	}
+
+	t.ok((network.delivered.get('sent') ?? 0) - before <= 21 * 4);
+	stopping.abort();
+});
+
 t.test('a lost message is repeated', async t => {
 	const {clock, network, stopping, a, b} = start();
 	network.setCut('r1', true);
--- a/packages/placement/share-exchange.ts
+++ b/packages/placement/share-exchange.ts
@@ -6,6 +6,7 @@
  */
 import type {TargetShare} from './views.ts';
 import type {Clock} from '#clock';
+import {meshPeers} from '#membership';
 import type {PeerBus} from '#peer-protocol';
 
 /** What the exchange works with. */
@@ -20,19 +21,22 @@
 
 /** Options of {@link runShareExchange}. */
 export type ShareExchangeOptions = Readonly<{
-	/** Least time between messages, in milliseconds. Default: 100. */
+	/** Least time between messages, in milliseconds. Default: 100 while all peers hear them, else 1000. */
 	everyMs?: number;
 	/** Time after which an unchanged message is repeated, in milliseconds. Default: 1000. */
 	repeatMs?: number;
 }>;
 
-const defaultEveryMs = 100;
+const meshEveryMs = 100;
+
+/** In a fleet where only some peers hear what is sent, it is worth less, and the bytes for each instance are bounded. */
+const fleetEveryMs = 1000;
 const defaultRepeatMs = 1000;
 const maxTargets = 256;
 
 /** Runs until `signal` aborts. */
 export async function runShareExchange({views, bus, clock}: ShareExchangeDeps, signal: AbortSignal, options: ShareExchangeOptions = {}): Promise<void> {
-	const {everyMs = defaultEveryMs, repeatMs = defaultRepeatMs} = options;
+	const {everyMs, repeatMs = defaultRepeatMs} = options;
 	const unsubscribe = bus.subscribe('sent', (message, from) => {
 		views.applyPeerShares(from.name, message.targets, clock.now());
 	});
@@ -51,7 +55,7 @@
 		}
 
 		lastMs = isDue || last === shares ? clock.now() : lastMs;
-		await clock.sleep(everyMs, signal);
+		await clock.sleep(everyMs ?? (bus.listPeers().length <= meshPeers ? meshEveryMs : fleetEveryMs), signal);
 	}
 
 	unsubscribe();
--- a/packages/relay/engine-watch.ts
+++ b/packages/relay/engine-watch.ts
@@ -52,6 +52,9 @@
 /** Time within which an own answer from an engine outweighs what a peer says of its silence, in milliseconds. */
 const ownWordMs = 400;
 
+/** Time after which the peers are told again that an engine is silent, in milliseconds: before their word lapses. */
+const tellAgainMs = 500;
+
 const maxEvicted = 256;
 
 /** Runs until `signal` aborts. */
@@ -104,6 +107,7 @@
 	let since = 0;
 	let epoch = '';
 	let isSilent = false;
+	let toldMs = Number.NEGATIVE_INFINITY;
 	while (!signal.aborted) {
 		const startedMs = clock.now();
 		const batch = await readEvents(state.target, since);
@@ -119,7 +123,10 @@
 
 		if (!hasHeard) {
 			state.suspect(clock.now() + silentMs);
-			bus.sample({kind: 'silent', incarnation});
+			if (clock.now() - toldMs >= tellAgainMs) {
+				toldMs = clock.now();
+				bus.spread({kind: 'silent', incarnation});
+			}
 		}
 
 		if (batch) {
--- a/packages/relay/part-exchange.test.ts
+++ b/packages/relay/part-exchange.test.ts
@@ -30,6 +30,23 @@
 	stopping.abort();
 });
 
+t.test('many instances: each tells twice a second at most', async t => {
+	const {clock, network, stopping, a} = start();
+	for (let other = 0; other < 20; other++) {
+		network.join({name: `o${other}`, zone: 'z', incarnation: `o${other}`});
+	}
+
+	await clock.advance(1000);
+	const before = network.delivered.get('parts') ?? 0;
+	for (let part = 0; part < 100; part++) {
+		a.place(`s/${part}`, 'e1@1', clock.now());
+		await clock.advance(20);
+	}
+
+	t.ok((network.delivered.get('parts') ?? 0) - before <= 21 * 5);
+	stopping.abort();
+});
+
 t.test('a burst of new prompts is told in one bounded message', async t => {
 	const {clock, network, stopping, a, b} = start();
 	await clock.advance(10);
--- a/packages/relay/part-exchange.ts
+++ b/packages/relay/part-exchange.ts
@@ -5,13 +5,17 @@
  */
 import type {PlacedParts} from './placed-parts.ts';
 import type {Clock} from '#clock';
+import {meshPeers} from '#membership';
 import type {PeerBus} from '#peer-protocol';
 
 /** What the exchange works with. */
 export type PartExchangeDeps = Readonly<{placed: PlacedParts; bus: PeerBus; clock: Clock}>;
 
-/** Time between messages, in milliseconds: a part is read in about that time. */
-const everyMs = 50;
+/** Time between messages while all peers hear them, in milliseconds: a part is read in about that time. */
+const meshEveryMs = 50;
+
+/** Time between messages where only some peers hear them, in milliseconds: the bytes for each instance are bounded. */
+const fleetEveryMs = 500;
 
 /** Parts in one message; the rest is not told. */
 const maxParts = 64;
@@ -29,7 +33,7 @@
 			bus.sample({kind: 'parts', parts: [...news]});
 		}
 
-		await clock.sleep(everyMs, signal);
+		await clock.sleep(bus.listPeers().length <= meshPeers ? meshEveryMs : fleetEveryMs, signal);
 	}
 
 	unsubscribe();
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -309,9 +309,13 @@
 	none: 'no_target', full: 'queue_full', overloaded: 'promise_unreachable', quarantined: 'crashes_targets',
 } as const;
 
+function isOwnCause(cause: RelayProgress['cause']): cause is keyof typeof giveReasons {
+	return cause in giveReasons;
+}
+
 /** A refusal whose status promises no more than is known. */
 function makeTrueRefusal({cause, ran, returnMs}: RelayProgress): Refusal {
-	const reason = cause in giveReasons ? giveReasons[cause as keyof typeof giveReasons] : causeRules[cause as AttemptCause].reason;
+	const reason = isOwnCause(cause) ? giveReasons[cause] : causeRules[cause].reason;
 	const refusal = makeRefusal(reason, {ran, ...(returnMs === undefined ? {} : {retryAfterMs: returnMs})});
 	return ran !== 'not_run' && promiseStatuses.has(refusal.status) ? {...refusal, status: badGateway} : refusal;
 }
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -13,6 +13,7 @@
 	readonly #states = new Map<string, TargetState>();
 	/** Targets that each peer last had work on. */
 	readonly #sharesOfPeers = new Map<string, readonly string[]>();
+	#byIncarnation: ReadonlyMap<string, TargetState> = new Map();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
 	constructor(clock: Clock, options: ConnectionOptions) {
@@ -36,7 +37,7 @@
 
 	/** Finds a target by the identity of its process. */
 	findIncarnation(incarnation: string): TargetState | undefined {
-		return this.list().find(({target}) => target.incarnation === incarnation);
+		return this.#byIncarnation.get(incarnation);
 	}
 
 	/** Replaces the list. Connections of targets that are no longer listed are closed once idle. */
@@ -60,6 +61,7 @@
 			}
 		}
 
+		this.#byIncarnation = new Map(this.list().map(state => [state.target.incarnation, state]));
 		this.#pools = groupByPool(this.#states.values());
 	}
 
--- a/packages/standins/peer-network.ts
+++ b/packages/standins/peer-network.ts
@@ -41,6 +41,7 @@
 			listPeers: () => this.#listReachable(peer.name).map(other => other.peer),
 			listNeighbours: () => this.#listReachable(peer.name).map(other => other.peer),
 			relay: send,
+			spread: send,
 			sample: send,
 			subscribe(kind, handler) {
 				const handlers = member.handlers.get(kind) ?? new Set();
