Weights: a holder that was killed goes on as soon as it is back; older weights are not used where the wait would pass their bound

Instances by rank waited for the old holder (by name) and then for its whole term; the restarted holder, which alone need not wait, did not know that it had held the lease. And requests went to engines with old weights until 6.5 s after the naming, whatever they had to wait there (here 1.65 s). Ruled out: lost news (all knew version 4 within 3 ms, restarted instances on their first list), engines that refuse (no order was sent). Tests: 'a holder that was killed and comes back goes on at once', 'a roll-out that lasts'.

--- a/packages/lease/lease.ts
+++ b/packages/lease/lease.ts
@@ -79,6 +79,11 @@
 		return this.remainingMs > 0;
 	}
 
+	/** Whether it is known who held the lease last. */
+	get isKnown(): boolean {
+		return this.#seen !== undefined;
+	}
+
 	/** Whether this instance was the last holder that it knows of, also when its term is over. */
 	get isOwn(): boolean {
 		return this.#seen?.record?.holder === this.#deps.holder;
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -83,6 +83,17 @@
 	t.equal(chooseRelayTarget(makeQuery([targets[0]!], {prompt, named: {version: 2, ageMs: 7000}})), 'old_weights');
 });
 
+t.test('a roll-out that lasts: older weights are not used where the wait would pass their bound', async t => {
+	const targets = [makeState(0), makeState(1)];
+	const query = {
+		named: {version: 2, ageMs: 5000}, weightsMs: 8000, prompt: makePrompt([['a', 100], ['own', 100]]),
+	};
+	targets[0]!.pending.add(0, 90_000);
+	t.equal(choose(makeQuery(targets, query)).state.target.id, 'e1');
+	targets[1]!.pending.add(0, 90_000);
+	t.equal(chooseRelayTarget(makeQuery(targets, query)), 'old_weights');
+});
+
 t.test('a prompt goes where its parts are, and names a source elsewhere', async t => {
 	const targets = [0, 1, 2, 3].map(index => makeState(index));
 	const placed = new PlacedParts();
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -87,7 +87,7 @@
 /** Price of older weights after that time, in milliseconds: about a fifth of the time in which an answer keeps its worth. */
 const oldWeightsMs = 300;
 
-/** Time before the bound at which older weights are not used any more, in milliseconds: requests wait before they begin. */
+/** Time before the bound at which older weights are not used any more, beside the expected wait, in milliseconds: requests wait longer than expected, too. */
 const weightsMarginMs = 1500;
 
 /** Span of chance between plain targets, in milliseconds, so that instances with the same view do not all choose the same one. */
@@ -138,7 +138,12 @@
 }
 
 function isTooOld(query: TargetQuery, state: TargetState): boolean {
-	return isOld(query, readWeights(query, state)) && query.named!.ageMs > query.weightsMs - weightsMarginMs;
+	if (!isOld(query, readWeights(query, state))) {
+		return false;
+	}
+
+	const waitMs = state.sumWork(query.nowMs, query.urgency).tokens * state.msPerToken;
+	return query.named!.ageMs + waitMs > query.weightsMs - weightsMarginMs;
 }
 
 /** A target that is no engine: its queue, its own pace and the way. */
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -262,6 +262,23 @@
 	t.ok(waitedMs >= 3000 && waitedMs < 4800, `${waitedMs} ms`);
 });
 
+t.test('a holder that was killed and comes back goes on at once, whatever its place', async t => {
+	const {clock, fleet, join, name, isLevel} = start(12);
+	const a = join('a', 0);
+	name(2);
+	a.rollout.wake();
+	await clock.advance(900);
+	a.stopping.abort();
+	await clock.advance(10);
+	const before = fleet.orders.length;
+	t.ok(before > 0 && before < 12);
+	const again = join('a', 6);
+	again.rollout.wake();
+	t.ok(await clock.advanceUntil(() => fleet.orders.length > before, 700, 10));
+	t.ok(await clock.advanceUntil(() => isLevel(2), 5000, 10));
+	t.ok(fleet.orders.at(-1)!.fencing > fleet.orders[0]!.fencing);
+});
+
 t.test('a roll-out that is over leaves no term for the next holder to wait for', async t => {
 	const {clock, fleet, join, name, isLevel} = start(4);
 	const a = join('a', 0);
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -155,18 +155,18 @@
 		});
 	}
 
-	/** Whether this instance should hold the lease now. */
+	/** Whether this instance should hold the lease now. One that held it last goes on, also after a restart: nobody has to wait for its term. */
 	#isDue(): boolean {
-		const {clock, readRank} = this.#deps;
-		return clock.now() - this.#behindSinceMs! >= readRank() * rankDelayMs;
+		const {clock, readRank, lease} = this.#deps;
+		return lease.isOwn || clock.now() - this.#behindSinceMs! >= readRank() * rankDelayMs;
 	}
 
-	/** Holds the lease or tries to take it; one that is next after the holder sees how old the lease is. */
+	/** Holds the lease or tries to take it; one that is next after the holder, or does not know who that is, reads it. */
 	async #followLease(): Promise<void> {
 		const {clock, lease, isStandby} = this.#deps;
 		const isDue = this.#isDue();
 		const everyMs = isDue && !lease.isHeld ? retakeMs : lease.refreshMs;
-		if (clock.now() - this.#refreshedMs < everyMs || !(isDue || isStandby())) {
+		if (clock.now() - this.#refreshedMs < everyMs || !(isDue || isStandby() || !lease.isKnown)) {
 			return;
 		}
 
