Store: in a fleet of more than twelve instances five watch it, the others hear of changes from their neighbours

Watchers are the first five by rendezvous hash; those that the store does not answer say so, and up to seven others watch beside them; three blind ones of the five mean that the store is away, so that lapsed entries are held everywhere. Changes are announced to the neighbours at once, then each 200 ms, and fetched as differences by the request that was there. Small fleets are as before. Ways weighed: pushing whole differences by relay (each instance would get about ten copies of each), a tree of subscriptions (needs connections of its own).

--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -35,6 +35,8 @@
 	readonly #suspectedMs = new Map<string, number>();
 	/** Places by duty, as long as no record changes. */
 	readonly #ranks = new Map<string, number>();
+	/** First instances by duty, as long as no record changes. */
+	readonly #firsts = new Map<string, readonly string[]>();
 	readonly #resyncedMs = new WeakMap<PeerLink, number>();
 	readonly #news = new Map<string, Readonly<{record: MemberRecord; from?: Peer}>>();
 	#seeds: ReadonlySet<string>;
@@ -132,6 +134,23 @@
 		return rank;
 	}
 
+	/** Incarnations of the `count` instances that come first for a duty, by the same hash; this one may be among them. */
+	listFirst(duty: string, count: number): readonly string[] {
+		const key = `${duty} ${count}`;
+		let first = this.#firsts.get(key);
+		if (!first) {
+			const live = this.#listLive().filter(({leaving}) => !leaving).map(({peer}) => peer.incarnation);
+			first = [this.#deps.self.incarnation, ...live]
+				.map(incarnation => ({incarnation, place: hash64(`${duty} ${incarnation}`)}))
+				.toSorted((a, b) => a.place < b.place ? -1 : 1)
+				.slice(0, count)
+				.map(({incarnation}) => incarnation);
+			this.#firsts.set(key, first);
+		}
+
+		return first;
+	}
+
 	#createBus(): PeerBus {
 		const links = this.#links;
 		return {
@@ -172,6 +191,7 @@
 
 		const {peer, state, version} = changed;
 		this.#ranks.clear();
+		this.#firsts.clear();
 		this.#news.set(peer.incarnation, {record: changed, from});
 		if (state === 'suspect' && peer.incarnation !== self.incarnation) {
 			clock.after(this.#options.suspectMs, () => {
--- a/packages/mirror/follow-kind.test.ts
+++ b/packages/mirror/follow-kind.test.ts
@@ -1,5 +1,5 @@
 import t, {type Test} from 'tap';
-import {followKind} from './follow-kind.ts';
+import {followKind, type Watchers} from './follow-kind.ts';
 import {KindMirror} from './kind-mirror.ts';
 import {ManualClock} from '#clock';
 import {createRandom, fail} from '#core';
@@ -8,7 +8,7 @@
 import {createTelemetry} from '#telemetry';
 
 /** @param wrap puts faults before the stand-in */
-function start(t: Test, wrap: (platform: PlatformStandin) => ObjectStore = platform => platform) {
+function start(t: Test, wrap: (platform: PlatformStandin) => ObjectStore = platform => platform, watchers?: Watchers) {
 	const clock = new ManualClock();
 	const platform = new PlatformStandin(clock, {latencyMs: 2});
 	const mirror = new KindMirror('k');
@@ -16,6 +16,7 @@
 	const stopping = new AbortController();
 	void followKind({
 		mirror, store: wrap(platform), clock, random: createRandom(3), telemetry: createTelemetry({level: 'silent'}),
+		...(watchers ? {watchers} : {}),
 		heard(isAnswered) {
 			heard.push(isAnswered);
 		},
@@ -100,3 +101,32 @@
 	await write('k/b');
 	t.strictSame(list(), ['k/a', 'k/b']);
 });
+
+t.test('an instance of many that does not watch makes no calls, and goes on from what peers gave it once it does', async t => {
+	const {lists, wrap} = failWatches([]);
+	let isWatcher = false;
+	let isAway = false;
+	const noted: boolean[] = [];
+	const {clock, platform, mirror, heard, write, list} = start(t, wrap, {
+		isFleet: true, isWatcher: () => isWatcher, isAway: () => isAway,
+		note(isAnswered) {
+			noted.push(isAnswered);
+		},
+	});
+	await write('k/a', 'k/b');
+	await clock.advance(1000);
+	const {read} = platform.served;
+	isAway = true;
+	await clock.advance(1000);
+	t.equal(heard.at(-1), false);
+	isAway = false;
+	await clock.advance(1000);
+	t.equal(platform.served.read, read);
+	t.strictSame(noted, [], 'it has called nobody');
+	mirror.replace([], 1);
+	isWatcher = true;
+	await clock.advance(1000);
+	t.strictSame(list(), ['k/b']);
+	t.strictSame(lists, [], 'the watch went on from the copy');
+	t.ok(noted.length > 0 && !noted.includes(false));
+});
--- a/packages/mirror/follow-kind.ts
+++ b/packages/mirror/follow-kind.ts
@@ -15,10 +15,29 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	/** Called with each outcome of a call; `false` where the store did not answer. */
+	/** Called with each outcome of a call, or with what the callers say; `false` where the store does not answer. */
 	heard?: (isAnswered: boolean) => void;
+	/** Which instances call the store; without it, this one does. */
+	watchers?: Watchers;
 }>;
 
+/** Says whether this instance calls the store, or hears of its changes from others. */
+export type Watchers = Readonly<{
+	/** Whether the instances are so many that only some call. */
+	isFleet: boolean;
+	isWatcher(): boolean;
+	/** Whether the store is away, as far as those that call it say. */
+	isAway(): boolean;
+	/** Takes in whether the store answered a call of this instance. */
+	note(isAnswered: boolean): void;
+}>;
+
+/** Time between looks at whether this instance should call, in milliseconds. */
+const idleMs = 300;
+
+/** Pause between watches of a kind that changes often in a fleet, in milliseconds: each change of hundreds of objects would be a call. */
+const fleetPauseMs = 200;
+
 /** Pause after a failed call, in milliseconds; doubled with each further one. */
 const firstPauseMs = 100;
 
@@ -27,20 +46,34 @@
 
 /** Follows one kind until `signal` aborts. One task for each kind. */
 export async function followKind(deps: FollowDeps, signal: AbortSignal): Promise<void> {
-	const {mirror, clock, random, heard} = deps;
+	const {
+		mirror, clock, random, heard, watchers,
+	} = deps;
 	let isListed = false;
 	let failures = 0;
 	while (!signal.aborted) {
+		if (watchers && !watchers.isWatcher()) {
+			heard?.(!watchers.isAway());
+			await clock.sleep(idleMs, signal);
+			isListed = mirror.revision > 0;
+			continue;
+		}
+
 		const failure = isListed ? await watch(deps, signal) : await list(deps);
 		if (signal.aborted) {
 			return;
 		}
 
 		const isAnswered = !failure || failure.kind === 'gone';
+		watchers?.note(isAnswered);
 		heard?.(isAnswered);
 		if (!failure) {
 			isListed = true;
 			failures = 0;
+			if (watchers?.isFleet) {
+				await clock.sleep(fleetPauseMs, signal);
+			}
+
 			continue;
 		}
 
--- a/packages/mirror/relay-mirrors.test.ts
+++ b/packages/mirror/relay-mirrors.test.ts
@@ -17,7 +17,7 @@
 	};
 }
 
-function start() {
+function start(isFleet = false) {
 	const clock = new ManualClock();
 	const network = new PeerNetworkStandin(clock);
 	const telemetry = createTelemetry({level: 'silent'});
@@ -25,7 +25,7 @@
 		const peer: Peer = {name, zone: 'z', incarnation: name};
 		const mirror = new KindMirror('k');
 		const relay = new MirrorRelay({
-			mirrors: [mirror], bus: network.join(peer), clock, telemetry,
+			mirrors: [mirror], bus: network.join(peer), clock, telemetry, isFleet: () => isFleet,
 		});
 		return {peer, mirror, relay};
 	};
@@ -87,6 +87,20 @@
 	t.equal(countFetches('no_link'), 1);
 });
 
+t.test('many instances: a burst of changes is announced at once, then once in 200 ms', async t => {
+	const {clock, network, ahead, behind} = start(true);
+	behind.mirror.replace([], 1);
+	for (let revision = 2; revision < 42; revision++) {
+		ahead.mirror.replace([makeObject('k/a', revision)], revision);
+		await clock.advance(10);
+	}
+
+	t.ok(behind.mirror.revision >= 10, 'without any heartbeat');
+	await clock.advance(500);
+	t.equal(behind.mirror.revision, 41);
+	t.ok(network.delivered.get('positions')! <= 8);
+});
+
 t.test('an instance without a copy answers nobody', async t => {
 	const {clock, ahead, behind, countFetches} = start();
 	behind.relay.hear(ahead.peer, {...status, revisions: {k: 9}});
--- a/packages/mirror/relay-mirrors.ts
+++ b/packages/mirror/relay-mirrors.ts
@@ -15,16 +15,24 @@
 	bus: PeerBus;
 	clock: Clock;
 	telemetry: Telemetry;
+	/** Whether the instances are so many that only some watch the store. */
+	isFleet: () => boolean;
 }>;
 
 /** Time that the own watch has to bring what a peer already knows, in milliseconds. */
 const ownWatchMs = 100;
 
+/** Time between announcements of changes in a fleet where not all watch the store, in milliseconds. */
+const announceMs = 200;
+
 /** Passes differences on, and asks for them. */
 export class MirrorRelay {
 	readonly #deps: MirrorRelayDeps;
 	readonly #byKind: ReadonlyMap<string, KindMirror>;
 	readonly #asking = new Set<string>();
+	/** Whether changes wait for the next announcement. */
+	#hasNews = false;
+	#isPausing = false;
 
 	constructor(deps: MirrorRelayDeps) {
 		this.#deps = deps;
@@ -33,6 +41,14 @@
 			const mirror = this.#byKind.get(objects);
 			return mirror && mirror.revision > 0 ? makeAnswer(mirror, since) : undefined;
 		});
+		deps.bus.subscribe('positions', ({revisions}, from) => {
+			this.#compare(from, revisions);
+		});
+		for (const mirror of deps.mirrors) {
+			mirror.events.on('changed', () => {
+				this.#announce();
+			});
+		}
 	}
 
 	/** The newest change that is known of each kind, for heartbeats. */
@@ -42,6 +58,29 @@
 
 	/** Takes in the newest changes that a peer knows. */
 	hear(peer: Peer, {revisions = {}}: PeerStatus): void {
+		this.#compare(peer, revisions);
+	}
+
+	/** Tells the neighbours of changes without waiting for the next heartbeat, where most of them do not watch the store. */
+	#announce(): void {
+		const {bus, clock, isFleet} = this.#deps;
+		if (this.#isPausing || !isFleet()) {
+			this.#hasNews = true;
+			return;
+		}
+
+		this.#hasNews = false;
+		this.#isPausing = true;
+		bus.sample({kind: 'positions', revisions: {...this.readRevisions()}});
+		clock.after(announceMs, () => {
+			this.#isPausing = false;
+			if (this.#hasNews) {
+				this.#announce();
+			}
+		});
+	}
+
+	#compare(peer: Peer, revisions: Readonly<Record<string, number>>): void {
 		for (const [kind, revision] of Object.entries(revisions)) {
 			const mirror = this.#byKind.get(kind);
 			if (mirror && revision > mirror.revision && !this.#asking.has(kind)) {
--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -39,6 +39,8 @@
 	isAmongFirst(duty: string, count: number): boolean;
 	/** Place of this instance among those that could do a duty; 0 is the first. */
 	readRank(duty: string): number;
+	/** Incarnations of the `count` instances that come first for a shared duty. */
+	listFirst(duty: string, count: number): readonly string[];
 	/** Replaces the addresses to begin with. */
 	setSeeds(addresses: readonly string[]): void;
 	/** Tells the peers that this instance will stop. */
@@ -63,6 +65,7 @@
 			listInstances: () => [{...self, status: readStatus()}],
 			isAmongFirst: () => true,
 			readRank: () => 0,
+			listFirst: () => [incarnation],
 			setSeeds() {
 				// There is nobody to reach.
 			},
@@ -98,6 +101,7 @@
 		listInstances: () => membership.listInstances(),
 		isAmongFirst: (duty, count) => membership.isAmongFirst(duty, count),
 		readRank: duty => membership.readRank(duty),
+		listFirst: (duty, count) => membership.listFirst(duty, count),
 		setSeeds(addresses) {
 			membership.setSeeds(addresses);
 		},
--- a/packages/node/_store-copies.ts
+++ b/packages/node/_store-copies.ts
@@ -4,6 +4,7 @@
  * named weights.
  */
 import type {StoredFormats} from './relay-instance.ts';
+import type {StoreWatchers} from './_store-watchers.ts';
 import type {Clock} from '#clock';
 import type {Random, RelayConfiguration, RelayTarget} from '#core';
 import type {Gateway} from '#gateway';
@@ -24,6 +25,7 @@
 	targets: TargetSet;
 	board: WeightsBoard;
 	rollout: Pick<WeightsRollout, 'wake'>;
+	watchers: StoreWatchers;
 	/** Called with each configuration that comes into force. */
 	configured: (configuration: RelayConfiguration) => void;
 	/** Called when all that serving needs is there; perhaps more than once. */
@@ -51,7 +53,7 @@
 		this.#weights = new KindMirror(kinds.weights);
 		this.#listing = new TargetListing(clock);
 		this.#relay = new MirrorRelay({
-			mirrors: this.#list(), clock, telemetry, bus,
+			mirrors: this.#list(), clock, telemetry, bus, isFleet: () => deps.watchers.isFleet,
 		});
 		this.#configuration.events.on('changed', () => {
 			this.#installConfiguration();
@@ -76,9 +78,9 @@
 
 	/** Follows the store until `signal` aborts. */
 	async run(store: ObjectStore, random: Random, signal: AbortSignal): Promise<void> {
-		const {clock, telemetry} = this.#deps;
+		const {clock, telemetry, watchers} = this.#deps;
 		await Promise.all(this.#list().map(async mirror => followKind({
-			mirror, store, clock, random, telemetry,
+			mirror, store, clock, random, telemetry, watchers,
 			heard: isAnswered => {
 				if (this.#listing.noteStore(isAnswered)) {
 					this.#updateTargets();
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -7,6 +7,7 @@
 import {Lifecycle} from './lifecycle.ts';
 import {Surprises} from './_surprises.ts';
 import {StoreCopies} from './_store-copies.ts';
+import {StoreWatchers} from './_store-watchers.ts';
 import {createWeightsDuty} from './_weights-duty.ts';
 import type {Settings} from './settings.ts';
 import type {Clock} from '#clock';
@@ -174,6 +175,9 @@
 	});
 	const copies = new StoreCopies({
 		formats, clock, telemetry, bus, gateway, targets, board, rollout,
+		watchers: new StoreWatchers({
+			clock, bus, self: peers.incarnation, listFirst: (duty, count) => peers.listFirst(duty, count),
+		}),
 		configured: deps.configured,
 		complete() {
 			lifecycle.markReady();
--- a/packages/node/store-copies.test.ts
+++ b/packages/node/store-copies.test.ts
@@ -1,5 +1,6 @@
 import t, {type Test} from 'tap';
 import {StoreCopies} from './_store-copies.ts';
+import {StoreWatchers} from './_store-watchers.ts';
 import type {StoredFormats} from './relay-instance.ts';
 import {ManualClock} from '#clock';
 import {
@@ -64,6 +65,9 @@
 				// Nothing is rolled out here.
 			},
 		},
+		watchers: new StoreWatchers({
+			clock, bus: createQuietBus(), self: 'one', listFirst: () => ['one'],
+		}),
 		configured({version}) {
 			installed.push(version);
 		},
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -71,6 +71,10 @@
 	z.object({
 		kind: z.literal('weights'), incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
 	}),
+	/** The newest changes of copied kinds that the sender knows, by revision of the object store. */
+	z.object({kind: z.literal('positions'), revisions: z.record(nameSchema, z.number().int().min(0))}),
+	/** The object store does not answer the sender, which watches it for others. */
+	z.object({kind: z.literal('blind')}),
 	/** A target or instance begins to leave. */
 	z.object({kind: z.literal('leaving'), name: nameSchema, incarnation: nameSchema}),
 	/** The configuration generation in force at the sender. */
