--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -13,6 +13,7 @@
 import process from 'node:process';
 import type {Command} from 'commander';
 import {request, type Pool} from 'undici';
+import {makeSettingsText} from '../platform/testing/settings-text.ts';
 import {relayKey, relayRoute} from './_relay-backend.ts';
 import {
 	askCpu, compareSides, createSide, readFigures, startRole,
@@ -94,8 +95,9 @@
 async function startDeployed(clock: Clock, storeAddress: string): Promise<Deployed> {
 	const [callers, ready, peers] = await findPorts(3);
 	const settingsPath = path.join(mkdtempSync(path.join(tmpdir(), 'apricotdoor-bench-')), 'boot.conf');
-	writeFileSync(settingsPath, makeSettings({
-		callers: callers!, ready: ready!, peers: peers!, storeAddress,
+	writeFileSync(settingsPath, makeSettingsText({
+		Node: 'bench', Ip: '127.0.0.1', Seeds: '', 'Listen.Front': `127.0.0.1:${callers}`, 'Listen.Ready': `127.0.0.1:${ready}`,
+		InnerPorts: `${peers},${peers}`, 'Platform.Address': storeAddress,
 	}));
 	const startedMs = clock.now();
 	const child = spawn(process.execPath, readRunWords(), {
@@ -139,29 +141,6 @@
 	return ports;
 }
 
-function makeSettings({callers, ready, peers, storeAddress}: Readonly<{callers: number; ready: number; peers: number; storeAddress: string}>): string {
-	return `Node=bench
-Ip=127.0.0.1
-Zone=z1
-Region=r1
-Listen.Front=127.0.0.1:${callers}
-Listen.Ready=127.0.0.1:${ready}
-InnerPorts=${peers},${peers}
-Limits.MemoryMb=350
-Limits.MaxFds=4100
-Bounds.DrainMs=2000
-Bounds.ConfigMs=2000
-Bounds.GraceS=8
-Bounds.RetryBudgetRatio=0.2
-Bounds.RetryWindowS=10
-Bounds.RetrySlack=56
-Bounds.RequireFencing=true
-Platform.Address=${storeAddress}
-Platform.WritesPerS=400
-Platform.ReadsPerS=2000
-`;
-}
-
 /** Processor time of a process from the kernel's count, in microseconds. */
 async function readProcessCpu(pid: number): Promise<number> {
 	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -5,6 +5,7 @@
  * it refutes that in time, it is gone. "Leaving" stays for an incarnation.
  */
 import type {Duplex} from 'node:stream';
+import {Duties} from './_duties.ts';
 import {Links} from './links.ts';
 import {MemberTable} from './member-table.ts';
 import type {InstanceStatus, MembershipDeps, MembershipOptions} from './types.ts';
@@ -12,7 +13,6 @@
 import {
 	PeerLink, type Envelope, type LinkEnd, type MemberRecord, type Peer, type PeerBus,
 } from '#peer-protocol';
-import {hash64} from '#core';
 
 const defaults: Required<MembershipOptions> = {
 	seeds: [], suspectMs: 3000, reviewMs: 500, connectMs: 1500, minRedialMs: 200, maxRedialMs: 5000, goneMs: 900_000, limits: {},
@@ -33,10 +33,7 @@
 	readonly #dialling = new Map<string, AbortController>();
 	readonly #running = new Set<Promise<unknown>>();
 	readonly #suspectedMs = new Map<string, number>();
-	/** Places by duty, as long as no record changes. */
-	readonly #ranks = new Map<string, number>();
-	/** First instances by duty, as long as no record changes. */
-	readonly #firsts = new Map<string, readonly string[]>();
+	readonly #duties: Duties;
 	readonly #resyncedMs = new WeakMap<PeerLink, number>();
 	readonly #news = new Map<string, Readonly<{record: MemberRecord; from?: Peer}>>();
 	#seeds: ReadonlySet<string>;
@@ -48,6 +45,7 @@
 		this.#seeds = new Set(this.#options.seeds);
 		this.#table = new MemberTable(deps.self);
 		this.#links = new Links(deps);
+		this.#duties = new Duties(deps.self.incarnation, () => this.#listLive().filter(({leaving}) => !leaving).map(({peer}) => peer.incarnation));
 		this.bus = this.#createBus();
 		this.#links.subscribe('members', ({members}, from) => {
 			for (const record of members) {
@@ -123,32 +121,12 @@
 
 	/** Place of this instance by the same hash; 0 is the first. Leaving instances come last. */
 	readRank(duty: string): number {
-		let rank = this.#ranks.get(duty);
-		if (rank === undefined) {
-			const makeKey = (incarnation: string) => hash64(`${duty} ${incarnation}`);
-			const own = makeKey(this.#deps.self.incarnation);
-			rank = this.#listLive().filter(({leaving, peer}) => !leaving && makeKey(peer.incarnation) < own).length;
-			this.#ranks.set(duty, rank);
-		}
-
-		return rank;
+		return this.#duties.readRank(duty);
 	}
 
 	/** Incarnations of the `count` instances that come first for a duty, by the same hash; this one may be among them. */
 	listFirst(duty: string, count: number): readonly string[] {
-		const key = `${duty} ${count}`;
-		let first = this.#firsts.get(key);
-		if (!first) {
-			const live = this.#listLive().filter(({leaving}) => !leaving).map(({peer}) => peer.incarnation);
-			first = [this.#deps.self.incarnation, ...live]
-				.map(incarnation => ({incarnation, place: hash64(`${duty} ${incarnation}`)}))
-				.toSorted((a, b) => a.place < b.place ? -1 : 1)
-				.slice(0, count)
-				.map(({incarnation}) => incarnation);
-			this.#firsts.set(key, first);
-		}
-
-		return first;
+		return this.#duties.listFirst(duty, count);
 	}
 
 	#createBus(): PeerBus {
@@ -190,8 +168,7 @@
 		}
 
 		const {peer, state, version} = changed;
-		this.#ranks.clear();
-		this.#firsts.clear();
+		this.#duties.forget();
 		this.#news.set(peer.incarnation, {record: changed, from});
 		if (state === 'suspect' && peer.incarnation !== self.incarnation) {
 			clock.after(this.#options.suspectMs, () => {
--- a/packages/relay/exchange.test.ts
+++ b/packages/relay/exchange.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {TargetConnections} from './connections.ts';
 import type {Exchange, ExchangeRequest} from './exchange.ts';
@@ -40,11 +41,14 @@
 	}
 }
 
-/** Lets sockets and streams come to rest. */
-async function settle(): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, 20);
-	});
+/** Turns that sockets on loopback surely need for a step. */
+const mostTurns = 100_000;
+
+/** Gives sockets their turns until a condition holds. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+	for (let turn = 0; turn < mostTurns && !condition(); turn++) {
+		await nextTurn();
+	}
 }
 
 t.test('a request goes out as it is, and its answer comes back', async t => {
@@ -62,7 +66,7 @@
 		reply.write(whole);
 	});
 	t.equal(connections.start(request, keep).isNewConnection, true);
-	await settle();
+	await waitUntil(() => connections.canStart(0));
 	await clock.advance(5000);
 	const second = connections.start(request, keep);
 	t.equal(await read(second.exchange), '200 ok end');
@@ -167,7 +171,7 @@
 		reply.write(answers === 1 ? `${whole}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother` : whole);
 	});
 	t.equal(await read(connections.start(request, keep).exchange), '200 ok end');
-	await settle();
+	await waitUntil(() => connections.size === 0);
 	t.equal(await read(connections.start(request, keep).exchange), '200 ok end');
 	t.equal(target.countConnections(), 2);
 });
@@ -182,12 +186,12 @@
 });
 
 t.test('giving up closes the connection and is told at once', async t => {
-	const {connections} = await start(t, () => undefined);
+	const {target, connections} = await start(t, () => undefined);
 	const {exchange} = connections.start(request, keep);
-	await settle();
+	await waitUntil(() => target.requests.length === 1);
 	exchange.abort('enough');
 	t.match(await exchange.readHead(), {kind: 'fault', fault: {sent: true, cut: false, detail: 'enough'}});
-	await settle();
+	await waitUntil(() => connections.size === 0);
 	t.equal(connections.size, 0);
 });
 
@@ -196,7 +200,7 @@
 	const {exchange} = connections.start(request, keep);
 	exchange.abort('enough');
 	t.match(await exchange.readHead(), {kind: 'fault', fault: {sent: false}});
-	await settle();
+	await waitUntil(() => connections.size === 0);
 	t.equal(target.requests.length, 0);
 });
 
@@ -207,7 +211,8 @@
 	});
 	const {exchange} = connections.start(request, keep);
 	await exchange.readHead();
-	await settle();
+	let turns = 0;
+	await waitUntil(() => ++turns > 200);
 	let length = 0;
 	let reads = 0;
 	for (let part = await exchange.readBody(); part.kind === 'data'; part = await exchange.readBody()) {
