Weights: an engine is out of date since the first newer version was named, not since the newest

Version 4 was named at 19.65 s; its holder was frozen, the next one's orders to two engines were not answered in time, and it was replaced at 27.98 s. Version 5 was named at 27.66 s, and with that the time since which version 3 was out of date began anew: instances sent on to it. Ruled out: news (all knew version 5 within 4 ms), the wait at the engine (35 ms). The board keeps when each version was named; the choice counts from the first that is newer than what the engine serves. Test first: 'a version named meanwhile does not make older weights newer'.

--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {chooseRelayTarget, type TargetChoice, type TargetQuery} from './choose-target.ts';
 import {TargetConnections} from './connections.ts';
+import {WeightsBoard} from './named-weights.ts';
 import {PlacedParts} from './placed-parts.ts';
 import {TargetState} from './target-state.ts';
 import {ManualClock} from '#clock';
@@ -74,19 +75,35 @@
 	const targets = [makeState(0), makeState(1, {weights: new Map([['m', 2]])})];
 	targets[1]!.pending.add(0, 5000);
 	const prompt = makePrompt([['x', 100], ['own', 1000]]);
-	const at = (ageMs: number) => choose(makeQuery(targets, {prompt, named: {version: 2, ageMs}})).weights;
+	const at = (ageMs: number) => choose(makeQuery(targets, {prompt, named: [{version: 2, ageMs}]})).weights;
 	t.equal(at(500), 1);
 	t.equal(at(2000), 2);
 	targets[1]!.pending.add(0, 50_000);
 	t.equal(at(2000), 1);
 	t.equal(at(7000), 2);
-	t.equal(chooseRelayTarget(makeQuery([targets[0]!], {prompt, named: {version: 2, ageMs: 7000}})), 'old_weights');
+	t.equal(chooseRelayTarget(makeQuery([targets[0]!], {prompt, named: [{version: 2, ageMs: 7000}]})), 'old_weights');
+});
+
+t.test('a version named meanwhile does not make older weights newer', async t => {
+	const clock = new ManualClock();
+	const board = new WeightsBoard(clock);
+	const prompt = makePrompt([['a', 100], ['own', 100]]);
+	const targets = [makeState(0, {weights: new Map([['m', 3]])}), makeState(1, {weights: new Map([['m', 4]])})];
+	const query = () => makeQuery(targets, {prompt, named: board.read('m')});
+	board.note('m', 4);
+	await clock.advance(7000);
+	board.note('m', 5);
+	targets[1]!.pending.add(0, 20_000);
+	t.equal(choose(query()).state.target.id, 'e1', 'version 3 is out of date for 7 s, version 4 from now on');
+	await clock.advance(7000);
+	t.equal(chooseRelayTarget(query()), 'old_weights');
+	t.notOk(board.note('m', 4), 'versions only rise');
 });
 
 t.test('a roll-out that lasts: older weights are not used where the wait would pass their bound', async t => {
 	const targets = [makeState(0), makeState(1)];
 	const query = {
-		named: {version: 2, ageMs: 5000}, weightsMs: 8000, prompt: makePrompt([['a', 100], ['own', 100]]),
+		named: [{version: 2, ageMs: 5000}], weightsMs: 8000, prompt: makePrompt([['a', 100], ['own', 100]]),
 	};
 	targets[0]!.pending.add(0, 90_000);
 	t.equal(choose(makeQuery(targets, query)).state.target.id, 'e1');
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -10,13 +10,16 @@
 } from '#core';
 import {pickHomes} from '#placement';
 
-/** The newest weights of a model. */
-export type NamedWeights = Readonly<{
+/** A version of a model's weights that was named. */
+export type NamedVersion = Readonly<{
 	version: number;
-	/** Time since they were named, as far as this instance knows, in milliseconds. */
+	/** Time since it was named, as far as this instance knows, in milliseconds. */
 	ageMs: number;
 }>;
 
+/** Versions that were named for a model, the oldest first. Weights are out of date since the first one that is newer was named. */
+export type NamedWeights = readonly NamedVersion[];
+
 /** What a choice depends on. */
 export type TargetQuery = Readonly<{
 	targets: readonly TargetState[];
@@ -133,17 +136,19 @@
 	return prompt && state.weights.get(prompt.model);
 }
 
-function isOld({named}: TargetQuery, weights: number | undefined): boolean {
-	return named !== undefined && weights !== undefined && weights < named.version;
+/** Time since weights are out of date, in milliseconds; nothing where they are not. */
+function readLagMs({named}: TargetQuery, weights: number | undefined): number | undefined {
+	return weights === undefined ? undefined : named?.find(({version}) => version > weights)?.ageMs;
 }
 
 function isTooOld(query: TargetQuery, state: TargetState): boolean {
-	if (!isOld(query, readWeights(query, state))) {
+	const lagMs = readLagMs(query, readWeights(query, state));
+	if (lagMs === undefined) {
 		return false;
 	}
 
 	const waitMs = state.sumWork(query.nowMs, query.urgency).tokens * state.msPerToken;
-	return query.named!.ageMs + waitMs > query.weightsMs - weightsMarginMs;
+	return lagMs + waitMs > query.weightsMs - weightsMarginMs;
 }
 
 /** A target that is no engine: its queue, its own pace and the way. */
@@ -204,7 +209,7 @@
 			+ (requests * neighbourMs)
 			+ (kept === view.parts.length || view.affinity === state.target.id ? 0 : awayMs)
 			+ computeWayMs(query.zone, state)
-			+ (isOld(query, weights) && query.named!.ageMs > freeWeightsMs ? oldWeightsMs : 0);
+			+ ((readLagMs(query, weights) ?? 0) > freeWeightsMs ? oldWeightsMs : 0);
 		return {
 			state, queueMs, waitMs, costMs, unreadTokens, weights, cacheScope: makeScope(query, weights), source: source?.state, partKeys: view.keys,
 		};
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -18,7 +18,7 @@
 export type {RelayCaller} from './caller.ts';
 export {EventSplitter, type StreamEvent} from './event-splitter.ts';
 export {
-	chooseRelayTarget, type NamedWeights, type NoTarget, type TargetChoice, type TargetQuery,
+	chooseRelayTarget, type NamedVersion, type NamedWeights, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
 export {WeightsBoard} from './named-weights.ts';
 export {PlacedParts, type PlacedPart} from './placed-parts.ts';
