--- a/bench/_relay-backend.ts
+++ b/bench/_relay-backend.ts
@@ -13,7 +13,7 @@
 
 const runnerCount = 6;
 const eventsPerAnswer = 32;
-const chunkEvent = (id: number) => {
+const makeChunk = (id: number) => {
 	const text = `id: ${id}\ndata: a word or two\n\n`;
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
 };
@@ -44,7 +44,7 @@
 	reply.write(`HTTP/1.1 200 OK\r\nx-apricotdoor-request-id: ${String(headers['x-apricotdoor-request-id'])}\r\n`
 		+ 'x-apricotdoor-response-stamp: s1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n');
 	for (let id = 1; id <= eventsPerAnswer; id++) {
-		reply.write(chunkEvent(id));
+		reply.write(makeChunk(id));
 		await pause();
 	}
 
--- a/bench/_sides.ts
+++ b/bench/_sides.ts
@@ -65,8 +65,8 @@
 	};
 }
 
-/** Asks a role for the processor time that it has used, in microseconds. */
-export async function askCpu(child: ChildProcess): Promise<number> {
+/** Processor time that a role has used so far, in microseconds. */
+export async function readRoleCpu(child: ChildProcess): Promise<number> {
 	child.send('cpu');
 	const [message] = await once(child, 'message') as readonly unknown[];
 	return cpuSchema.parse(message).cpuMicros;
--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -7,7 +7,7 @@
 import type {Pool} from 'undici';
 import {benchKey, benchRoute, runRole} from './_overhead-roles.ts';
 import {
-	askCpu, compareSides, createSide, readFigures, startRole,
+	readRoleCpu, compareSides, createSide, readFigures, startRole,
 } from './_sides.ts';
 import {createSystemClock} from '#clock';
 import {createWorkload, type Workload} from '#load';
@@ -42,8 +42,8 @@
 	const backend = await startRole('backend', {address: '', gapMs: Number(options.gapMs)});
 	const bare = await startRole('direct', backend.ready);
 	const whole = await startRole('routed', backend.ready);
-	const direct = createSide(bare.ready.address, async () => askCpu(bare.child));
-	const routed = createSide(whole.ready.address, async () => askCpu(whole.child));
+	const direct = createSide(bare.ready.address, async () => readRoleCpu(bare.child));
+	const routed = createSide(whole.ready.address, async () => readRoleCpu(whole.child));
 	const workload = createWorkload({
 		seed: 1, requestsPerSecond: Number(options.rate), customers: [{name: 'c', key: benchKey, share: 1}], preambleTokens: 2000, dossierTokens: 2000,
 	});
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -16,7 +16,7 @@
 import {makeSettingsText} from '../platform/testing/settings-text.ts';
 import {relayKey, relayRoute} from './_relay-backend.ts';
 import {
-	askCpu, compareSides, createSide, readFigures, startRole,
+	readRoleCpu, compareSides, createSide, readFigures, startRole,
 } from './_sides.ts';
 import {createSystemClock, type Clock} from '#clock';
 
@@ -58,7 +58,7 @@
 	const backend = await startRole('relay-backend', {address: '', gapMs: Number(options.gapMs)});
 	const bare = await startRole('direct', backend.ready);
 	const deployed = await startDeployed(clock, backend.ready.platform!);
-	const direct = createSide(bare.ready.address, async () => askCpu(bare.child));
+	const direct = createSide(bare.ready.address, async () => readRoleCpu(bare.child));
 	const routed = createSide(deployed.address, async () => readProcessCpu(deployed.child.pid!));
 	const body = Buffer.alloc(Number(options.bytes), 'x');
 	let sent = 0;
