--- a/bench/_sides.ts
+++ b/bench/_sides.ts
@@ -32,6 +32,16 @@
 	rate: number;
 }>;
 
+/** Options of a comparison on the command line. */
+export type ComparisonOptions = Readonly<{
+	json?: boolean;
+	rounds: string;
+	requests: string;
+	concurrency: string;
+	rate: string;
+	gapMs: string;
+}>;
+
 /** What was measured on one side. */
 export type SideFigures = Readonly<{
 	requests: number;
--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -7,20 +7,11 @@
 import type {Pool} from 'undici';
 import {benchKey, benchRoute, runRole} from './_overhead-roles.ts';
 import {
-	readRoleCpu, compareSides, createSide, readFigures, startRole,
+	readRoleCpu, compareSides, createSide, readFigures, startRole, type ComparisonOptions,
 } from './_sides.ts';
 import {createSystemClock} from '#clock';
 import {createWorkload, type Workload} from '#load';
 
-type OverheadOptions = Readonly<{
-	json?: boolean;
-	rounds: string;
-	requests: string;
-	concurrency: string;
-	rate: string;
-	gapMs: string;
-}>;
-
 /** Adds the bench and the hidden roles that it starts. */
 export function registerOverheadBench(program: Command): void {
 	program.command('overhead')
@@ -31,14 +22,14 @@
 		.option('--concurrency <n>', 'requests in progress at once', '24')
 		.option('--rate <n>', 'requests per second for the latency, about today\'s load of one instance', '30')
 		.option('--gap-ms <ms>', 'time between tokens; 0 sends an answer at once', '10')
-		.action(async (options: OverheadOptions) => {
+		.action(async (options: ComparisonOptions) => {
 			await runOverhead(options);
 		});
 	program.command('overhead-role', {hidden: true}).argument('<name>').argument('<backend>')
 		.action(runRole);
 }
 
-async function runOverhead(options: OverheadOptions): Promise<void> {
+async function runOverhead(options: ComparisonOptions): Promise<void> {
 	const backend = await startRole('backend', {address: '', gapMs: Number(options.gapMs)});
 	const bare = await startRole('direct', backend.ready);
 	const whole = await startRole('routed', backend.ready);
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -16,19 +16,11 @@
 import {makeSettingsText} from '../platform/testing/settings-text.ts';
 import {relayKey, relayRoute} from './_relay-backend.ts';
 import {
-	readRoleCpu, compareSides, createSide, readFigures, startRole,
+	readRoleCpu, compareSides, createSide, readFigures, startRole, type ComparisonOptions,
 } from './_sides.ts';
 import {createSystemClock, type Clock} from '#clock';
 
-type RelayOptions = Readonly<{
-	json?: boolean;
-	rounds: string;
-	requests: string;
-	concurrency: string;
-	rate: string;
-	gapMs: string;
-	bytes: string;
-}>;
+type RelayOptions = ComparisonOptions & Readonly<{bytes: string}>;
 
 const bundlePath = 'target/apricotdoor.cjs';
 const deployPath = 'deploy/system.toml';
