--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -58,6 +58,7 @@
 		rounds: Number(options.rounds), requests: Number(options.requests), concurrency: Number(options.concurrency), rate: Number(options.rate),
 	});
 	const figures = {direct: readFigures(direct), routed: readFigures(routed)};
+	// Each answer has the same number of events on both sides: one ratio serves requests and events.
 	const ratio = {
 		requestsPerCoreSecond: figures.routed.requestsPerCoreSecond / figures.direct.requestsPerCoreSecond,
 		eventsPerCoreSecond: figures.routed.requestsPerCoreSecond / figures.direct.requestsPerCoreSecond,
