--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {registerFleetBench} from './fleet.ts';
 import {registerPlacementBench} from './placement.ts';
 import {registerPlacementCostBench} from './placement-cost.ts';
+import {registerRelayBench} from './relay.ts';
 import {registerStreamsBench} from './streams.ts';
 import {prepareHash} from '#core';
 
@@ -22,6 +23,7 @@
 	registerClaimsBench(program);
 	registerPlacementBench(program);
 	registerPlacementCostBench(program);
+	registerRelayBench(program);
 	registerStreamsBench(program);
 	return program;
 }
--- a/packages/mirror/follow-kind.ts
+++ b/packages/mirror/follow-kind.ts
@@ -1,7 +1,6 @@
 /**
  * Keeps a mirror level with the store: a list first, then watches from the
- * list's revision, and a new list where the history is gone or an answer is
- * not understood.
+ * list's revision, and a new list where the history is gone or a call failed.
  */
 import type {KindMirror} from './kind-mirror.ts';
 import type {Clock} from '#clock';
@@ -51,6 +50,8 @@
 			continue;
 		}
 
+		// A list is answered at once when the store is back; a watch only with the next change.
+		isListed = false;
 		failures++;
 		const pauseMs = Math.min(maxPauseMs, firstPauseMs * (2 ** Math.min(failures - 1, 10)));
 		await clock.sleep(failure.retryAfterMs ?? pauseMs * (0.5 + (random.next() / 2)), signal);
--- a/packages/node/_store-copies.ts
+++ b/packages/node/_store-copies.ts
@@ -5,7 +5,7 @@
  */
 import type {StoredFormats} from './relay-instance.ts';
 import type {Clock} from '#clock';
-import type {Random, RelayConfiguration} from '#core';
+import type {Random, RelayConfiguration, RelayTarget} from '#core';
 import type {Gateway} from '#gateway';
 import {followKind, KindMirror, MirrorRelay} from '#mirror';
 import type {ObjectStore} from '#object-store';
@@ -20,16 +20,18 @@
 	clock: Clock;
 	telemetry: Telemetry;
 	bus: PeerBus;
-	gateway: Gateway;
+	gateway: Pick<Gateway, 'configuration' | 'install'>;
 	targets: TargetSet;
 	board: WeightsBoard;
-	rollout: WeightsRollout;
+	rollout: Pick<WeightsRollout, 'wake'>;
 	/** Called with each configuration that comes into force. */
 	configured: (configuration: RelayConfiguration) => void;
 	/** Called when all that serving needs is there; perhaps more than once. */
 	complete: () => void;
 }>;
 
+type DecodedTarget = Readonly<{revision: number; target: RelayTarget | undefined}>;
+
 /** Copies of the configuration, the targets and the named weights. */
 export class StoreCopies {
 	readonly #deps: StoreCopiesDeps;
@@ -38,6 +40,8 @@
 	readonly #weights: KindMirror;
 	readonly #relay: MirrorRelay;
 	readonly #listing: TargetListing;
+	/** Decoded entries of targets by key, with the revision that they were decoded from. */
+	#decoded: ReadonlyMap<string, DecodedTarget> = new Map();
 
 	constructor(deps: StoreCopiesDeps) {
 		const {formats: {kinds}, clock, telemetry, bus} = deps;
@@ -76,7 +80,9 @@
 		await Promise.all(this.#list().map(async mirror => followKind({
 			mirror, store, clock, random, telemetry,
 			heard: isAnswered => {
-				this.#listing.noteStore(isAnswered);
+				if (this.#listing.noteStore(isAnswered)) {
+					this.#updateTargets();
+				}
 			},
 		}, signal)));
 	}
@@ -102,7 +108,12 @@
 
 	#readTargets(): void {
 		const {formats} = this.#deps;
-		this.#listing.update(this.#targets.list().map(stored => formats.decodeTarget(stored)).filter(target => target !== undefined));
+		// An entry that has not changed is not decoded again: each change of one of hundreds would cost as much as a list.
+		this.#decoded = new Map(this.#targets.list().map(stored => {
+			const known = this.#decoded.get(stored.key);
+			return [stored.key, known?.revision === stored.revision ? known : {revision: stored.revision, target: formats.decodeTarget(stored)}];
+		}));
+		this.#listing.update([...this.#decoded.values()].map(({target}) => target).filter(target => target !== undefined));
 		this.#updateTargets();
 		this.#checkComplete();
 	}
--- a/packages/relay/target-listing.ts
+++ b/packages/relay/target-listing.ts
@@ -22,13 +22,19 @@
 		this.#clock = clock;
 	}
 
-	/** Takes in whether the store answered a call. */
-	noteStore(isAnswered: boolean): void {
-		if (isAnswered && this.#isAway) {
+	/**
+	 * Takes in whether the store answered a call.
+	 *
+	 * @returns whether it has returned by this: what is held now has a time at which it is given up
+	 */
+	noteStore(isAnswered: boolean): boolean {
+		const hasReturned = isAnswered && this.#isAway;
+		if (hasReturned) {
 			this.#returnedMs = this.#clock.now();
 		}
 
 		this.#isAway = !isAnswered;
+		return hasReturned;
 	}
 
 	/** Takes in the entries as they are now. */
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -47,9 +47,12 @@
 
 type Behind = Readonly<{target: RelayTarget; model: string; version: number}>;
 
-/** Time between looks while an engine is behind, in milliseconds. */
+/** Time between looks of the holder while an engine is behind, in milliseconds. */
 const tickMs = 50;
 
+/** Time between looks of the other instances, in milliseconds. */
+const standbyTickMs = 250;
+
 /** Time between looks while none is, in milliseconds; news wakes the loop at once. */
 const restMs = 2000;
 
@@ -127,7 +130,7 @@
 				this.#startOrders(behind, signal);
 			}
 
-			await clock.sleep(tickMs, signal);
+			await clock.sleep(lease.isHeld ? tickMs : standbyTickMs, signal);
 		}
 
 		await Promise.all(this.#active.values());
