--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -1,214 +1,9 @@
-import {Buffer} from 'node:buffer';
-import {setImmediate as nextTurn} from 'node:timers/promises';
-import t, {type Test} from 'tap';
-import type {RelayCaller} from './caller.ts';
-import type {TargetDialect} from './dialect.ts';
-import {findHeader} from './exchange.ts';
-import {CachedParts} from './cached-parts.ts';
-import {Relay} from './relay.ts';
-import {TargetSet} from './target-set.ts';
-import {PublishedWeights} from './published-weights.ts';
-import {ManualClock} from '#clock';
+import t from 'tap';
 import {
-	createRandom, prepareHash, type Prompt, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
-} from '#core';
-import {RetryBudget} from '#dispatch';
-import {createNoopBus} from '#peer-protocol';
-import {Quarantine} from '#quarantine';
-import {startRawTarget, type RawScript, type RawTarget} from '#standins';
-import {createTelemetry} from '#telemetry';
-
-/** A minimal dialect for these tests. */
-const dialect: TargetDialect = {
-	encodeHead: (request, parameters) => [
-		...request.headers,
-		'x-id',
-		request.id,
-		'x-left',
-		String(Math.floor(parameters.remainingMs)),
-		...(parameters.lastEventId === undefined ? [] : ['x-after', parameters.lastEventId]),
-		...(parameters.urgency === undefined ? [] : ['x-urgency', String(parameters.urgency)]),
-	],
-	decodeHead: ({status, headers}) => ({
-		status, headers: headers.filter((_line, index) => headers[index - (index % 2)]!.toLowerCase() === 'x-signed'),
-		requestId: findHeader(headers, 'x-id'), isSigned: findHeader(headers, 'x-signed') !== undefined,
-		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'), load: undefined, weights: undefined,
-	}),
-};
-
-const telemetry = createTelemetry({level: 'silent'});
-const pool: RelayPool = {name: 'p', healthPath: '/health', maxConnections: 10};
-const enginePool: RelayPool = {
-	...pool, engine: {
-		slots: 64, cacheTokens: 100_000, bytesPerToken: 1000, linkMbps: 1_000_000, models: ['m'],
-	},
-};
-const safeRoute: RelayRoute = {
-	name: 'r', host: 'h', pathPrefix: '/', pools: [{pool: 'p', weight: 1}], isStream: false, retryPolicy: 'any', maxTargets: 2,
-	timeoutMs: 800, promisedMs: 100, promisedGapMs: 0, priority: 2, isPublic: true,
-};
-const onceRoute: RelayRoute = {...safeRoute, retryPolicy: 'once', maxTargets: 1};
-const streamRoute: RelayRoute = {
-	...safeRoute, isStream: true, retryPolicy: 'resume', timeoutMs: 3000, promisedMs: 500, promisedGapMs: 400,
-};
-
-const ok = 'HTTP/1.1 200 OK\r\nx-signed: s1\r\ncontent-length: 2\r\n\r\nok';
-const failed = 'HTTP/1.1 500 Oh\r\nx-signed: s2\r\ncontent-length: 2\r\n\r\nno';
-const notRun = 'HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n';
-const streamHead = 'HTTP/1.1 200 OK\r\nx-signed: s3\r\ntransfer-encoding: chunked\r\n\r\n';
-
-function formatChunk(text: string): string {
-	return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-function formatEvent(id: number): string {
-	return formatChunk(`id: ${id}\ndata: e${id}\n\n`);
-}
-
-/** A caller that records what it is sent. */
-class RecordingCaller implements RelayCaller {
-	text = '';
-	readonly records: string[] = [];
-	refusal: Refusal | undefined;
-	#hasLeft = false;
-	readonly #handlers = new Set<() => void>();
-
-	leave(): void {
-		this.#hasLeft = true;
-		for (const handler of this.#handlers) {
-			handler();
-		}
-	}
-
-	hasLeft(): boolean {
-		return this.#hasLeft;
-	}
-
-	subscribeLeave(handler: () => void) {
-		this.#handlers.add(handler);
-		return () => {
-			this.#handlers.delete(handler);
-		};
-	}
-
-	sendHead(status: number, headers: readonly string[]): void {
-		this.records.push(`${status} ${headers[1] ?? ''}`);
-	}
-
-	write(bytes: Uint8Array): boolean {
-		this.text += Buffer.from(bytes).toString();
-		return true;
-	}
-
-	async waitForDrain(): Promise<void> {
-		// The buffer never fills.
-	}
-
-	finish(): void {
-		this.records.push('end');
-	}
-
-	abort(): void {
-		this.records.push('aborted');
-	}
-
-	refuse(refusal: Refusal): void {
-		this.refusal = refusal;
-		this.records.push(`refused ${refusal.status} ${refusal.reason} ${refusal.ran}`);
-	}
-}
-
-async function start(t: Test, ...scripts: readonly RawScript[]) {
-	await prepareHash();
-	const clock = new ManualClock();
-	const raw: RawTarget[] = [];
-	for (const script of scripts) {
-		raw.push(await startRawTarget(script));
-	}
-
-	const targets = new TargetSet(clock, {connectTimeoutMs: 1000, idleTimeoutMs: 30_000});
-	targets.update(raw.map(({address}, index) => ({
-		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address, zone: 'z', slots: 4, isDraining: false, weights: new Map(),
-	})));
-	const mismatches: string[] = [];
-	const alive = new Set(raw.map((_target, index) => `t${index}`));
-	const quarantine = new Quarantine({
-		clock, random: createRandom(1), telemetry, bus: createNoopBus(),
-	}, {strikeLimit: 3});
-	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
-	const relay = new Relay({
-		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, cachedParts: new CachedParts(), publishedWeights: new PublishedWeights(clock),
-		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, probe: async ({id}) => alive.has(id),
-		handleMismatch(state, mismatch) {
-			mismatches.push(`${state.target.id} ${mismatch}`);
-		},
-	});
-	t.teardown(async () => {
-		quarantine.close();
-		targets.close();
-		await Promise.all(raw.map(async target => target.close()));
-	});
-
-	/** Starts a request whose first attempt goes to the target with index `first`. */
-	const startRequest = (route: RelayRoute, first = 0, id = 'a', prompt?: Prompt) => {
-		const caller = new RecordingCaller();
-		for (const [index, state] of targets.list().entries()) {
-			state.serviceMs = index === first ? 1 : 30;
-		}
-
-		const request: RelayRequest = {
-			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
-			cacheScope: undefined, lastEventId: undefined, configurationVersion: 1, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
-		};
-		let isDone = false;
-		const done = relay.run(request, prompt ? enginePool : pool, caller).then(() => {
-			isDone = true;
-		});
-		return {caller, done, isDone: () => isDone};
-	};
-
-	/** Advances the clock in small steps until a condition holds, and runs turns of the event loop in between. */
-	const waitUntil = async (condition: () => boolean, limitMs = 20_000) => {
-		for (let step = 0; step < limitMs / 10 && !condition(); step++) {
-			for (let turn = 0; turn < 20 && !condition(); turn++) {
-				await nextTurn();
-			}
-
-			if (!condition()) {
-				await clock.advance(10);
-			}
-		}
-
-		t.ok(condition(), 'the awaited condition holds');
-	};
-
-	return {
-		clock, raw, targets, quarantine, budget, alive, startRequest, waitUntil, mismatches,
-	};
-}
-
-/** Runs one request to its end. */
-async function runRequest(t: Test, route: RelayRoute, ...scripts: readonly RawScript[]) {
-	const setup = await start(t, ...scripts);
-	const {caller, isDone} = setup.startRequest(route);
-	await setup.waitUntil(isDone);
-	return {...setup, caller, counts: setup.raw.map(({requests}) => requests.length)};
-}
-
-const sendText = (text: string): RawScript => (_request, reply) => {
-	reply.write(text);
-};
-
-const sendTextAndClose = (text: string): RawScript => (_request, reply) => {
-	reply.write(text);
-	reply.close();
-};
-
-const reset: RawScript = (_request, reply) => {
-	reply.reset();
-};
-
-const silent: RawScript = () => undefined;
+	failed, formatChunk, formatEvent, notRun, ok, onceRoute, pool, reset, runRequest, safeRoute, sendText, sendTextAndClose, silent, startRelay, streamHead, streamRoute,
+} from './testing/relay.ts';
+import type {Prompt} from '#core';
+import type {RawScript} from '#standins';
 
 t.test('an answer is delivered with its signature', async t => {
 	const {caller, raw} = await runRequest(t, safeRoute, sendText(ok));
@@ -263,7 +58,7 @@
 });
 
 t.test('a target that refuses connections does not use up the retry budget', async t => {
-	const setup = await start(t, sendText(ok), sendText(ok));
+	const setup = await startRelay(t, sendText(ok), sendText(ok));
 	await setup.raw[0]!.close();
 	const {caller, isDone} = setup.startRequest(onceRoute);
 	await setup.waitUntil(isDone);
@@ -303,7 +98,7 @@
 
 // The other half of the budget of 8 is reserved for started streams.
 t.test('retries stop when the half of the budget that is open to all requests is used up', async t => {
-	const setup = await start(t, reset, sendText(ok));
+	const setup = await startRelay(t, reset, sendText(ok));
 	for (let request = 0; request < 8; request++) {
 		setup.raw[1]!.setScript(sendText(ok));
 		setup.targets.get('t0')!.clearSuspicion();
@@ -321,7 +116,7 @@
 		reply.reset();
 	};
 
-	const setup = await start(t, breakOff, breakOff);
+	const setup = await startRelay(t, breakOff, breakOff);
 	for (let request = 0; request < 8; request++) {
 		setup.raw[1]!.setScript(sendText(`${streamHead}${formatEvent(2)}0\r\n\r\n`));
 		setup.targets.get('t0')!.clearSuspicion();
@@ -333,7 +128,7 @@
 });
 
 t.test('requests beyond this instance\'s share of connections are refused at once; later ones are served when connections are free', async t => {
-	const setup = await start(t, silent);
+	const setup = await startRelay(t, silent);
 	// The pool allows 10 connections to a target, and two instances share them.
 	const started = Array.from({length: 7}, (_item, index) => setup.startRequest(onceRoute, 0, `a${index}`));
 	await setup.waitUntil(() => started.filter(({isDone}) => isDone()).length === 2);
@@ -351,7 +146,7 @@
 });
 
 t.test('a request is aborted when its caller leaves', async t => {
-	const setup = await start(t, silent);
+	const setup = await startRelay(t, silent);
 	const {caller, isDone} = setup.startRequest(onceRoute);
 	await setup.waitUntil(() => setup.raw[0]!.requests.length === 1);
 	caller.leave();
@@ -391,7 +186,7 @@
 });
 
 t.test('a request that crashed three targets is not sent to a fourth', async t => {
-	const setup = await start(t, reset, reset, reset, reset);
+	const setup = await startRelay(t, reset, reset, reset, reset);
 	for (const id of ['t0', 't1', 't2', 't3']) {
 		setup.alive.delete(id);
 	}
@@ -416,7 +211,7 @@
 	const urgencies: Array<string | undefined> = [];
 	// At 0.02 ms per token, these queues take 2 ms, 0.8 s and 3.2 s. The route promises 0.5 s, and a caller waits for four times that.
 	for (const queued of [100, 40_000, 160_000]) {
-		const setup = await start(t, completeStream);
+		const setup = await startRelay(t, completeStream);
 		const state = setup.targets.get('t0')!;
 		state.pendingTokens.add(0, queued);
 		const {caller, isDone} = setup.startRequest(streamRoute, 0, 'a', prompt);
