Relay: each attempt logs how its answer was framed and how it ended

Change: AnswerBody reads a body, splits it into events and records framing, end, bytes and events; the record stands in the line of each attempt and in answer_bodies_total{framing,end}. An event splitter belongs to one answer now, so its reset() is gone; that the incomplete event of an interrupted attempt is discarded is checked by relay.test, 'a stream that breaks off is resumed'. What callers are sent stays as it was.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -6,9 +6,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type {RelayCaller} from './caller.ts';
+import type {AnswerBody} from './_answer-body.ts';
 import type {TargetAnswer} from './dialect.ts';
-import {EventSplitter} from './event-splitter.ts';
-import type {Exchange} from './exchange.ts';
+import type {StreamEvent} from './event-splitter.ts';
 import type {Clock} from '#clock';
 import type {RelayRequest} from '#core';
 
@@ -25,7 +25,6 @@
 	readonly #clock: Clock;
 	readonly #isResumable: boolean;
 	readonly #isStream: boolean;
-	readonly #splitter = new EventSplitter();
 	#errorAnswer: Readonly<{answer: TargetAnswer; body: Uint8Array}> | undefined;
 
 	constructor({route}: RelayRequest, caller: RelayCaller, clock: Clock) {
@@ -63,20 +62,19 @@
 	 *
 	 * @returns `undefined` once the caller was sent all of it, else why it is incomplete
 	 */
-	async deliver(answer: TargetAnswer, exchange: Exchange): Promise<string | undefined> {
-		this.#splitter.reset();
-		return this.#isStream && answer.status < 300 ? this.#sendStream(answer, exchange) : this.#sendCollected(answer, exchange);
+	async deliver(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
+		return this.#isStream && answer.status < 300 ? this.#sendStream(answer, body) : this.#sendCollected(answer, body);
 	}
 
-	async #sendStream(answer: TargetAnswer, exchange: Exchange): Promise<string | undefined> {
+	async #sendStream(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
 		for (;;) {
-			const read = await exchange.readBody();
+			const read = await body.read();
 			if (read.kind === 'fault') {
 				return read.fault.detail;
 			}
 
 			if (read.kind === 'end') {
-				if (this.#splitter.isInsideEvent) {
+				if (this.#isResumable && body.isInsideEvent) {
 					return 'the stream ended inside an event';
 				}
 
@@ -85,7 +83,7 @@
 				return undefined;
 			}
 
-			const bytes = this.#isResumable ? this.#extractNewEvents(read.bytes) : read.bytes;
+			const bytes = this.#isResumable ? this.#extractNewEvents(read.events) : read.bytes;
 			if (bytes.length > 0) {
 				this.#sendHead(answer, undefined);
 				await this.#write(bytes);
@@ -93,10 +91,10 @@
 		}
 	}
 
-	/** Returns the complete events that the caller was not sent yet: a resumed stream may repeat events. */
-	#extractNewEvents(bytes: Uint8Array): Uint8Array {
+	/** Returns the events that the caller was not sent yet: a resumed stream may repeat events. */
+	#extractNewEvents(events: readonly StreamEvent[]): Uint8Array {
 		const newEvents: Uint8Array[] = [];
-		for (const event of this.#splitter.push(bytes)) {
+		for (const event of events) {
 			if (event.id === undefined || isLater(event.id, this.lastEventId)) {
 				this.lastEventId = event.id ?? this.lastEventId;
 				newEvents.push(event.bytes);
@@ -106,11 +104,11 @@
 		return newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents);
 	}
 
-	async #sendCollected(answer: TargetAnswer, exchange: Exchange): Promise<string | undefined> {
+	async #sendCollected(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
 		const chunks: Uint8Array[] = [];
 		let length = 0;
 		for (;;) {
-			const read = await exchange.readBody();
+			const read = await body.read();
 			if (read.kind === 'fault') {
 				return read.fault.detail;
 			}
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -5,6 +5,7 @@
  * falls silent.
  */
 import {Buffer} from 'node:buffer';
+import {AnswerBody, type BodyRecord} from './_answer-body.ts';
 import type {AnswerDelivery} from './_answer-delivery.ts';
 import type {RelayCaller} from './caller.ts';
 import type {TargetChoice} from './choose-target.ts';
@@ -44,6 +45,9 @@
 /** Why an attempt gave the caller no complete answer. */
 export type AttemptFailure = Readonly<{cause: AttemptCause; detail: string}>;
 
+/** Why an attempt failed, if it did, and what was received of its answer's body, if its head arrived. */
+export type AttemptResult = Readonly<{failure?: AttemptFailure | undefined; body?: BodyRecord}>;
+
 /** Causes of aborts by this instance, by the detail passed to {@link Exchange.abort}. Any other fault has the cause `lost` if the request may have reached the target, else `not_sent`. */
 const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
 
@@ -53,12 +57,8 @@
 /** Maximum size of the body of a refusal or an error answer, in bytes; the exchange is aborted if the body is longer. */
 const maxErrorBodyBytes = 65_536;
 
-/**
- * Runs one attempt until its exchange has finished.
- *
- * @returns `undefined` if the caller was sent its complete answer, else why not
- */
-export async function runAttempt(dependencies: AttemptDependencies, attempt: Attempt): Promise<AttemptFailure | undefined> {
+/** Runs one attempt until its exchange has finished. There is no failure if the caller was sent its complete answer. */
+export async function runAttempt(dependencies: AttemptDependencies, attempt: Attempt): Promise<AttemptResult> {
 	const {clock, dialect} = dependencies;
 	const {request, choice, delivery, caller, urgency} = attempt;
 	const {state} = choice;
@@ -92,12 +92,12 @@
 	}
 }
 
-async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, handleAnswerStart: () => void): Promise<AttemptFailure | undefined> {
+async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, handleAnswerStart: () => void): Promise<AttemptResult> {
 	const {clock, dialect} = dependencies;
 	const {request, choice, delivery} = attempt;
 	const read = await exchange.readHead();
 	if (read.kind === 'fault') {
-		return classifyFault(exchange, read.fault.detail);
+		return {failure: classifyFault(exchange, read.fault.detail)};
 	}
 
 	const decoded = dialect.decodeHead(read.head);
@@ -105,25 +105,26 @@
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
 
+	const body = new AnswerBody(exchange, request.route.isStream && decoded.status < 300);
 	const failure = checkHead(request, decoded);
 	if (!failure) {
 		handleAnswerStart();
-		const fault = await delivery.deliver(decoded, exchange);
-		return fault === undefined ? undefined : classifyFault(exchange, fault);
+		const fault = await delivery.deliver(decoded, body);
+		return {failure: fault === undefined ? undefined : classifyFault(exchange, fault), body: body.describe()};
 	}
 
 	if (failure.cause === 'crossed') {
-		exchange.abort(failure.detail);
-		return failure;
+		body.abort(failure.detail);
+		return {failure};
 	}
 
-	const body = await readErrorBody(exchange);
-	if (failure.cause === 'failed' && body) {
-		delivery.setErrorAnswer(decoded, body);
+	const errorBody = await readErrorBody(body);
+	if (failure.cause === 'failed' && errorBody) {
+		delivery.setErrorAnswer(decoded, errorBody);
 	}
 
 	handleRefusal(dependencies, attempt, decoded);
-	return failure;
+	return {failure, body: body.describe()};
 }
 
 /** Callbacks that update the target's work in progress during an attempt. */
@@ -204,11 +205,11 @@
 }
 
 /** Reads a refusal or error answer to its end, so that its connection can be reused. Returns `undefined` if it is incomplete or too long. */
-async function readErrorBody(exchange: Exchange): Promise<Uint8Array | undefined> {
+async function readErrorBody(body: AnswerBody): Promise<Uint8Array | undefined> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	for (;;) {
-		const read = await exchange.readBody();
+		const read = await body.read();
 		if (read.kind === 'fault') {
 			return undefined;
 		}
@@ -220,7 +221,7 @@
 		chunks.push(read.bytes);
 		length += read.bytes.length;
 		if (length > maxErrorBodyBytes) {
-			exchange.abort('the body of the refusal or error answer is too long');
+			body.abort('the body of the refusal or error answer is too long');
 		}
 	}
 }
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -1,5 +1,6 @@
 /** Tracks the state of one request over all its attempts. */
-import type {AttemptFailure} from './_attempt.ts';
+import type {BodyRecord} from './_answer-body.ts';
+import type {AttemptResult} from './_attempt.ts';
 import type {TargetChoice} from './choose-target.ts';
 import type {RelayPool, RelayRequest, RunState} from '#core';
 import {classifyRun, mergeRunStates, type AttemptCause} from '#dispatch';
@@ -25,6 +26,8 @@
 	/** Cause of the failure, or `answered`. */
 	end: string;
 	detail?: string;
+	/** What was received of the answer's body; absent if there was no answer. */
+	body?: BodyRecord;
 }>;
 
 export class RelayProgress {
@@ -53,14 +56,14 @@
 		this.pool = pool;
 	}
 
-	/** Records a finished attempt; `failure` is `undefined` if the caller was sent its complete answer. */
-	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, failure: AttemptFailure | undefined): void {
+	/** Records a finished attempt. */
+	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body}: AttemptResult): void {
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
 			weights: choice.weights, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
-			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}),
+			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}),
 		});
 		if (!failure) {
 			return;
--- a/packages/relay/event-splitter.test.ts
+++ b/packages/relay/event-splitter.test.ts
@@ -26,15 +26,14 @@
 		}
 
 		events.push(...read(splitter, rest));
-		return events.length === 4 && events.map(([, text]) => text).join('') === stream && !splitter.isInsideEvent;
+		return events.length === 4 && events.map(([, text]) => text).join('') === stream && splitter.incompleteBytes === 0;
 	}), {seed: 3, numRuns: 200});
 });
 
-t.test('an incomplete event is buffered, and discarded on reset', async t => {
+t.test('an incomplete event is buffered until it is complete', async t => {
 	const splitter = new EventSplitter();
 	t.strictSame(read(splitter, 'id: 1\ndata: a\n'), []);
-	t.ok(splitter.isInsideEvent);
-	splitter.reset();
-	t.notOk(splitter.isInsideEvent);
-	t.strictSame(read(splitter, 'id: 1\ndata: b\n\n'), [['1', 'id: 1\ndata: b\n\n']]);
+	t.equal(splitter.incompleteBytes, 14);
+	t.strictSame(read(splitter, '\n'), [['1', 'id: 1\ndata: a\n\n']]);
+	t.equal(splitter.incompleteBytes, 0);
 });
--- a/packages/relay/event-splitter.ts
+++ b/packages/relay/event-splitter.ts
@@ -19,9 +19,9 @@
 export class EventSplitter {
 	#incomplete: Uint8Array = new Uint8Array();
 
-	/** Whether bytes of an incomplete event are buffered. */
-	get isInsideEvent(): boolean {
-		return this.#incomplete.length > 0;
+	/** Number of buffered bytes: those of an incomplete event. */
+	get incompleteBytes(): number {
+		return this.#incomplete.length;
 	}
 
 	/** Adds bytes and returns the events that they complete. */
@@ -36,11 +36,6 @@
 
 		return events;
 	}
-
-	/** Discards the buffered bytes, as a resumed stream sends the incomplete event again. */
-	reset(): void {
-		this.#incomplete = new Uint8Array();
-	}
 }
 
 /** Returns the length of the first complete event, or -1 if there is none. */
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -37,6 +37,12 @@
 /** The next chunk of the body, its end, or why it is incomplete. */
 export type BodyRead = Readonly<{kind: 'data'; bytes: Uint8Array}> | Readonly<{kind: 'end'}> | Readonly<{kind: 'fault'; fault: ExchangeFault}>;
 
+/**
+ * How the end of a body is marked (RFC 9112, section 6.3): by its stated length, by
+ * the last chunk, only by the end of the connection, or not at all as there is no body.
+ */
+export type BodyFraming = 'length' | 'chunked' | 'connection' | 'none';
+
 /** Callbacks from an exchange to its connection. */
 export type ExchangeCallbacks = Readonly<{
 	/** Called when a part of the answer arrives; returns the current time in milliseconds. */
@@ -81,6 +87,11 @@
 		return this.#isStarted;
 	}
 
+	/** Framing of the answer's body; `none` before the head has arrived. */
+	get framing(): BodyFraming {
+		return this.#head ? getFraming(this.#head) : 'none';
+	}
+
 	/** Waits for the head of the answer. */
 	async readHead(): Promise<HeadRead> {
 		while (!this.#head && !this.#fault) {
@@ -202,12 +213,19 @@
 
 /** Whether the connection can be reused after an answer (RFC 9112, sections 6.3 and 9.3). */
 function isReusable(head: AnswerHead): boolean {
-	return hasLength(head) && findHeader(head.headers, 'connection')?.toLowerCase() !== 'close';
+	return getFraming(head) !== 'connection' && findHeader(head.headers, 'connection')?.toLowerCase() !== 'close';
 }
 
-function hasLength({status, headers}: AnswerHead): boolean {
-	return status === 204 || status === 304
-		|| findHeader(headers, 'content-length') !== undefined || findHeader(headers, 'transfer-encoding') !== undefined;
+function getFraming({status, headers}: AnswerHead): BodyFraming {
+	if (status === 204 || status === 304) {
+		return 'none';
+	}
+
+	if (findHeader(headers, 'transfer-encoding') !== undefined) {
+		return 'chunked';
+	}
+
+	return findHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
 
 /** Header lines are encoded in Latin-1 (RFC 9110, section 5.5). */
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -5,7 +5,7 @@
  * and the retry budget decide whether another attempt follows.
  */
 import {AnswerDelivery} from './_answer-delivery.ts';
-import {runAttempt, type AttemptDependencies, type AttemptFailure} from './_attempt.ts';
+import {runAttempt, type AttemptDependencies} from './_attempt.ts';
 import type {RelayCaller} from './caller.ts';
 import {chooseRelayTarget, type NoTarget, type TargetChoice} from './choose-target.ts';
 import type {PublishedWeights} from './published-weights.ts';
@@ -116,10 +116,15 @@
 
 			const {choice, urgency} = chosen;
 			const startMs = clock.now();
-			const failure = await runAttempt(this.#dependencies, {
+			const result = await runAttempt(this.#dependencies, {
 				request, pool: progress.pool, choice, urgency, caller, delivery,
 			});
-			progress.recordAttempt(choice, startMs, clock.now(), failure);
+			const {failure} = result;
+			progress.recordAttempt(choice, startMs, clock.now(), result);
+			if (result.body) {
+				telemetry.count('answer_bodies_total', {framing: result.body.framing, end: result.body.end});
+			}
+
 			if (caller.hasLeft()) {
 				return {kind: 'caller_left'};
 			}
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -14,6 +14,7 @@
 	refusals_total: {help: 'Refused or failed requests, by reason and run state.', labels: ['reason', 'ran']},
 	retries_total: {help: 'Attempts after the first one, by reason.', labels: ['reason']},
 	retries_refused_total: {help: 'Failed attempts that were not retried, by reason.', labels: ['reason']},
+	answer_bodies_total: {help: 'Bodies of answers that the relay received, by framing (`connection`: it ends with its connection) and by how they ended.', labels: ['framing', 'end']},
 	strikes_total: {help: 'Target crashes counted as strikes against requests, by source of the observation.', labels: ['source']},
 	strikes_cleared_total: {help: 'Requests with strikes that later completed.', labels: []},
 	quarantines_total: {help: 'Requests quarantined because they reached the strike limit.', labels: []},
