Relay: an answer is complete only where its body proves it, on every route

Cause: whether a stream is complete was decided while events were filtered for a resumption, so only resumable streams were checked for an end inside an event. On all others an answer without length and chunks, whose target closed the connection inside an event, ended as complete. A chunked body whose last chunk lies inside an event did so too, and so did any stream without a length that closed before its first event. Change: AnswerBody decides on completeness, and delivery has no other way to the end of a body. A stream that ends inside an event is a fault whatever its route and framing; one that only its connection ends needs at least one whole event. All streams are forwarded event by event; an event of more than 1 MiB is a fault, which bounds what an incomplete event holds in memory. Why it works: delivery can finish a caller's answer only after AnswerBody has returned its end, which it does not do for these bodies; the attempt is lost instead, and the answer is resumed, replaced or aborted.

--- a/packages/relay/_answer-body.ts
+++ b/packages/relay/_answer-body.ts
@@ -1,15 +1,19 @@
 /**
  * The body of a target's answer: reads it, splits an event stream into events,
- * and records how the body was framed and how far it got.
+ * and decides whether it is complete. The end of a body that its framing marks is
+ * no proof for a stream: a target that breaks off may close its connection, and
+ * a body without a length and chunks ends in the same way when it is complete.
+ * Such a stream is complete only after a whole event.
  */
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
-import type {BodyFraming, Exchange, ExchangeFault} from './exchange.ts';
+import type {BodyFraming, Exchange} from './exchange.ts';
 
 /**
- * How a body ended: as its framing states (`regular`), in the same way but inside an
- * event (`inside_event`), by a fault or an abort (`fault`), or not yet (`open`).
+ * How a body ended: complete (`regular`), as its framing states but inside an event
+ * (`inside_event`) or before the first one (`no_event`), by a fault or an abort
+ * (`fault`), or not yet (`open`).
  */
-export type BodyEnd = 'regular' | 'inside_event' | 'fault' | 'open';
+export type BodyEnd = 'regular' | 'inside_event' | 'no_event' | 'fault' | 'open';
 
 /** A body as written to the log. */
 export type BodyRecord = Readonly<{
@@ -22,15 +26,24 @@
 	openEventBytes?: number;
 }>;
 
-/** The next part of a body, its end, or why it is incomplete. */
+/** The next part of a body, the end of a complete body, or why the body is incomplete. */
 export type BodyPart
 	= | Readonly<{kind: 'data'; bytes: Uint8Array; /** Events that the bytes complete; empty if the body is not an event stream. */ events: readonly StreamEvent[]}>
 		| Readonly<{kind: 'end'}>
-		| Readonly<{kind: 'fault'; fault: ExchangeFault}>;
+		| Readonly<{kind: 'fault'; detail: string}>;
 
 /** What a body needs of its exchange. */
 type ReadableExchange = Pick<Exchange, 'framing' | 'readBody' | 'abort'>;
 
+/** Maximum size of an event, in bytes; it bounds the memory that a target's incomplete event takes. */
+const maxEventBytes = 1_048_576;
+
+/** Details of faults that the framing of the body does not show. */
+const endFaults: Readonly<Partial<Record<BodyEnd, string>>> = {
+	inside_event: 'the stream ended inside an event',
+	no_event: 'the stream ended with its connection before its first event',
+};
+
 const noEvents: readonly StreamEvent[] = [];
 
 export class AnswerBody {
@@ -46,23 +59,29 @@
 		this.#splitter = isEventStream ? new EventSplitter() : undefined;
 	}
 
-	/** Whether the body received so far ends inside an event. */
-	get isInsideEvent(): boolean {
-		return this.#splitter !== undefined && this.#splitter.incompleteBytes > 0;
-	}
-
 	/** Returns the next part; waits if none has arrived yet. */
 	async read(): Promise<BodyPart> {
 		const read = await this.#exchange.readBody();
-		if (read.kind !== 'data') {
-			this.#end = read.kind === 'fault' ? 'fault' : (this.isInsideEvent ? 'inside_event' : 'regular');
-			return read;
+		if (read.kind === 'fault') {
+			this.#end = 'fault';
+			return {kind: 'fault', detail: read.fault.detail};
+		}
+
+		if (read.kind === 'end') {
+			this.#end = this.#classifyEnd();
+			const detail = endFaults[this.#end];
+			return detail === undefined ? read : {kind: 'fault', detail};
 		}
 
 		const {bytes} = read;
 		const events = this.#splitter?.push(bytes) ?? noEvents;
 		this.#bytes += bytes.length;
 		this.#events += events.length;
+		if (this.#openEventBytes > maxEventBytes) {
+			// The next read returns the fault.
+			this.#exchange.abort(`an event is longer than ${maxEventBytes} bytes`);
+		}
+
 		return {kind: 'data', bytes, events};
 	}
 
@@ -76,7 +95,20 @@
 		return {
 			framing: this.#exchange.framing, end: this.#end, bytes: this.#bytes,
 			...(this.#splitter && {events: this.#events}),
-			...(this.isInsideEvent && {openEventBytes: this.#splitter!.incompleteBytes}),
+			...(this.#openEventBytes > 0 && {openEventBytes: this.#openEventBytes}),
 		};
 	}
+
+	get #openEventBytes(): number {
+		return this.#splitter?.incompleteBytes ?? 0;
+	}
+
+	/** Classifies an end that the framing marks. */
+	#classifyEnd(): BodyEnd {
+		if (this.#openEventBytes > 0) {
+			return 'inside_event';
+		}
+
+		return this.#splitter && this.#events === 0 && this.#exchange.framing === 'connection' ? 'no_event' : 'regular';
+	}
 }
--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -70,20 +70,16 @@
 		for (;;) {
 			const read = await body.read();
 			if (read.kind === 'fault') {
-				return read.fault.detail;
+				return read.detail;
 			}
 
 			if (read.kind === 'end') {
-				if (this.#isResumable && body.isInsideEvent) {
-					return 'the stream ended inside an event';
-				}
-
 				this.#sendHead(answer, undefined);
 				this.#caller.finish();
 				return undefined;
 			}
 
-			const bytes = this.#isResumable ? this.#extractNewEvents(read.events) : read.bytes;
+			const bytes = concatEvents(this.#isResumable ? this.#filterNewEvents(read.events) : read.events);
 			if (bytes.length > 0) {
 				this.#sendHead(answer, undefined);
 				await this.#write(bytes);
@@ -92,16 +88,12 @@
 	}
 
 	/** Returns the events that the caller was not sent yet: a resumed stream may repeat events. */
-	#extractNewEvents(events: readonly StreamEvent[]): Uint8Array {
-		const newEvents: Uint8Array[] = [];
-		for (const event of events) {
-			if (event.id === undefined || isLater(event.id, this.lastEventId)) {
-				this.lastEventId = event.id ?? this.lastEventId;
-				newEvents.push(event.bytes);
-			}
-		}
-
-		return newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents);
+	#filterNewEvents(events: readonly StreamEvent[]): readonly StreamEvent[] {
+		return events.filter(({id}) => {
+			const isNew = id === undefined || isLater(id, this.lastEventId);
+			this.lastEventId = isNew ? id ?? this.lastEventId : this.lastEventId;
+			return isNew;
+		});
 	}
 
 	async #sendCollected(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
@@ -110,7 +102,7 @@
 		for (;;) {
 			const read = await body.read();
 			if (read.kind === 'fault') {
-				return read.fault.detail;
+				return read.detail;
 			}
 
 			if (read.kind === 'end') {
@@ -145,6 +137,10 @@
 	}
 }
 
+function concatEvents(events: readonly StreamEvent[]): Uint8Array {
+	return events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({bytes}) => bytes));
+}
+
 /** Compares event ids, which ascend; an id that is not a number always counts as later. */
 function isLater(id: string, last: string | undefined): boolean {
 	return last === undefined || !(Number(id) <= Number(last));
