Relay: an answer that has started and cannot be resumed is not tried again

Cause: the retry decision asked whether the request may run again, not whether what the caller already has can be continued. Change: AnswerDelivery.canContinue; without it the answer is aborted, counted as retries_refused_total{reason=started}.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -39,6 +39,11 @@
 		return this.headSentMs !== undefined;
 	}
 
+	/** Whether another attempt may still give the caller a complete answer: nothing was sent yet, or the stream can be resumed. */
+	get canContinue(): boolean {
+		return !this.hasStarted || this.#isResumable;
+	}
+
 	/** Stores a target's error answer, which is delivered if no other attempt succeeds. */
 	setErrorAnswer(answer: TargetAnswer, body: Uint8Array): void {
 		this.#errorAnswer = {answer, body};
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -139,7 +139,7 @@
 				await this.#probeAfterLoss(progress, choice);
 			}
 
-			if (!this.#canRetry(progress, failure.cause, delivery.hasStarted)) {
+			if (!this.#canRetry(progress, failure.cause, delivery)) {
 				return this.#finishUnanswered(progress, delivery, caller);
 			}
 
@@ -204,13 +204,18 @@
 	}
 
 	/** Whether another attempt may follow. Such an attempt is charged to the pool's retry budget, unless no earlier attempt reached a target. */
-	#canRetry({request, pool, possibleRuns, sentAttempts}: RelayProgress, cause: AttemptCause, hasStarted: boolean): boolean {
+	#canRetry({request, pool, possibleRuns, sentAttempts}: RelayProgress, cause: AttemptCause, {hasStarted, canContinue}: AnswerDelivery): boolean {
 		const {clock, budget, telemetry} = this.#dependencies;
 		const {retryPolicy, maxTargets} = request.route;
 		if (possibleRuns >= maxTargets || decideRetry(cause, retryPolicy !== 'once') === 'never' || clock.now() >= request.deadlineMs) {
 			return false;
 		}
 
+		if (!canContinue) {
+			telemetry.count('retries_refused_total', {reason: 'started'});
+			return false;
+		}
+
 		if (sentAttempts > 0 && !budget.acquire(pool.name, hasStarted)) {
 			telemetry.count('retries_refused_total', {reason: 'budget'});
 			return false;
--- /dev/null
+++ b/packages/relay/started-answers.test.ts
@@ -0,0 +1,18 @@
+import t from 'tap';
+import {
+	formatEvent, runRequest, safeRoute, sendText, sendTextAndClose, streamHead, streamRoute,
+} from './testing/relay.ts';
+import type {RawScript} from '#standins';
+
+const largeBytes = 400_000;
+const largeAnswer = `HTTP/1.1 200 OK\r\nx-signed: s1\r\ncontent-length: ${largeBytes}\r\n\r\n${'x'.repeat(largeBytes)}`;
+
+const breakOffAfter = (text: string): RawScript => sendTextAndClose(text);
+
+// Guards against an answer of which the caller has a part and that is followed by another target's whole answer.
+t.test('an answer that has started and cannot be resumed is aborted, not tried again', async t => {
+	const plain = await runRequest(t, safeRoute, breakOffAfter(largeAnswer.slice(0, 300_000)), sendText(largeAnswer));
+	t.strictSame([plain.caller.records, plain.counts], [['200 s1', 'aborted'], [1, 0]]);
+	const stream = await runRequest(t, {...streamRoute, retryPolicy: 'any'}, breakOffAfter(`${streamHead}${formatEvent(1)}`), sendText(`${streamHead}${formatEvent(1)}${formatEvent(2)}0\r\n\r\n`));
+	t.strictSame([stream.caller.records, stream.counts], [['200 s3', 'aborted'], [1, 0]]);
+});
