Relay: a started stream without event ids is aborted, not resumed

What callers would see: the events twice. A target whose events have no ids cannot be told where to go on, so the next attempt starts anew. Cause: a route that may resume was taken for a stream that can be resumed. Change: canContinue also asks for the id of the last event that was sent. Result: started-answers, relay and answer-endings.test pass.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -39,9 +39,9 @@
 		return this.headSentMs !== undefined;
 	}
 
-	/** Whether another attempt may still give the caller a complete answer: nothing was sent yet, or the stream can be resumed. */
+	/** Whether another attempt may still give the caller a complete answer: nothing was sent yet, or the stream can be resumed after its last event. */
 	get canContinue(): boolean {
-		return !this.hasStarted || this.#isResumable;
+		return !this.hasStarted || (this.#isResumable && this.lastEventId !== undefined);
 	}
 
 	/** Stores a target's error answer, which is delivered if no other attempt succeeds. */
--- a/packages/relay/started-answers.test.ts
+++ b/packages/relay/started-answers.test.ts
@@ -16,3 +16,10 @@
 	const stream = await runRequest(t, {...streamRoute, retryPolicy: 'any'}, breakOffAfter(`${streamHead}${formatEvent(1)}`), sendText(`${streamHead}${formatEvent(1)}${formatEvent(2)}0\r\n\r\n`));
 	t.strictSame([stream.caller.records, stream.counts], [['200 s3', 'aborted'], [1, 0]]);
 });
+
+// Guards against events that reach the caller twice, as a stream without ids starts anew.
+t.test('a stream that has started without event ids is aborted, not resumed', async t => {
+	const event = '9\r\ndata: a\n\n\r\n';
+	const {caller, counts} = await runRequest(t, streamRoute, breakOffAfter(`${streamHead}${event}`), sendText(`${streamHead}${event}${event}0\r\n\r\n`));
+	t.strictSame([caller.records, caller.text, counts], [['200 s3', 'aborted'], 'data: a\n\n', [1, 0]]);
+});
