Relay: a started stream is continued only by an answer with its status

Cause: each attempt's answer was delivered by its own status, without regard to the head that the caller had already been sent. Change: AnswerDelivery.canAccept; an answer with another status than the one that was sent fails the attempt, which is retried or the stream aborted. Evidence: 'a started stream is continued only by an answer with its status' failed before for 404 and 204.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -25,6 +25,8 @@
 	readonly #clock: Clock;
 	readonly #isResumable: boolean;
 	readonly #isStream: boolean;
+	/** Status that the caller was sent. */
+	#sentStatus: number | undefined;
 	#errorAnswer: Readonly<{answer: TargetAnswer; body: Uint8Array}> | undefined;
 
 	constructor({route}: RelayRequest, caller: RelayCaller, clock: Clock) {
@@ -44,6 +46,11 @@
 		return !this.hasStarted || (this.#isResumable && this.lastEventId !== undefined);
 	}
 
+	/** Whether an answer with this status can be delivered: it is the first one, or continues what the caller was sent. */
+	canAccept(status: number): boolean {
+		return !this.hasStarted || status === this.#sentStatus;
+	}
+
 	/** Stores a target's error answer, which is delivered if no other attempt succeeds. */
 	setErrorAnswer(answer: TargetAnswer, body: Uint8Array): void {
 		this.#errorAnswer = {answer, body};
@@ -131,6 +138,7 @@
 	#sendHead(answer: TargetAnswer, bodyBytes: number | undefined): void {
 		if (!this.hasStarted) {
 			this.headSentMs = this.#clock.now();
+			this.#sentStatus = answer.status;
 			this.#caller.sendHead(answer.status, answer.headers, bodyBytes);
 		}
 	}
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -106,7 +106,7 @@
 	}
 
 	const body = new AnswerBody(exchange, request.route.isStream && decoded.status < 300);
-	const failure = checkHead(request, decoded);
+	const failure = checkHead(attempt, decoded);
 	if (!failure) {
 		handleAnswerStart();
 		const fault = await delivery.deliver(decoded, body);
@@ -169,7 +169,7 @@
 }
 
 /** Returns why the answer must not be delivered to the caller, or `undefined` if it may be. */
-function checkHead({id, route}: RelayRequest, answer: TargetAnswer): AttemptFailure | undefined {
+function checkHead({request: {id, route}, delivery}: Attempt, answer: TargetAnswer): AttemptFailure | undefined {
 	if (answer.requestId !== undefined && answer.requestId !== id) {
 		return {cause: 'crossed', detail: `the answer carries the id of another request: ${answer.requestId}`};
 	}
@@ -182,6 +182,10 @@
 		return {cause: 'crossed', detail: 'the answer carries no signature of the target'};
 	}
 
+	if (!delivery.canAccept(answer.status)) {
+		return {cause: 'failed', detail: `the target answered with the status ${answer.status} where a started answer should go on`};
+	}
+
 	if (answer.status >= 500 && route.retryPolicy !== 'once') {
 		return {cause: 'failed', detail: `the target answered with the error status ${answer.status}`};
 	}
--- a/packages/relay/started-answers.test.ts
+++ b/packages/relay/started-answers.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	formatEvent, runRequest, safeRoute, sendText, sendTextAndClose, streamHead, streamRoute,
+	failed, formatEvent, runRequest, safeRoute, sendText, sendTextAndClose, streamHead, streamRoute,
 } from './testing/relay.ts';
 import type {RawScript} from '#standins';
 
@@ -23,3 +23,13 @@
 	const {caller, counts} = await runRequest(t, streamRoute, breakOffAfter(`${streamHead}${event}`), sendText(`${streamHead}${event}${event}0\r\n\r\n`));
 	t.strictSame([caller.records, caller.text, counts], [['200 s3', 'aborted'], 'data: a\n\n', [1, 0]]);
 });
+
+// Guards against the body of an error or of an empty answer that ends a started stream as complete.
+t.test('a started stream is continued only by an answer with its status', async t => {
+	const notFound = 'HTTP/1.1 404 No\r\nx-signed: s4\r\ncontent-length: 2\r\n\r\nno';
+	const empty = 'HTTP/1.1 204 No Content\r\nx-signed: s5\r\n\r\n';
+	for (const answer of [notFound, empty, failed]) {
+		const {caller} = await runRequest(t, streamRoute, breakOffAfter(`${streamHead}${formatEvent(1)}`), sendText(answer));
+		t.strictSame([caller.records, caller.text], [['200 s3', 'aborted'], 'id: 1\ndata: e1\n\n']);
+	}
+});
