Dispatch: a kept empty answer is not delivered once another answer has begun

Cause: the empty answer that is kept for the end did not know that text of a later attempt had been delivered. Change: ChatAnswer keeps it back once its head has been sent, so the request ends with a refusal. Evidence: 'does not deliver a kept empty answer after text of a later attempt' gave 'head data head usage end' before.

--- a/packages/dispatch/_answer.ts
+++ b/packages/dispatch/_answer.ts
@@ -21,8 +21,8 @@
 	handleFrame(frame: AnswerFrame): FrameResult;
 	/**
 	 * Returns the events of the last answer that ended without content but stated its
-	 * usage; no events if there was none. They are delivered if there is no further
-	 * attempt.
+	 * usage; no events if there was none or another answer has begun. They are
+	 * delivered if there is no further attempt.
 	 */
 	getEmptyAnswer(): readonly AnswerEvent[];
 }>;
--- a/packages/dispatch/_chat-answer.ts
+++ b/packages/dispatch/_chat-answer.ts
@@ -73,7 +73,7 @@
 	}
 
 	getEmptyAnswer(): readonly AnswerEvent[] {
-		return this.#emptyAnswer;
+		return this.#isHeadSent ? [] : this.#emptyAnswer;
 	}
 
 	#handleHead(frame: Extract<AnswerFrame, {kind: 'head'}>): FrameResult {
--- a/packages/dispatch/dispatcher.test.ts
+++ b/packages/dispatch/dispatcher.test.ts
@@ -209,6 +209,18 @@
 	t.equal(fixture.events.length, 1);
 });
 
+// Guards against a truncated answer that ends with the usage and the end of an earlier, empty one.
+t.test('does not deliver a kept empty answer after text of a later attempt', async t => {
+	const a = new ScriptedTarget(
+		call => [createHead(call), createUsage(call, 0), createEnd(call)],
+		call => [createHead(call), createData(call, 0, 'abc'), lostFault],
+	);
+	const clock = new ManualClock();
+	const {run, events} = createFixture({a, b: a}, {clock, budget: new RetryBudget(clock, {ratio: 0, slack: 2})});
+	await run();
+	t.equal(formatKinds(events), 'head data refused');
+});
+
 t.test('delivers an empty answer with usage after two attempts returned one', async t => {
 	const script = (call: TargetCall) => [createHead(call), createUsage(call, 0), createEnd(call)];
 	const [a, b] = [new ScriptedTarget(script), new ScriptedTarget(script)];
