Relay: an event stream is checked for its end on routes that announce none, too

What callers would see: a broken-off stream framed as complete, where a target answers a plain route with an event stream without a length. Change: a body is an event stream by its route or by its content type.

--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -10,7 +10,7 @@
 import type {RelayCaller} from './caller.ts';
 import type {TargetChoice} from './choose-target.ts';
 import type {TargetAnswer, TargetDialect} from './dialect.ts';
-import type {Exchange} from './exchange.ts';
+import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
 import type {TargetState} from './target-state.ts';
@@ -105,7 +105,7 @@
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
 
-	const body = new AnswerBody(exchange, request.route.isStream && decoded.status < 300);
+	const body = new AnswerBody(exchange, isEventStream(request, decoded));
 	const failure = checkHead(attempt, decoded);
 	if (!failure) {
 		handleAnswerStart();
@@ -168,6 +168,11 @@
 	return {cause: exchange.hasBeenSent ? abortCauses.get(detail) ?? 'lost' : 'not_sent', detail};
 }
 
+/** Whether the body of an answer is an event stream: by its route, or as the target states. */
+function isEventStream({route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
+	return status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
+}
+
 /** Returns why the answer must not be delivered to the caller, or `undefined` if it may be. */
 function checkHead({request: {id, route}, delivery}: Attempt, answer: TargetAnswer): AttemptFailure | undefined {
 	if (answer.requestId !== undefined && answer.requestId !== id) {
--- a/packages/relay/answer-endings.test.ts
+++ b/packages/relay/answer-endings.test.ts
@@ -125,6 +125,12 @@
 }
 
 for (const {name, route} of plainKinds) {
+	// Guards against a broken-off event stream that is taken for complete as its route does not announce streams.
+	t.test(`not complete: ${name}, no length, an event stream closed inside an event`, async t => {
+		const {caller} = await runRequest(t, {...route, maxTargets: 1}, sendAndClose(`HTTP/1.1 200 OK\r\nx-signed: s1\r\ncontent-type: Text/Event-Stream;x=y\r\n\r\n${firstEvent}id: 2\nda`));
+		t.notOk(caller.records.includes('end'), 'the caller is not sent a complete answer');
+	});
+
 	t.test(`complete: ${name}, no length`, async t => {
 		const {caller} = await runRequest(t, route, sendAndClose('HTTP/1.1 200 OK\r\nx-signed: s1\r\n\r\nok'));
 		t.strictSame([caller.records, caller.text], [['200 s1', 'end'], 'ok']);
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -19,6 +19,8 @@
 import {startRawTarget, type RawScript, type RawTarget} from '#standins';
 import {createTelemetry} from '#telemetry';
 
+const forwardedNames: ReadonlySet<string> = new Set(['x-signed', 'content-type']);
+
 /** A minimal dialect for these tests. */
 const dialect: TargetDialect = {
 	encodeHead: (request, parameters) => [
@@ -31,7 +33,7 @@
 		...(parameters.urgency === undefined ? [] : ['x-urgency', String(parameters.urgency)]),
 	],
 	decodeHead: ({status, headers}) => ({
-		status, headers: headers.filter((_line, index) => headers[index - (index % 2)]!.toLowerCase() === 'x-signed'),
+		status, headers: headers.filter((_line, index) => forwardedNames.has(headers[index - (index % 2)]!.toLowerCase())),
 		requestId: findHeader(headers, 'x-id'), isSigned: findHeader(headers, 'x-signed') !== undefined,
 		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'), load: undefined, weights: undefined,
 	}),
