--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -114,6 +114,8 @@
 	/** Requests that the target runs at once. */
 	slots: number;
 	isDraining: boolean;
+	/** Version of the target's software, in which targets of a pool may differ. Unlike weights, it does not change while the process runs. */
+	softwareVersion: string;
 	/** Weights version by model. */
 	weights: ReadonlyMap<string, number>;
 }>;
@@ -147,6 +149,8 @@
 	cacheScope: string | undefined;
 	/** Id of the last event that the caller received, if the caller itself resumes a stream. */
 	lastEventId: string | undefined;
+	/** Id of the caller's request that brought the first event of the stream that it resumes. */
+	resumedRequestId: string | undefined;
 	/** Version of the configuration by which the request was accepted. */
 	configurationVersion: number;
 	/** Monotonic arrival time, in milliseconds. */
--- a/packages/gateway/gateway.test.ts
+++ b/packages/gateway/gateway.test.ts
@@ -15,7 +15,7 @@
 	model: 'm', inputTokens: 10, maxOutputTokens: 5, parts: [],
 };
 const head: RequestHead = {
-	requestId: 'a', method: 'GET', path: '/a/1', host: 'h', remainingMs: undefined, apiKey: 'k1', lastEventId: undefined, prompt: undefined, forwardedHeaders: [],
+	requestId: 'a', method: 'GET', path: '/a/1', host: 'h', remainingMs: undefined, apiKey: 'k1', lastEventId: undefined, resumedRequestId: undefined, prompt: undefined, forwardedHeaders: [],
 	headerBytes: 100, bodyBytes: undefined,
 };
 const caller: RelayCaller = {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -32,6 +32,7 @@
 	remainingMs: number | undefined;
 	apiKey: string | undefined;
 	lastEventId: string | undefined;
+	resumedRequestId: string | undefined;
 	prompt: Prompt | undefined;
 	/** Alternating header names and values that are forwarded to a target. */
 	forwardedHeaders: readonly string[];
@@ -144,7 +145,7 @@
 
 		await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.forwardedHeaders, body, route, customer, prompt: head.prompt, cacheScope,
-			lastEventId: head.lastEventId, configurationVersion: configuration.version, arrivedMs, deadlineMs,
+			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, configurationVersion: configuration.version, arrivedMs, deadlineMs,
 		}, pool, caller);
 	}
 
--- a/packages/node/mismatch-handler.test.ts
+++ b/packages/node/mismatch-handler.test.ts
@@ -8,7 +8,7 @@
 import {createTelemetry} from '#telemetry';
 
 const engine: RelayTarget = {
-	id: 'e1', incarnation: 'e1@1', startedWallMs: 1, pool: 'p', address: '127.0.0.1:1', zone: 'z', slots: 4, isDraining: false, weights: new Map([['m', 3]]),
+	id: 'e1', incarnation: 'e1@1', startedWallMs: 1, pool: 'p', address: '127.0.0.1:1', zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map([['m', 3]]),
 };
 
 function createInstances(t: Test, report: EngineReport | undefined) {
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -13,7 +13,7 @@
 import {createTelemetry} from '#telemetry';
 
 const target: RelayTarget = {
-	id: '', incarnation: '', startedWallMs: 0, pool: 'p', address: '', zone: 'z', slots: 4, isDraining: false, weights: new Map(),
+	id: '', incarnation: '', startedWallMs: 0, pool: 'p', address: '', zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map(),
 };
 
 /** Creates formats that encode a configuration as its version and a target as its address. */
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -16,6 +16,8 @@
 	loadAgeMs: number | undefined;
 	/** Version of the weights that the target was expected to serve. */
 	weights: number | undefined;
+	/** Version of the target's software. */
+	software: string;
 	/** Prompt tokens that the target was expected to read, as they were not cached. */
 	unreadTokens: number;
 	/** Target from which cached parts of the prompt could be fetched. */
@@ -61,7 +63,7 @@
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
-			weights: choice.weights, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
+			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}),
 		});
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -17,7 +17,7 @@
 function createState(index: number, options: Partial<RelayTarget> = {}): TargetState {
 	const clock = new ManualClock();
 	const target: RelayTarget = {
-		id: `e${index}`, incarnation: `e${index}@1`, startedWallMs: 0, pool: 'p', address: '127.0.0.1:1', zone: zones[index % zones.length]!, slots: 64, isDraining: false,
+		id: `e${index}`, incarnation: `e${index}@1`, startedWallMs: 0, pool: 'p', address: '127.0.0.1:1', zone: zones[index % zones.length]!, slots: 64, isDraining: false, softwareVersion: 'v1',
 		weights: new Map([['m', 1]]), ...options,
 	};
 	return new TargetState(target, new TargetConnections(target.address, clock, () => clock.now(), {connectTimeoutMs: 1, idleTimeoutMs: 1}));
--- a/packages/relay/engine-watch.test.ts
+++ b/packages/relay/engine-watch.test.ts
@@ -8,7 +8,7 @@
 import {createTelemetry} from '#telemetry';
 
 const engine: RelayTarget = {
-	id: 'e1', incarnation: 'e1@1', startedWallMs: 1, pool: 'p', address: '127.0.0.1:1', zone: 'z', slots: 4, isDraining: false, weights: new Map([['m', 1]]),
+	id: 'e1', incarnation: 'e1@1', startedWallMs: 1, pool: 'p', address: '127.0.0.1:1', zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map([['m', 1]]),
 };
 const plain: RelayTarget = {
 	...engine, id: 't1', incarnation: 't1@1', address: '127.0.0.1:2', weights: new Map(),
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -306,6 +306,7 @@
 
 		telemetry.log('request ended', {
 			id: request.id, route: route.name, customer: request.customer?.name, pool: pool.name, configuration: request.configurationVersion,
+			...(request.lastEventId !== undefined && {lastEventId: request.lastEventId, resumes: request.resumedRequestId}),
 			outcome: kind, ...details, ms: Math.round(ms), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
 		});
 	}
--- a/packages/relay/target-listing.test.ts
+++ b/packages/relay/target-listing.test.ts
@@ -5,7 +5,7 @@
 
 function createTarget(id: string, isDraining = false): RelayTarget {
 	return {
-		id, incarnation: `${id}@1`, startedWallMs: 0, pool: 'p', address: '10.0.0.1:80', zone: 'z', slots: 4, isDraining, weights: new Map(),
+		id, incarnation: `${id}@1`, startedWallMs: 0, pool: 'p', address: '10.0.0.1:80', zone: 'z', slots: 4, isDraining, softwareVersion: 'v1', weights: new Map(),
 	};
 }
 
--- a/packages/relay/target-set.test.ts
+++ b/packages/relay/target-set.test.ts
@@ -6,7 +6,7 @@
 /** Creates a target. Ids of different lengths get different addresses. */
 function createTarget(id: string, options: Partial<RelayTarget> = {}): RelayTarget {
 	return {
-		id, incarnation: `${id}@1`, startedWallMs: 1, pool: 'p', address: `10.0.0.1:${id.length}`, zone: 'z', slots: 4, isDraining: false, weights: new Map(), ...options,
+		id, incarnation: `${id}@1`, startedWallMs: 1, pool: 'p', address: `10.0.0.1:${id.length}`, zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map(), ...options,
 	};
 }
 
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -131,7 +131,7 @@
 
 	const targets = new TargetSet(clock, {connectTimeoutMs: 1000, idleTimeoutMs: 30_000});
 	targets.update(raw.map(({address}, index) => ({
-		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address, zone: 'z', slots: 4, isDraining: false, weights: new Map(),
+		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address, zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map(),
 	})));
 	const mismatches: string[] = [];
 	const alive = new Set(raw.map((_target, index) => `t${index}`));
@@ -161,7 +161,7 @@
 
 		const request: RelayRequest = {
 			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
-			cacheScope: undefined, lastEventId: undefined, configurationVersion: 1, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
+			cacheScope: undefined, lastEventId: undefined, resumedRequestId: undefined, configurationVersion: 1, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
 		let isDone = false;
 		const done = relay.run(request, prompt ? enginePool : pool, caller).then(() => {
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -39,7 +39,7 @@
 
 	listTargets(): readonly RelayTarget[] {
 		return this.engines.map(engine => ({
-			id: engine.id, incarnation: `${engine.id}@1`, startedWallMs: 0, pool: 'p', address: '', zone: 'z', slots: 64, isDraining: false,
+			id: engine.id, incarnation: `${engine.id}@1`, startedWallMs: 0, pool: 'p', address: '', zone: 'z', slots: 64, isDraining: false, softwareVersion: 'v1',
 			weights: new Map([['m', this.#finishLoading(engine).version]]),
 		}));
 	}
