Relay: a stream goes on only at the software version that began it

Cause: where a stream began was no part of what the router knows. The choice of a target did not see software versions, so a broken-off stream went on at the cheapest target, and an instance at which a caller resumed a stream could not know where it had begun, at another instance or before a restart. Change: a stream's origin (pool and software version) is recorded before its first event is sent. Within an answer, later attempts are bound to the version of the target that began it. With one version nothing is announced, asked or refused. Why it works: every attempt after the first event takes its version from the stream and not from the list of targets.

--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -151,6 +151,8 @@
 	lastEventId: string | undefined;
 	/** Id of the caller's request that brought the first event of the stream that it resumes. */
 	resumedRequestId: string | undefined;
+	/** Only version of the targets' software at which the stream that the caller resumes may go on; absent if any may. */
+	softwareVersion: string | undefined;
 	/** Version of the configuration by which the request was accepted. */
 	configurationVersion: number;
 	/** Monotonic arrival time, in milliseconds. */
--- a/packages/gateway/gateway.test.ts
+++ b/packages/gateway/gateway.test.ts
@@ -4,7 +4,7 @@
 import {
 	createRandom, createRefusal, prepareHash, type Refusal, type RelayConfiguration, type RelayPool, type RelayRequest, type RelayRoute,
 } from '#core';
-import type {RelayCaller} from '#relay';
+import type {OriginDecision, RelayCaller} from '#relay';
 import {createTelemetry} from '#telemetry';
 
 const route: RelayRoute = {
@@ -52,12 +52,14 @@
 	};
 }
 
-function createGateway() {
+const runAnywhere: OriginDecision = {kind: 'any'};
+
+function createGateway(decision = runAnywhere) {
 	const clock = new ManualClock();
 	const telemetry = createTelemetry({level: 'silent'});
 	const runs: Array<readonly [RelayRequest, RelayPool]> = [];
 	const gateway = new Gateway({
-		clock, telemetry, random: createRandom(4),
+		clock, telemetry, random: createRandom(4), resolveOrigin: async () => decision,
 		relay: {
 			async run(request, pool) {
 				runs.push([request, pool]);
@@ -145,6 +147,32 @@
 	t.match(runs, [[{id: 'a', configurationVersion: 1}, {name: 'p'}]]);
 });
 
+t.test('a stream that its caller resumes runs on the pool and the software version where it began', async t => {
+	const pools = [{pool: 'p', weight: 1000}, {pool: 'q', weight: 1}];
+	const {gateway, accept, runs} = createGateway({kind: 'origin', origin: {pool: 'q', softwareVersion: 'v2'}});
+	gateway.applyConfiguration(createConfiguration(1, {
+		routes: [{...route, pools}], pools: new Map(['p', 'q'].map(name => [name, {name, healthPath: '/', maxConnections: 9}])),
+	}));
+	await gateway.run(accept({lastEventId: '3', resumedRequestId: 'first'}), undefined, caller);
+	t.match(runs, [[{softwareVersion: 'v2', lastEventId: '3'}, {name: 'q'}]]);
+});
+
+t.test('a stream that cannot be resumed is refused as not run, with a retry time', async t => {
+	for (const [kind, reason] of [['unknown', 'stream_origin_unknown'], ['moved', 'stream_origin_gone']] as const) {
+		const {gateway, accept, runs} = createGateway({kind});
+		gateway.applyConfiguration(createConfiguration(1));
+		const refusedWith: Refusal[] = [];
+		await gateway.run(accept({lastEventId: '3'}), undefined, {
+			...caller, refuse(refusal) {
+				refusedWith.push(refusal);
+			},
+		});
+		t.match([refusedWith, runs], [[{
+			reason, status: 503, ran: 'not_run', retryAfterMs: Number,
+		}], []]);
+	}
+});
+
 t.test('a request is refused if its route names an unknown pool', async t => {
 	const {gateway, accept, runs} = createGateway();
 	gateway.applyConfiguration(createConfiguration(1, {pools: new Map()}));
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -8,7 +8,9 @@
 	fail, hash64, createRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalOptions, type RefusalReason, type RelayConfiguration, type RelayCustomer,
 	type RelayRoute, type Result,
 } from '#core';
-import type {Relay, RelayCaller} from '#relay';
+import type {
+	OriginDecision, Relay, RelayCaller, ResumedStream,
+} from '#relay';
 import {
 	createRouteTable, findRoute, choosePool, type RouteTable,
 } from '#routing';
@@ -19,6 +21,8 @@
 	random: Random;
 	telemetry: Telemetry;
 	relay: Pick<Relay, 'run'>;
+	/** Decides where a stream that its caller resumes may go on. */
+	resolveOrigin: (stream: ResumedStream) => Promise<OriginDecision>;
 }>;
 
 /** Request line and headers of a caller's request, as far as the gateway needs them. */
@@ -67,6 +71,12 @@
 /** Retry time of a refusal while the configuration or the route's pool is missing, in milliseconds; a starting instance reads its configuration in less. */
 const notConfiguredRetryAfterMs = 500;
 
+/** Retry time of a refusal because the origin of a stream is unknown or gone, in milliseconds: a starting instance opens the links to its peers in less. */
+const originRetryAfterMs = 500;
+
+/** Refusal reasons of resumed streams that cannot go on. */
+const originRefusals = {unknown: 'stream_origin_unknown', moved: 'stream_origin_gone'} as const;
+
 /** Maximum length of a path in a log line, in characters; longer paths are truncated. */
 const maxLoggedPathLength = 100;
 
@@ -74,11 +84,17 @@
 export class Gateway {
 	readonly #dependencies: GatewayDependencies;
 	#active: ActiveConfiguration | undefined;
+	#resolving = 0;
 
 	constructor(dependencies: GatewayDependencies) {
 		this.#dependencies = dependencies;
 	}
 
+	/** Number of accepted requests that wait until the origin of their stream is known. */
+	get resolving(): number {
+		return this.#resolving;
+	}
+
 	/** The active configuration; `undefined` before the first one. */
 	get configuration(): RelayConfiguration | undefined {
 		return this.#active?.configuration;
@@ -134,10 +150,25 @@
 		});
 	}
 
-	/** Runs an accepted request on a pool of its route, chosen at random by weight. */
+	/** Runs an accepted request on a pool of its route: where the stream that the caller resumes began, else chosen at random by weight. */
 	async run({head, configuration, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
-		const {random, relay} = this.#dependencies;
-		const pool = configuration.pools.get(choosePool(route.pools, random.next()) ?? '');
+		const {random, relay, resolveOrigin} = this.#dependencies;
+		this.#resolving++;
+		const decision = await resolveOrigin({
+			route, customer: customer?.name, lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId,
+		});
+		this.#resolving--;
+		if (caller.hasLeft()) {
+			return;
+		}
+
+		if (decision.kind === 'unknown' || decision.kind === 'moved') {
+			caller.refuse(this.refuse(head, originRefusals[decision.kind], {retryAfterMs: originRetryAfterMs}));
+			return;
+		}
+
+		const origin = decision.kind === 'origin' ? decision.origin : undefined;
+		const pool = configuration.pools.get(origin?.pool ?? choosePool(route.pools, random.next()) ?? '');
 		if (!pool) {
 			caller.refuse(this.refuse(head, 'no_target', {retryAfterMs: notConfiguredRetryAfterMs}));
 			return;
@@ -145,7 +176,7 @@
 
 		await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.forwardedHeaders, body, route, customer, prompt: head.prompt, cacheScope,
-			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, configurationVersion: configuration.version, arrivedMs, deadlineMs,
+			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, softwareVersion: origin?.softwareVersion, configurationVersion: configuration.version, arrivedMs, deadlineMs,
 		}, pool, caller);
 	}
 
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -22,7 +22,7 @@
 import {runWorkExchange} from '#placement';
 import {Quarantine} from '#quarantine';
 import {
-	CachedParts, Relay, runPartExchange, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
+	CachedParts, OriginExchange, Relay, resolveOrigin, runPartExchange, StreamOrigins, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
@@ -143,6 +143,10 @@
 	const calls = dependencies.createCalls(targets);
 	const publishedWeights = new PublishedWeights(clock);
 	const cachedParts = new CachedParts();
+	const origins = new StreamOrigins(clock);
+	const originExchange = new OriginExchange({
+		origins, bus, clock, random, hasSeveralVersions: () => targets.hasSeveralVersions(),
+	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
 	}, {strikeLimit: maxCrashes, retentionMs: strikeRetentionMs});
@@ -150,7 +154,7 @@
 		targets, control: calls, bus, clock, telemetry,
 	});
 	const relay = new Relay({
-		clock, random, telemetry, targets, cachedParts, quarantine, dialect: dependencies.dialect, zone: settings.zone,
+		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
 		handleMismatch(state, mismatch) {
 			mismatchHandler.handle(state, mismatch);
@@ -160,10 +164,11 @@
 		}),
 	});
 	const gateway = new Gateway({
-		clock, random, telemetry, relay,
+		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({origins, exchange: originExchange, targets}, stream),
 	});
+	const countRunning = () => relay.running + gateway.resolving;
 	const lifecycle = new Lifecycle({
-		clock, telemetry, countRunning: () => relay.running, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs,
+		clock, telemetry, countRunning, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs,
 	});
 	const rollout = createInstanceRollout({
 		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, publishedWeights, control: calls, bus,
@@ -192,6 +197,7 @@
 		rollout.run(signal),
 		runWorkExchange({views: targets, bus, clock}, signal),
 		runPartExchange({cachedParts, bus, clock}, signal),
+		originExchange.run(signal),
 		watchEngines({
 			clock, telemetry, targets, cachedParts, bus, readEvents: calls.readEvents, isReader: ({id}) => peers.getRank(`read ${id}`) === 0,
 		}, signal),
@@ -202,7 +208,7 @@
 
 	return {
 		gateway, lifecycle, peers, targets,
-		countRunning: () => relay.running,
+		countRunning,
 		setSeeds(addresses) {
 			peers.setSeeds(addresses);
 		},
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -67,6 +67,12 @@
 	z.object({
 		kind: z.literal('parts'), parts: z.array(z.object({key: nameSchema, incarnation: nameSchema})).max(maxEntries),
 	}),
+	/** Where resumable streams began, by their keys. */
+	z.object({
+		kind: z.literal('origins'), origins: z.array(z.object({key: nameSchema, pool: nameSchema, softwareVersion: nameSchema})).max(maxEntries),
+	}),
+	/** The sender needs the origin of a stream; peers that know it answer with `origins`. */
+	z.object({kind: z.literal('origin_wanted'), key: nameSchema}),
 	/** An engine that the sender monitors does not answer. */
 	z.object({kind: z.literal('silent'), incarnation: nameSchema}),
 	/** Another process now listens at the address of a target. */
--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -72,13 +72,14 @@
 	/**
 	 * Delivers the answer of one attempt.
 	 *
+	 * @param handleStreamStart called before the first event of a resumable stream is sent
 	 * @returns `undefined` once the caller was sent all of it, else why it is incomplete
 	 */
-	async deliver(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
-		return this.#isStream && answer.status < 300 ? this.#sendStream(answer, body) : this.#sendCollected(answer, body);
+	async deliver(answer: TargetAnswer, body: AnswerBody, handleStreamStart: () => void): Promise<string | undefined> {
+		return this.#isStream && answer.status < 300 ? this.#sendStream(answer, body, handleStreamStart) : this.#sendCollected(answer, body);
 	}
 
-	async #sendStream(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
+	async #sendStream(answer: TargetAnswer, body: AnswerBody, handleStreamStart: () => void): Promise<string | undefined> {
 		for (;;) {
 			const read = await body.read();
 			if (read.kind === 'fault') {
@@ -93,6 +94,10 @@
 
 			const bytes = concatEvents(this.#isResumable ? this.#filterNewEvents(read.events) : read.events);
 			if (bytes.length > 0) {
+				if (this.#isResumable && !this.hasStarted) {
+					handleStreamStart();
+				}
+
 				this.#sendHead(answer, undefined);
 				await this.#write(bytes);
 			}
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -12,6 +12,7 @@
 import type {TargetAnswer, TargetDialect} from './dialect.ts';
 import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
+import {computeStreamKey, type StreamOrigins} from './stream-origins.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
 import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
@@ -22,6 +23,7 @@
 	clock: Clock;
 	dialect: TargetDialect;
 	cachedParts: CachedParts;
+	streamOrigins: StreamOrigins;
 	probe: ProbeTarget;
 	/** Called when a target refuses because its process was replaced or it serves other weights than expected. */
 	handleMismatch: (state: TargetState, mismatch: TargetMismatch) => void;
@@ -94,7 +96,8 @@
 
 async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, handleAnswerStart: () => void): Promise<AttemptResult> {
 	const {clock, dialect} = dependencies;
-	const {request, choice, delivery} = attempt;
+	const {request, pool, choice, delivery} = attempt;
+	const {softwareVersion} = choice.state.target;
 	const read = await exchange.readHead();
 	if (read.kind === 'fault') {
 		return {failure: classifyFault(exchange, read.fault.detail)};
@@ -109,7 +112,9 @@
 	const failure = checkHead(attempt, decoded);
 	if (!failure) {
 		handleAnswerStart();
-		const fault = await delivery.deliver(decoded, body);
+		const fault = await delivery.deliver(decoded, body, () => {
+			dependencies.streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
+		});
 		return {failure: fault === undefined ? undefined : classifyFault(exchange, fault), body: body.describe()};
 	}
 
@@ -168,6 +173,10 @@
 	return {cause: exchange.hasBeenSent ? abortCauses.get(detail) ?? 'lost' : 'not_sent', detail};
 }
 
+function getStreamKey({id, customer, lastEventId, resumedRequestId}: RelayRequest): string {
+	return computeStreamKey(customer?.name, lastEventId === undefined ? id : resumedRequestId ?? id);
+}
+
 /** Whether the body of an answer is an event stream: by its route, or as the target states. */
 function isEventStream({route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
 	return status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -47,15 +47,18 @@
 	runState: RunState = 'not_run';
 	/**
 	 * Why the last attempt failed, or why no target was tried: `none` if no target
-	 * is usable, `full` if all usable targets have no connection free.
+	 * is usable, `origin_gone` if none has the software that began the stream, `full` if all usable targets have no connection free.
 	 */
-	cause: AttemptCause | 'none' | 'full' | 'overloaded' | 'quarantined' = 'none';
+	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'overloaded' | 'quarantined' = 'none';
+	/** Only version of the targets' software that may run the request: that of the target which began the stream; `undefined` if any may. */
+	softwareVersion: string | undefined;
 	/** Time after which a refused caller should retry, in milliseconds; `undefined` if not known. */
 	retryAfterMs: number | undefined;
 
 	constructor(request: RelayRequest, pool: RelayPool) {
 		this.request = request;
 		this.pool = pool;
+		this.softwareVersion = request.softwareVersion;
 	}
 
 	/** Records a finished attempt. */
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -26,6 +26,8 @@
 	targets: readonly TargetState[];
 	/** Ids of targets that must not be chosen. */
 	excluded: ReadonlySet<string>;
+	/** Only version of the targets' software that may run the request; absent if any version may. */
+	softwareVersion?: string | undefined;
 	/** Present if the pool's targets are engines. */
 	engine: EngineTraits | undefined;
 	prompt: Prompt | undefined;
@@ -71,10 +73,11 @@
  * Why no target could be chosen:
  *
  * - `none_listed`: all targets are excluded, draining or replaced, or there are none.
+ * - `other_software`: none of the remaining targets has the software version at which the stream began.
  * - `old_weights`: the weights of all remaining targets are too stale.
  * - `connections_used`: all connections that this instance may open to the others are in use.
  */
-export type NoTarget = 'none_listed' | 'old_weights' | 'connections_used';
+export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'connections_used';
 
 /** Cost of a target in another availability zone, in milliseconds: the round trip and the price of the traffic. */
 const crossZoneCostMs = 4;
@@ -110,9 +113,14 @@
 /** Chooses the target with the lowest cost, or returns why there is none. */
 export function chooseRelayTarget(query: TargetQuery): TargetChoice | NoTarget {
 	const listed = query.targets.filter(({target, isReplaced}) => !target.isDraining && !isReplaced && !query.excluded.has(target.id));
-	const usable = listed.filter(state => !isTooStale(query, state));
+	const fitting = listed.filter(({target}) => query.softwareVersion === undefined || target.softwareVersion === query.softwareVersion);
+	if (fitting.length === 0) {
+		return listed.length > 0 ? 'other_software' : 'none_listed';
+	}
+
+	const usable = fitting.filter(state => !isTooStale(query, state));
 	if (usable.length === 0) {
-		return listed.length > 0 ? 'old_weights' : 'none_listed';
+		return 'old_weights';
 	}
 
 	const reachable = usable.filter(({connections}) => connections.canStart(query.maxConnections));
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -23,6 +23,13 @@
 } from './choose-target.ts';
 export {PublishedWeights} from './published-weights.ts';
 export {CachedParts, type CachedPart} from './cached-parts.ts';
+export {
+	computeStreamKey, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
+} from './stream-origins.ts';
+export {OriginExchange, type OriginExchangeDependencies} from './origin-exchange.ts';
+export {
+	resolveOrigin, type OriginDecision, type OriginDependencies, type ResumedStream,
+} from './resolve-origin.ts';
 export {runPartExchange, type PartExchangeDependencies} from './part-exchange.ts';
 export {Relay, type RelayDependencies} from './relay.ts';
 export type {TargetMismatch} from './_attempt.ts';
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -50,6 +50,7 @@
 /** Cause and retry time of a refusal if no target can be chosen, by reason. Entries of targets arrive about a second late; connections become free as answers finish. */
 const noTargetRules = {
 	none_listed: {cause: 'none', retryAfterMs: 1000},
+	other_software: {cause: 'origin_gone', retryAfterMs: 1000},
 	old_weights: {cause: 'none', retryAfterMs: 1000},
 	connections_used: {cause: 'full', retryAfterMs: 300},
 } as const satisfies Readonly<Record<NoTarget, Readonly<{cause: RelayProgress['cause']; retryAfterMs: number}>>>;
@@ -115,12 +116,14 @@
 			}
 
 			const {choice, urgency} = chosen;
+			const {softwareVersion} = choice.state.target;
 			const startMs = clock.now();
 			const result = await runAttempt(this.#dependencies, {
 				request, pool: progress.pool, choice, urgency, caller, delivery,
 			});
 			const {failure} = result;
 			progress.recordAttempt(choice, startMs, clock.now(), result);
+			progress.softwareVersion ??= delivery.hasStarted ? softwareVersion : undefined;
 			if (result.body) {
 				telemetry.count('answer_bodies_total', {framing: result.body.framing, end: result.body.end});
 			}
@@ -149,12 +152,14 @@
 
 	/** Chooses the next target of a request; if there is none, records the retry time in `progress`, and the cause unless an attempt has failed before. */
 	#choose(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
-		const {request, pool, excluded} = progress;
+		const {
+			request, pool, excluded, softwareVersion,
+		} = progress;
 		const {
 			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, countInstances,
 		} = this.#dependencies;
 		const choice = chooseRelayTarget({
-			targets: targets.listPool(pool.name), excluded, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
+			targets: targets.listPool(pool.name), excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
 			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, zone,
 			nowMs: clock.now(), random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
 		});
@@ -319,7 +324,7 @@
 
 /** Refusal reasons by cause, for requests that the router itself refuses. */
 const routerCauseReasons = {
-	none: 'no_target', full: 'queue_full', overloaded: 'promise_unreachable', quarantined: 'crashes_targets',
+	none: 'no_target', origin_gone: 'stream_origin_gone', full: 'queue_full', overloaded: 'promise_unreachable', quarantined: 'crashes_targets',
 } as const;
 
 function isRouterCause(cause: RelayProgress['cause']): cause is keyof typeof routerCauseReasons {
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -13,6 +13,8 @@
 	readonly #states = new Map<string, TargetState>();
 	/** Ids of the targets on which each peer last reported work. */
 	readonly #targetIdsByPeer = new Map<string, readonly string[]>();
+	/** Time of the last update before which targets of each software version were listed, by pool. */
+	readonly #pastVersions = new Map<string, Map<string, number>>();
 	#byIncarnation: ReadonlyMap<string, TargetState> = new Map();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
@@ -39,8 +41,27 @@
 		return this.#byIncarnation.get(incarnation);
 	}
 
+	/** Lists the software versions of a pool's targets, including those that were listed within the last `withinMs` milliseconds. */
+	listVersions(pool: string, withinMs: number): readonly string[] {
+		const versions = new Set(this.listPool(pool).map(({target}) => target.softwareVersion));
+		const sinceMs = this.#clock.now() - withinMs;
+		for (const [version, listedMs] of this.#pastVersions.get(pool) ?? []) {
+			if (listedMs >= sinceMs) {
+				versions.add(version);
+			}
+		}
+
+		return [...versions];
+	}
+
+	/** Whether targets of one pool are listed with several software versions. */
+	hasSeveralVersions(): boolean {
+		return [...this.#pools.values()].some(([first, ...others]) => others.some(({target}) => target.softwareVersion !== first!.target.softwareVersion));
+	}
+
 	/** Replaces the list. Connections to targets that are no longer listed are closed if they are idle; those with an exchange close at their idle timeout after it. */
 	update(targets: readonly RelayTarget[]): void {
+		this.#recordVersions();
 		const listed = new Set<string>();
 		for (const target of removeReplaced(targets)) {
 			listed.add(target.id);
@@ -103,6 +124,16 @@
 		}
 	}
 
+	/** Records the versions of the targets that are listed until now. */
+	#recordVersions(): void {
+		const nowMs = this.#clock.now();
+		for (const {target: {pool, softwareVersion}} of this.#states.values()) {
+			const versions = this.#pastVersions.get(pool) ?? new Map<string, number>();
+			this.#pastVersions.set(pool, versions);
+			versions.set(softwareVersion, nowMs);
+		}
+	}
+
 	#create(target: RelayTarget): TargetState {
 		const state: TargetState = new TargetState(target, new TargetConnections(target.address, this.#clock, () => {
 			state.lastReceivedMs = this.#clock.now();
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -7,6 +7,7 @@
 import {findHeader} from '../exchange.ts';
 import {CachedParts} from '../cached-parts.ts';
 import {Relay} from '../relay.ts';
+import {StreamOrigins} from '../stream-origins.ts';
 import {TargetSet} from '../target-set.ts';
 import {PublishedWeights} from '../published-weights.ts';
 import {ManualClock} from '#clock';
@@ -140,7 +141,8 @@
 	}, {strikeLimit: 3});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
-		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, cachedParts: new CachedParts(), publishedWeights: new PublishedWeights(clock),
+		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, cachedParts: new CachedParts(),
+		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, probe: async ({id}) => alive.has(id),
 		handleMismatch(state, mismatch) {
 			mismatches.push(`${state.target.id} ${mismatch}`);
@@ -161,7 +163,8 @@
 
 		const request: RelayRequest = {
 			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
-			cacheScope: undefined, lastEventId: undefined, resumedRequestId: undefined, configurationVersion: 1, arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
+			cacheScope: undefined, lastEventId: undefined, resumedRequestId: undefined, softwareVersion: undefined, configurationVersion: 1,
+			arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
 		let isDone = false;
 		const done = relay.run(request, prompt ? enginePool : pool, caller).then(() => {
