--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -62,6 +62,15 @@
 	t.equal(chooseRelayTarget(createQuery(targets)), 'connections_used');
 });
 
+t.test('a stream that began at a software version is sent to no other, however cheap', async t => {
+	const targets = [createState(0), createState(1, {softwareVersion: 'v2'}), createState(2, {softwareVersion: 'v2', isDraining: true})];
+	targets[1]!.pendingTokens.add(0, 100_000);
+	t.equal(choose(createQuery(targets)).state.target.id, 'e0');
+	t.equal(choose(createQuery(targets, {softwareVersion: 'v2'})).state.target.id, 'e1');
+	t.equal(chooseRelayTarget(createQuery(targets, {softwareVersion: 'v2', excluded: new Set(['e1'])})), 'other_software');
+	t.equal(chooseRelayTarget(createQuery([], {softwareVersion: 'v2'})), 'none_listed');
+});
+
 t.test('a loading or suspected target is chosen only if there is no other', async t => {
 	const targets = [createState(0), createState(1)];
 	targets[0]!.loadingUntilMs = 100;
