Relay: clearer names and comments of the event filter and the stream's key

Cause: reading the diff as a newcomer: a filter with side effects, two fields without a comment. Change: a loop in its place, comments; no behaviour. Result: tests of relay, gateway and platform pass.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -35,7 +35,9 @@
 	/** Time for which the caller waits, in milliseconds; absent if not stated. */
 	remainingMs: number | undefined;
 	apiKey: string | undefined;
+	/** Id of the last event that the caller received, if it resumes a stream. */
 	lastEventId: string | undefined;
+	/** Id of the request that brought the first event of that stream, if the caller states it. */
 	resumedRequestId: string | undefined;
 	prompt: Prompt | undefined;
 	/** Alternating header names and values that are forwarded to a target. */
@@ -90,7 +92,7 @@
 		this.#dependencies = dependencies;
 	}
 
-	/** Number of accepted requests that wait until the origin of their stream is known. */
+	/** Number of accepted requests for which it is not decided yet where their stream may go on. */
 	get resolving(): number {
 		return this.#resolving;
 	}
--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -1,8 +1,8 @@
 /**
  * Delivers the answer to one request to its caller, over all attempts. A small
  * answer that is not a stream is collected whole before it is sent, so that
- * another attempt can replace it if it is incomplete. A stream is forwarded as
- * it arrives.
+ * another attempt can replace it if it is incomplete. A stream is forwarded event
+ * by event as it arrives.
  */
 import {Buffer} from 'node:buffer';
 import type {RelayCaller} from './caller.ts';
@@ -92,7 +92,7 @@
 				return undefined;
 			}
 
-			const bytes = concatEvents(this.#isResumable ? this.#filterNewEvents(read.events) : read.events);
+			const bytes = concatEvents(this.#isResumable ? this.#removeSentEvents(read.events) : read.events);
 			if (bytes.length > 0) {
 				if (this.#isResumable && !this.hasStarted) {
 					handleStreamStart();
@@ -104,13 +104,17 @@
 		}
 	}
 
-	/** Returns the events that the caller was not sent yet: a resumed stream may repeat events. */
-	#filterNewEvents(events: readonly StreamEvent[]): readonly StreamEvent[] {
-		return events.filter(({id}) => {
-			const isNew = id === undefined || isLater(id, this.lastEventId);
-			this.lastEventId = isNew ? id ?? this.lastEventId : this.lastEventId;
-			return isNew;
-		});
+	/** Returns the events without those that the caller was sent already: a resumed stream may repeat events. */
+	#removeSentEvents(events: readonly StreamEvent[]): readonly StreamEvent[] {
+		const newEvents: StreamEvent[] = [];
+		for (const event of events) {
+			if (event.id === undefined || isLater(event.id, this.lastEventId)) {
+				this.lastEventId = event.id ?? this.lastEventId;
+				newEvents.push(event);
+			}
+		}
+
+		return newEvents;
 	}
 
 	async #sendCollected(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -173,6 +173,7 @@
 	return {cause: exchange.hasBeenSent ? abortCauses.get(detail) ?? 'lost' : 'not_sent', detail};
 }
 
+/** Returns the key of the stream that the request begins or resumes. */
 function getStreamKey({id, customer, lastEventId, resumedRequestId}: RelayRequest): string {
 	return computeStreamKey(customer?.name, lastEventId === undefined ? id : resumedRequestId ?? id);
 }
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -47,7 +47,8 @@
 	runState: RunState = 'not_run';
 	/**
 	 * Why the last attempt failed, or why no target was tried: `none` if no target
-	 * is usable, `origin_gone` if none has the software that began the stream, `full` if all usable targets have no connection free.
+	 * is usable, `origin_gone` if none has the software version that began the
+	 * stream, `full` if all usable targets have no connection free.
 	 */
 	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'overloaded' | 'quarantined' = 'none';
 	/** Only version of the targets' software that may run the request: that of the target which began the stream; `undefined` if any may. */
