Relay: a strike logs the prompt parts and how far the answer had come

Change: the line of a strike has the keys of the prompt's parts, at most 16, and what was received of the answer.

--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -5,7 +5,7 @@
  * and the retry budget decide whether another attempt follows.
  */
 import {AnswerDelivery} from './_answer-delivery.ts';
-import {runAttempt, type AttemptDependencies} from './_attempt.ts';
+import {runAttempt, type AttemptDependencies, type AttemptResult} from './_attempt.ts';
 import type {RelayCaller} from './caller.ts';
 import {chooseRelayTarget, type NoTarget, type TargetChoice} from './choose-target.ts';
 import type {PublishedWeights} from './published-weights.ts';
@@ -63,6 +63,9 @@
 
 const badGateway = 502;
 
+/** Maximum number of prompt parts in a log line. */
+const maxLoggedParts = 16;
+
 /** Outcome of a request, for the log and the metrics. */
 type RelayOutcome = Readonly<{
 	kind: 'answered' | 'caller_left' | 'cut' | 'refused' | 'target_failed';
@@ -139,7 +142,7 @@
 
 			this.#suspect(choice, failure.cause);
 			if (failure.cause === 'lost') {
-				await this.#probeAfterLoss(progress, choice);
+				await this.#probeAfterLoss(progress, choice, result);
 			}
 
 			if (!this.#canRetry(progress, failure.cause, delivery)) {
@@ -246,13 +249,14 @@
 	}
 
 	/** Probes the target after a lost exchange; a target that does not answer counts as crashed by the request. */
-	async #probeAfterLoss({request, pool}: RelayProgress, {state: {target}}: TargetChoice): Promise<void> {
+	async #probeAfterLoss({request, pool}: RelayProgress, {state: {target}}: TargetChoice, {body}: AttemptResult): Promise<void> {
 		const {probe, quarantine, telemetry} = this.#dependencies;
 		if (!await probe(target, pool)) {
 			const fingerprint = computeRelayFingerprint(request);
 			quarantine.recordCrash(fingerprint, target.id, target.incarnation);
 			telemetry.log('target did not answer a probe after an exchange was lost; recorded as crashed by the request', {
 				id: request.id, target: target.id, fingerprint, strikes: quarantine.countStrikes(fingerprint),
+				parts: request.prompt?.parts.slice(0, maxLoggedParts).map(({key}) => key), answer: body ?? 'none',
 			});
 		}
 	}
