Quarantine: prompt parts that crash targets

Cause: a request that crashes targets was known by its whole body only. Requests that share the part but no body each started without a strike.

Change: when a target crashes, each shared part of the prompts that it had not begun to answer gets a strike; an answer, or 250 ms of one, clears the parts of its prompt. Strikes of parts are a quarantine of their own on the existing strike messages (namespace part), so that older instances keep their links. At three strikes a part is refused at once. Single trials remain, first at one instance: at once where other quarantined parts explain the crashes, else after a delay that grows with the crashes.

Why it works: the part that crashes is in every crash and never cleared; its companions are cleared by sound prompts, or by a trial if all prompts with them are refused.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -20,7 +20,7 @@
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
 import {runWorkExchange} from '#placement';
-import {Quarantine} from '#quarantine';
+import {PartQuarantine, Quarantine, type QuarantineOptions} from '#quarantine';
 import {
 	CachedParts, OriginExchange, Relay, resolveOrigin, runPartExchange, StreamOrigins, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
@@ -109,6 +109,11 @@
 /** Time for which a crash counts against a request, in milliseconds. */
 const strikeRetentionMs = 60_000;
 
+/** Strikes of prompt parts. A quarantine is kept for twice the longest delay between two trials, so that only a trial ends it while requests still come. */
+const partStrikeOptions = {
+	namespace: 'part', strikeLimit: maxCrashes, retentionMs: 600_000, quarantineRetentionMs: 3_600_000, rebroadcastPeriodMs: 60_000, maxEntries: 4096,
+} as const satisfies QuarantineOptions;
+
 /** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
 const minRegisterRetryDelayMs = 500;
 const maxRegisterRetryDelayMs = 10_000;
@@ -150,11 +155,17 @@
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
 	}, {strikeLimit: maxCrashes, retentionMs: strikeRetentionMs});
+	const partStrikes = new Quarantine({
+		clock, random, telemetry, bus,
+	}, partStrikeOptions);
+	const partQuarantine = new PartQuarantine({
+		clock, telemetry, strikes: partStrikes, getRank: duty => peers.getRank(duty),
+	});
 	const mismatchHandler = new MismatchHandler({
 		targets, control: calls, bus, clock, telemetry,
 	});
 	const relay = new Relay({
-		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, dialect: dependencies.dialect, zone: settings.zone,
+		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
 		handleMismatch(state, mismatch) {
 			mismatchHandler.handle(state, mismatch);
@@ -215,6 +226,7 @@
 		async stop() {
 			stopping.abort();
 			quarantine.close();
+			partStrikes.close();
 			await peers.stop();
 			await Promise.all(tasks);
 			targets.close();
--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -1,6 +1,9 @@
-/** Quarantines requests that crash the targets they run on. */
+/** Quarantines requests, and parts of prompts, that crash the targets they run on. */
 export {computeFingerprint, computeRelayFingerprint} from './fingerprint.ts';
-export {Quarantine, type QuarantineDependencies, type QuarantineOptions} from './quarantine.ts';
+export {PartQuarantine, type PartAdmission, type PartQuarantineDependencies} from './part-quarantine.ts';
+export {
+	Quarantine, type QuarantineDependencies, type QuarantineOptions, type StrikeRecord,
+} from './quarantine.ts';
 export {
 	StruckRequestTurns, type Turn, type TurnDependencies, type TurnOptions, type TurnRequest,
 } from './struck-request-turns.ts';
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -5,6 +5,7 @@
  * crashes, which instances merge by union, so that a crash seen by several
  * instances counts once.
  */
+import Emittery from 'emittery';
 import type {Cancel, Clock} from '#clock';
 import type {Random} from '#core';
 import type {PeerBus, PeerMessageOf} from '#peer-protocol';
@@ -20,21 +21,36 @@
 
 /** Options of {@link Quarantine}. */
 export type QuarantineOptions = Readonly<{
-	/** Number of crashes at which a request is quarantined. Default: 2. */
+	/** Separates these fingerprints from those of other quarantines on the same bus. Default: empty. */
+	namespace?: string;
+	/** Number of crashes at which a fingerprint is quarantined. Default: 2. */
 	strikeLimit?: number;
-	/** Time after the newest crash at which strikes and quarantine expire, in milliseconds. Default: 600 000. */
+	/** Time after the newest crash at which strikes expire, in milliseconds. Default: 600 000. */
 	retentionMs?: number;
-	/** Maximum number of fingerprints kept; the oldest is evicted first. Default: 10 000. */
+	/** Time after the newest crash at which a quarantine expires, in milliseconds. Default: `retentionMs`. */
+	quarantineRetentionMs?: number;
+	/** Time after the newest crash for which strikes below the limit are broadcast again, in milliseconds; those of a quarantine always are. Default: `retentionMs`. */
+	rebroadcastPeriodMs?: number;
+	/** Maximum number of fingerprints kept; the oldest one that is not quarantined is evicted first. Default: 10 000. */
 	maxEntries?: number;
 	/** Approximate time after which an entry is broadcast again if no peer has broadcast it, in milliseconds. Default: 5000. */
 	rebroadcastIntervalMs?: number;
 }>;
 
+/** The strikes of one fingerprint, as seen from outside. */
+export type StrikeRecord = Readonly<{
+	/** Targets and incarnations that crashed. */
+	crashes: ReadonlySet<string>;
+	/** Time at which this instance learned of the newest crash, in milliseconds. */
+	lastStrikeMs: number;
+}>;
+
 /** The strikes of one fingerprint. */
 type Entry = {
 	readonly crashes: Set<string>;
-	/** Crashes cleared by a completed run. They are kept so that a peer that has missed the completion cannot add them again. */
+	/** The newest crashes cleared by a completed run. They are kept so that a peer that has missed the completion cannot add them again. */
 	readonly cleared: Set<string>;
+	lastStrikeMs: number;
 	expiresMs: number;
 	/** Time at which this instance or a peer last broadcast the entry. */
 	lastBroadcastMs: number;
@@ -45,21 +61,35 @@
 /** Maximum number of entries that are broadcast again per interval. */
 const maxRebroadcastEntries = 64;
 
+/** Separates the namespace from the fingerprint in messages. */
+const namespaceSeparator = ':';
+
 /** The strikes of requests by fingerprint. Exchanges them with the peers. */
 export class Quarantine {
+	/** Emits a fingerprint when its quarantine begins, gets another strike, or is cleared. */
+	readonly events = new Emittery<{changed: string}>();
+	/** Number of crashes at which a fingerprint is quarantined. */
+	readonly strikeLimit: number;
 	readonly #dependencies: QuarantineDependencies;
-	readonly #strikeLimit: number;
+	readonly #prefix: string;
 	readonly #retentionMs: number;
+	readonly #quarantineRetentionMs: number;
+	readonly #rebroadcastPeriodMs: number;
 	readonly #maxEntries: number;
 	readonly #rebroadcastIntervalMs: number;
 	readonly #entries = new Map<string, Entry>();
+	/** Fingerprints that have reached the strike limit. */
+	readonly #quarantined = new Set<string>();
 	readonly #subscribers = new Map<string, Set<() => void>>();
 	readonly #cancels: readonly Cancel[];
 
 	constructor(dependencies: QuarantineDependencies, options: QuarantineOptions = {}) {
 		this.#dependencies = dependencies;
-		this.#strikeLimit = options.strikeLimit ?? 2;
+		this.strikeLimit = options.strikeLimit ?? 2;
+		this.#prefix = options.namespace === undefined ? '' : `${options.namespace}${namespaceSeparator}`;
 		this.#retentionMs = options.retentionMs ?? 600_000;
+		this.#quarantineRetentionMs = options.quarantineRetentionMs ?? this.#retentionMs;
+		this.#rebroadcastPeriodMs = options.rebroadcastPeriodMs ?? this.#retentionMs;
 		this.#maxEntries = options.maxEntries ?? 10_000;
 		this.#rebroadcastIntervalMs = options.rebroadcastIntervalMs ?? 5000;
 		this.#cancels = [
@@ -77,15 +107,34 @@
 		return this.#entries.size;
 	}
 
+	/** Number of quarantined fingerprints, among them perhaps some that have just expired. */
+	get quarantinedCount(): number {
+		return this.#quarantined.size;
+	}
+
 	/** Counts the strikes against a fingerprint. */
 	countStrikes(fingerprint: string): number {
 		return this.#find(fingerprint)?.crashes.size ?? 0;
 	}
 
+	/** Returns the strikes of a fingerprint that is quarantined, else `undefined`. */
+	getQuarantine(fingerprint: string): StrikeRecord | undefined {
+		return this.#quarantined.has(fingerprint) ? this.#find(fingerprint) : undefined;
+	}
+
+	/** Lists up to `maxCount` quarantined fingerprints with their strikes, the newest quarantines first. */
+	listQuarantines(maxCount: number): ReadonlyArray<readonly [string, StrikeRecord]> {
+		const newest = [...this.#quarantined].reverse().slice(0, maxCount); // eslint-disable-line unicorn/no-array-reverse -- the copy is reversed
+		return newest.flatMap(fingerprint => {
+			const entry = this.#find(fingerprint);
+			return entry ? [[fingerprint, entry] as const] : [];
+		});
+	}
+
 	/** Returns the time for which requests with this fingerprint are still refused, in milliseconds; 0 if they are admitted. */
 	getRefusalMs(fingerprint: string): number {
 		const entry = this.#find(fingerprint);
-		return entry && entry.crashes.size >= this.#strikeLimit ? entry.expiresMs - this.#dependencies.clock.now() : 0;
+		return entry && entry.crashes.size >= this.strikeLimit ? entry.expiresMs - this.#dependencies.clock.now() : 0;
 	}
 
 	/** Records that a target crashed while the request was in flight there, and broadcasts the strike. */
@@ -96,8 +145,8 @@
 			return;
 		}
 
-		this.#addCrash(entry, crash);
-		entry.expiresMs = this.#dependencies.clock.now() + this.#retentionMs;
+		this.#addCrash(fingerprint, entry, crash);
+		entry.expiresMs = this.#computeExpiryMs(entry);
 		this.#dependencies.telemetry.count('strikes_total', {source: 'own'});
 		this.#broadcast(fingerprint, entry);
 		this.#notifySubscribers(fingerprint);
@@ -110,7 +159,7 @@
 			return;
 		}
 
-		clearCrashes(entry, entry.crashes);
+		this.#clearCrashes(fingerprint, entry, entry.crashes);
 		this.#dependencies.telemetry.count('strikes_cleared_total');
 		this.#broadcast(fingerprint, entry);
 	}
@@ -128,10 +177,17 @@
 		};
 	}
 
-	/** Returns the newest entries as strike messages, for an instance that starts. */
+	/** Returns the quarantined and then the newest entries as strike messages, for an instance that starts. */
 	exportStrikes(maxStrikes: number): ReadonlyArray<PeerMessageOf<'strike'>> {
-		const fingerprints = [...this.#entries.keys()].filter(fingerprint => this.#find(fingerprint));
-		return fingerprints.slice(-maxStrikes).map(fingerprint => this.#createStrikeMessage(fingerprint, this.#entries.get(fingerprint)!));
+		const others = [...this.#entries.keys()].filter(fingerprint => !this.#quarantined.has(fingerprint) && this.#find(fingerprint));
+		const quarantined = this.listQuarantines(maxStrikes).map(([fingerprint]) => fingerprint);
+		const newest = others.slice(Math.max(0, others.length + quarantined.length - maxStrikes));
+		return [...quarantined, ...newest].map(fingerprint => this.#createStrikeMessage(fingerprint, this.#entries.get(fingerprint)!));
+	}
+
+	/** Returns the strikes of a quarantined fingerprint as a strike message, else `undefined`. */
+	exportQuarantine(fingerprint: string): PeerMessageOf<'strike'> | undefined {
+		return this.getQuarantine(fingerprint) && this.#createStrikeMessage(fingerprint, this.#entries.get(fingerprint)!);
 	}
 
 	/** Merges the strike messages that a peer exported. */
@@ -151,54 +207,98 @@
 	#find(fingerprint: string): Entry | undefined {
 		const entry = this.#entries.get(fingerprint);
 		if (entry && entry.expiresMs <= this.#dependencies.clock.now()) {
-			this.#entries.delete(fingerprint);
+			this.#delete(fingerprint);
 			return undefined;
 		}
 
 		return entry;
 	}
 
+	#delete(fingerprint: string): void {
+		this.#entries.delete(fingerprint);
+		this.#quarantined.delete(fingerprint);
+	}
+
 	#createEntry(fingerprint: string): Entry {
 		const now = this.#dependencies.clock.now();
 		const entry = {
-			crashes: new Set<string>(), cleared: new Set<string>(), expiresMs: now + this.#retentionMs, lastBroadcastMs: now,
+			crashes: new Set<string>(), cleared: new Set<string>(), lastStrikeMs: now, expiresMs: now + this.#retentionMs, lastBroadcastMs: now,
 		};
 		this.#entries.set(fingerprint, entry);
-		for (const oldest of this.#entries.keys()) {
-			if (this.#entries.size <= this.#maxEntries) {
-				break;
-			}
-
-			this.#entries.delete(oldest);
+		if (this.#entries.size > this.#maxEntries) {
+			this.#delete(this.#findEvictable());
 		}
 
 		return entry;
 	}
 
-	#addCrash(entry: Entry, crash: string): boolean {
+	/** Returns the oldest fingerprint that is not quarantined, or the oldest one if all are. */
+	#findEvictable(): string {
+		for (const fingerprint of this.#entries.keys()) {
+			if (!this.#quarantined.has(fingerprint)) {
+				return fingerprint;
+			}
+		}
+
+		return this.#entries.keys().next().value!;
+	}
+
+	#computeExpiryMs({crashes}: Entry): number {
+		return this.#dependencies.clock.now() + (crashes.size >= this.strikeLimit ? this.#quarantineRetentionMs : this.#retentionMs);
+	}
+
+	#addCrash(fingerprint: string, entry: Entry, crash: string): boolean {
 		if (entry.crashes.size >= maxCrashesPerEntry || entry.cleared.has(crash) || entry.crashes.has(crash)) {
 			return false;
 		}
 
 		entry.crashes.add(crash);
-		if (entry.crashes.size === this.#strikeLimit) {
+		entry.lastStrikeMs = this.#dependencies.clock.now();
+		if (entry.crashes.size === this.strikeLimit) {
+			this.#quarantined.add(fingerprint);
 			this.#dependencies.telemetry.count('quarantines_total');
 		}
 
+		if (entry.crashes.size >= this.strikeLimit) {
+			void this.events.emit('changed', fingerprint);
+		}
+
 		return true;
 	}
 
-	#mergeStrikeMessage({fingerprint, crashes, cleared, untilWallMs}: PeerMessageOf<'strike'>): void {
+	#clearCrashes(fingerprint: string, entry: Entry, crashes: Iterable<string>): void {
+		for (const crash of crashes) {
+			entry.crashes.delete(crash);
+			entry.cleared.add(crash);
+			if (entry.cleared.size > maxCrashesPerEntry) {
+				entry.cleared.delete(entry.cleared.values().next().value!);
+			}
+		}
+
+		if (entry.crashes.size < this.strikeLimit && this.#quarantined.delete(fingerprint)) {
+			void this.events.emit('changed', fingerprint);
+		}
+	}
+
+	#mergeStrikeMessage({fingerprint: name, crashes, cleared, untilWallMs}: PeerMessageOf<'strike'>): void {
 		const {clock, telemetry} = this.#dependencies;
-		const remainingMs = Math.min(this.#retentionMs, untilWallMs - clock.getWallTimeMs());
+		const namespaceLength = name.indexOf(namespaceSeparator) + 1;
+		if (name.slice(0, namespaceLength) !== this.#prefix) {
+			return;
+		}
+
+		const remainingMs = Math.min(Math.max(this.#retentionMs, this.#quarantineRetentionMs), untilWallMs - clock.getWallTimeMs());
 		if (remainingMs <= 0) {
 			return;
 		}
 
+		const fingerprint = name.slice(namespaceLength);
 		const entry = this.#find(fingerprint) ?? this.#createEntry(fingerprint);
-		clearCrashes(entry, cleared);
-		const added = crashes.filter(crash => this.#addCrash(entry, crash));
-		entry.expiresMs = Math.max(entry.expiresMs, clock.now() + remainingMs);
+		this.#clearCrashes(fingerprint, entry, cleared);
+		const added = crashes.filter(crash => this.#addCrash(fingerprint, entry, crash));
+		// The sender keeps strikes that have reached the limit only here for a shorter time.
+		const isNewQuarantine = entry.crashes.size >= this.strikeLimit && crashes.length < this.strikeLimit && added.length > 0;
+		entry.expiresMs = Math.max(entry.expiresMs, isNewQuarantine ? this.#computeExpiryMs(entry) : clock.now() + remainingMs);
 		entry.lastBroadcastMs = clock.now();
 		if (added.length > 0) {
 			telemetry.count('strikes_total', {source: 'peer'}, added.length);
@@ -216,7 +316,11 @@
 	#rebroadcast(): void {
 		const {clock, bus, random} = this.#dependencies;
 		const dueMs = clock.now() - (this.#rebroadcastIntervalMs * (0.5 + random.next()));
-		const due = [...this.#entries.keys()].filter(fingerprint => (this.#find(fingerprint)?.lastBroadcastMs ?? Infinity) <= dueMs);
+		const due = [...this.#entries.keys()].filter(fingerprint => {
+			const entry = this.#find(fingerprint);
+			const isRepeated = this.#quarantined.has(fingerprint) || (entry !== undefined && clock.now() - entry.lastStrikeMs <= this.#rebroadcastPeriodMs);
+			return isRepeated && entry !== undefined && entry.lastBroadcastMs <= dueMs;
+		});
 		for (const fingerprint of due.slice(0, maxRebroadcastEntries)) {
 			const entry = this.#entries.get(fingerprint)!;
 			entry.lastBroadcastMs = clock.now();
@@ -227,7 +331,7 @@
 	#createStrikeMessage(fingerprint: string, entry: Entry): PeerMessageOf<'strike'> {
 		const {clock} = this.#dependencies;
 		return {
-			kind: 'strike', fingerprint, crashes: [...entry.crashes], cleared: [...entry.cleared], untilWallMs: clock.getWallTimeMs() + entry.expiresMs - clock.now(),
+			kind: 'strike', fingerprint: `${this.#prefix}${fingerprint}`, crashes: [...entry.crashes], cleared: [...entry.cleared], untilWallMs: clock.getWallTimeMs() + entry.expiresMs - clock.now(),
 		};
 	}
 
@@ -237,12 +341,3 @@
 		}
 	}
 }
-
-function clearCrashes(entry: Entry, crashes: Iterable<string>): void {
-	for (const crash of crashes) {
-		entry.crashes.delete(crash);
-		if (entry.cleared.size < maxCrashesPerEntry) {
-			entry.cleared.add(crash);
-		}
-	}
-}
--- a/packages/relay/_answer-body.ts
+++ b/packages/relay/_answer-body.ts
@@ -24,6 +24,8 @@
 	events?: number;
 	/** Number of bytes after the last complete event; absent if there are none. */
 	openEventBytes?: number;
+	/** Time from the first complete event, or in other bodies the first bytes, to the last bytes, in milliseconds. */
+	spanMs: number;
 }>;
 
 /** The next part of a body, the end of a complete body, or why the body is incomplete. */
@@ -33,7 +35,7 @@
 		| Readonly<{kind: 'fault'; detail: string}>;
 
 /** What a body needs of its exchange. */
-type ReadableExchange = Pick<Exchange, 'framing' | 'readBody' | 'abort'>;
+type ReadableExchange = Pick<Exchange, 'framing' | 'readBody' | 'abort' | 'lastReceivedMs'>;
 
 /** Maximum size of an event, in bytes; it bounds the memory that a target's incomplete event takes. */
 const maxEventBytes = 1_048_576;
@@ -52,6 +54,8 @@
 	#end: BodyEnd = 'open';
 	#bytes = 0;
 	#events = 0;
+	/** Time at which the first complete event, or in other bodies the first bytes, had arrived, in milliseconds. */
+	#firstMs: number | undefined;
 
 	/** @param isEventStream whether the body is a stream of server-sent events */
 	constructor(exchange: ReadableExchange, isEventStream: boolean) {
@@ -77,6 +81,10 @@
 		const events = this.#splitter?.push(bytes) ?? noEvents;
 		this.#bytes += bytes.length;
 		this.#events += events.length;
+		if (events.length > 0 || !this.#splitter) {
+			this.#firstMs ??= this.#exchange.lastReceivedMs;
+		}
+
 		if (this.#openEventBytes > maxEventBytes) {
 			// The next read returns the fault.
 			this.#exchange.abort(`an event is longer than ${maxEventBytes} bytes`);
@@ -94,6 +102,7 @@
 	describe(): BodyRecord {
 		return {
 			framing: this.#exchange.framing, end: this.#end, bytes: this.#bytes,
+			spanMs: this.#firstMs === undefined ? 0 : Math.round(this.#exchange.lastReceivedMs - this.#firstMs),
 			...(this.#splitter && {events: this.#events}),
 			...(this.#openEventBytes > 0 && {openEventBytes: this.#openEventBytes}),
 		};
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -47,8 +47,8 @@
 /** Why an attempt gave the caller no complete answer. */
 export type AttemptFailure = Readonly<{cause: AttemptCause; detail: string}>;
 
-/** Why an attempt failed, if it did, and what was received of its answer's body, if its head arrived. */
-export type AttemptResult = Readonly<{failure?: AttemptFailure | undefined; body?: BodyRecord}>;
+/** Why an attempt failed, if it did, and the status and what was received of its answer's body, if its head arrived. */
+export type AttemptResult = Readonly<{failure?: AttemptFailure | undefined; status?: number; body?: BodyRecord}>;
 
 /** Causes of aborts by this instance, by the detail passed to {@link Exchange.abort}. Any other fault has the cause `lost` if the request may have reached the target, else `not_sent`. */
 const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
@@ -115,7 +115,7 @@
 		const fault = await delivery.deliver(decoded, body, () => {
 			dependencies.streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
 		});
-		return {failure: fault === undefined ? undefined : classifyFault(exchange, fault), body: body.describe()};
+		return {failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, body: body.describe()};
 	}
 
 	if (failure.cause === 'crossed') {
@@ -129,7 +129,7 @@
 	}
 
 	handleRefusal(dependencies, attempt, decoded);
-	return {failure, body: body.describe()};
+	return {failure, status: decoded.status, body: body.describe()};
 }
 
 /** Callbacks that update the target's work in progress during an attempt. */
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -53,6 +53,8 @@
 	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'overloaded' | 'quarantined' = 'none';
 	/** Only version of the targets' software that may run the request: that of the target which began the stream; `undefined` if any may. */
 	softwareVersion: string | undefined;
+	/** Key of the prompt part for which no further target is tried. */
+	quarantinedPart: string | undefined;
 	/** Time after which a refused caller should retry, in milliseconds; `undefined` if not known. */
 	retryAfterMs: number | undefined;
 
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -5,11 +5,12 @@
  * and the retry budget decide whether another attempt follows.
  */
 import {AnswerDelivery} from './_answer-delivery.ts';
-import {runAttempt, type AttemptDependencies, type AttemptResult} from './_attempt.ts';
+import {runAttempt, type AttemptDependencies} from './_attempt.ts';
 import type {RelayCaller} from './caller.ts';
 import {chooseRelayTarget, type NoTarget, type TargetChoice} from './choose-target.ts';
 import type {PublishedWeights} from './published-weights.ts';
 import {RelayProgress} from './_progress.ts';
+import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
 import type {TargetSet} from './target-set.ts';
 import {
 	createRefusal, type Random, type Refusal, type RelayPool, type RelayRequest, type RunState,
@@ -17,15 +18,13 @@
 import {
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
 } from '#dispatch';
-import {computeRelayFingerprint, type Quarantine} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
-export type RelayDependencies = AttemptDependencies & Readonly<{
+export type RelayDependencies = AttemptDependencies & QuarantineGuardDependencies & Readonly<{
 	random: Random;
 	telemetry: Telemetry;
 	targets: TargetSet;
 	budget: RetryBudget;
-	quarantine: Quarantine;
 	publishedWeights: PublishedWeights;
 	/** Time for which requests may still start on stale weights, in milliseconds. */
 	maxStaleWeightsMs: number;
@@ -63,9 +62,6 @@
 
 const badGateway = 502;
 
-/** Maximum number of prompt parts in a log line. */
-const maxLoggedParts = 16;
-
 /** Outcome of a request, for the log and the metrics. */
 type RelayOutcome = Readonly<{
 	kind: 'answered' | 'caller_left' | 'cut' | 'refused' | 'target_failed';
@@ -81,10 +77,12 @@
 
 export class Relay {
 	readonly #dependencies: RelayDependencies;
+	readonly #guard: QuarantineGuard;
 	#running = 0;
 
 	constructor(dependencies: RelayDependencies) {
 		this.#dependencies = dependencies;
+		this.#guard = new QuarantineGuard(dependencies);
 	}
 
 	/** Number of requests in progress. */
@@ -113,8 +111,10 @@
 		const {clock, telemetry} = this.#dependencies;
 		const {request} = progress;
 		for (;;) {
-			const chosen = this.#chooseWithUrgency(progress);
+			const release = this.#guard.admit(progress);
+			const chosen = release && this.#chooseWithUrgency(progress);
 			if (!chosen) {
+				release?.();
 				return this.#finishUnanswered(progress, delivery, caller);
 			}
 
@@ -132,17 +132,18 @@
 			}
 
 			if (caller.hasLeft()) {
+				release();
 				return {kind: 'caller_left'};
 			}
 
-			if (!failure) {
-				this.#clearStrikes(progress);
-				return {kind: 'answered'};
+			if (failure) {
+				this.#suspect(choice, failure.cause);
 			}
 
-			this.#suspect(choice, failure.cause);
-			if (failure.cause === 'lost') {
-				await this.#probeAfterLoss(progress, choice, result);
+			await this.#guard.recordResult(progress, choice, result);
+			release();
+			if (!failure) {
+				return {kind: 'answered'};
 			}
 
 			if (!this.#canRetry(progress, failure.cause, delivery)) {
@@ -186,7 +187,7 @@
 		const {request} = progress;
 		const urgency = getUrgency(request);
 		const choice = this.#choose(progress, urgency);
-		if (typeof choice === 'string' || this.#isQuarantined(progress)) {
+		if (typeof choice === 'string') {
 			return undefined;
 		}
 
@@ -232,42 +233,6 @@
 		return true;
 	}
 
-	/** Whether this request is quarantined because it has crashed targets; if so, records in `progress` when to retry. */
-	#isQuarantined(progress: RelayProgress): boolean {
-		const {quarantine} = this.#dependencies;
-		if (quarantine.size === 0) {
-			return false;
-		}
-
-		const refusalMs = quarantine.getRefusalMs(computeRelayFingerprint(progress.request));
-		if (refusalMs > 0) {
-			progress.cause = 'quarantined';
-			progress.retryAfterMs = refusalMs;
-		}
-
-		return refusalMs > 0;
-	}
-
-	/** Probes the target after a lost exchange; a target that does not answer counts as crashed by the request. */
-	async #probeAfterLoss({request, pool}: RelayProgress, {state: {target}}: TargetChoice, {body}: AttemptResult): Promise<void> {
-		const {probe, quarantine, telemetry} = this.#dependencies;
-		if (!await probe(target, pool)) {
-			const fingerprint = computeRelayFingerprint(request);
-			quarantine.recordCrash(fingerprint, target.id, target.incarnation);
-			telemetry.log('target did not answer a probe after an exchange was lost; recorded as crashed by the request', {
-				id: request.id, target: target.id, fingerprint, strikes: quarantine.countStrikes(fingerprint),
-				parts: request.prompt?.parts.slice(0, maxLoggedParts).map(({key}) => key), answer: body ?? 'none',
-			});
-		}
-	}
-
-	#clearStrikes({request}: RelayProgress): void {
-		const {quarantine} = this.#dependencies;
-		if (quarantine.size > 0) {
-			quarantine.recordCompletion(computeRelayFingerprint(request));
-		}
-	}
-
 	/** Avoids the target for a while if the request could not be sent or if it is unknown whether the request has run. */
 	#suspect({state}: TargetChoice, cause: AttemptCause): void {
 		if (causeRules[cause].outcome === 'unknown' || causeRules[cause].outcome === 'notSent') {
@@ -299,7 +264,7 @@
 	}
 
 	/** Records the metrics of a finished request, and logs one line with its outcome and all its attempts. */
-	#recordOutcome({request, pool, attempts}: RelayProgress, {headSentMs}: AnswerDelivery, {kind, ...details}: RelayOutcome): void {
+	#recordOutcome({request, pool, attempts, quarantinedPart}: RelayProgress, {headSentMs}: AnswerDelivery, {kind, ...details}: RelayOutcome): void {
 		const {clock, telemetry} = this.#dependencies;
 		const {route, arrivedMs} = request;
 		const ms = clock.now() - arrivedMs;
@@ -316,7 +281,7 @@
 		telemetry.log('request ended', {
 			id: request.id, route: route.name, customer: request.customer?.name, pool: pool.name, configuration: request.configurationVersion,
 			...(request.lastEventId !== undefined && {lastEventId: request.lastEventId, resumes: request.resumedRequestId}),
-			outcome: kind, ...details, ms: Math.round(ms), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
+			outcome: kind, ...details, ...(quarantinedPart !== undefined && {quarantinedPart}), ms: Math.round(ms), leftMs: Math.round(request.deadlineMs - clock.now()), attempts,
 		});
 	}
 }
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -16,7 +16,7 @@
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {createNoopBus} from '#peer-protocol';
-import {Quarantine} from '#quarantine';
+import {PartQuarantine, Quarantine} from '#quarantine';
 import {startRawTarget, type RawScript, type RawTarget} from '#standins';
 import {createTelemetry} from '#telemetry';
 
@@ -139,9 +139,15 @@
 	const quarantine = new Quarantine({
 		clock, random: createRandom(1), telemetry, bus: createNoopBus(),
 	}, {strikeLimit: 3});
+	const partStrikes = new Quarantine({
+		clock, random: createRandom(3), telemetry, bus: createNoopBus(),
+	}, {namespace: 'part', strikeLimit: 3});
+	const partQuarantine = new PartQuarantine({
+		clock, telemetry, strikes: partStrikes, getRank: () => 0,
+	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
-		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, cachedParts: new CachedParts(),
+		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, probe: async ({id}) => alive.has(id),
 		handleMismatch(state, mismatch) {
@@ -150,6 +156,7 @@
 	});
 	t.teardown(async () => {
 		quarantine.close();
+		partStrikes.close();
 		targets.close();
 		await Promise.all(raw.map(async target => target.close()));
 	});
