Quarantine: strikes of parts outlive the instances that saw them

Callers saw: after processes had been killed, a prompt part that was known to crash targets crashed further ones, as instances that start knew nothing of it.

Cause: strikes were only broadcast as they happened, and periodically to a sample of the peers; an instance that starts or was cut off missed them, and with the last instance they were gone. A part at the limit because many targets crashed at once used up its trials on prompts that also held the crashing part, so that all prompts with it were refused.

Change: an instance requests the strikes of each peer to which a link opens (an existing request); quarantines, and parts one strike short of one, are objects in the store, written by two instances, read once at a start; the number of failed trials travels with the strikes and sets the delay to the next trial; prompts with fewer quarantined parts go first.

Why it works: what one instance knows reaches every other one within its first second, and what all knew is read back from the store.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -3,6 +3,7 @@
  * object store, peers, targets, the gateway, and the roll-out of weights. Codecs
  * and calls that depend on a platform's formats are injected.
  */
+import {setMaxListeners} from 'node:events';
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
 import {MismatchHandler} from './_mismatch-handler.ts';
@@ -20,7 +21,9 @@
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
 import {runWorkExchange} from '#placement';
-import {PartQuarantine, Quarantine, type QuarantineOptions} from '#quarantine';
+import {
+	PartQuarantine, Quarantine, runQuarantineArchive, runStrikeSync, type QuarantineOptions,
+} from '#quarantine';
 import {
 	CachedParts, OriginExchange, Relay, resolveOrigin, runPartExchange, StreamOrigins, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
@@ -31,7 +34,7 @@
 /** Decodes and encodes the objects in a platform's store. */
 export type StoredFormats = Readonly<{
 	/** Names of the kinds of objects in the store. */
-	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string}>;
+	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string}>;
 	decodeConfiguration(stored: StoredObject): Result<RelayConfiguration, string>;
 	/** @returns the target, or `undefined` if the entry does not describe a usable one */
 	decodeTarget(stored: StoredObject): RelayTarget | undefined;
@@ -118,6 +121,9 @@
 const minRegisterRetryDelayMs = 500;
 const maxRegisterRetryDelayMs = 10_000;
 
+/** Number of listeners on the signal that stops the background tasks, above which Node.js suspects a leak: each task has one or two. */
+const maxSignalListeners = 32;
+
 /** Components whose state the heartbeats carry. They are created after the peer protocol has started. */
 type StartedComponents = {relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers};
 
@@ -203,12 +209,19 @@
 	});
 	const stopping = new AbortController();
 	const {signal} = stopping;
+	setMaxListeners(maxSignalListeners, signal);
 	const tasks = [
 		storeMirrors.run(store.configuration, random, signal),
 		rollout.run(signal),
 		runWorkExchange({views: targets, bus, clock}, signal),
 		runPartExchange({cachedParts, bus, clock}, signal),
 		originExchange.run(signal),
+		runStrikeSync({
+			clock, telemetry, bus, quarantines: [partStrikes, quarantine],
+		}, signal),
+		runQuarantineArchive({
+			clock, telemetry, store: store.status, kind: formats.kinds.quarantine, quarantine: partStrikes, getRank: duty => peers.getRank(duty),
+		}, signal),
 		watchEngines({
 			clock, telemetry, targets, cachedParts, bus, readEvents: calls.readEvents, isReader: ({id}) => peers.getRank(`read ${id}`) === 0,
 		}, signal),
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -5,6 +5,7 @@
 const maxNameLength = 200;
 const maxEntries = 4096;
 const maxCrashes = 16;
+const maxFailedTrials = 1000;
 const maxUrgencies = 10;
 
 const nameSchema = z.string().max(maxNameLength);
@@ -26,6 +27,8 @@
  */
 export const strikeSchema = z.object({
 	kind: z.literal('strike'), fingerprint: nameSchema, crashes: z.array(nameSchema).max(maxCrashes), cleared: z.array(nameSchema).max(maxCrashes),
+	/** Number of trials of a quarantined fingerprint that ended with a crash. */
+	failedTrials: z.number().int().min(0).max(maxFailedTrials).optional(),
 	/** Wall time at which the strikes expire. */
 	untilWallMs: z.number(),
 });
--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -4,6 +4,8 @@
 export {
 	Quarantine, type QuarantineDependencies, type QuarantineOptions, type StrikeRecord,
 } from './quarantine.ts';
+export {runQuarantineArchive, type QuarantineArchiveDependencies} from './quarantine-archive.ts';
+export {runStrikeSync, type StrikeSyncDependencies} from './strike-sync.ts';
 export {
 	StruckRequestTurns, type Turn, type TurnDependencies, type TurnOptions, type TurnRequest,
 } from './struck-request-turns.ts';
--- a/packages/quarantine/part-quarantine.ts
+++ b/packages/quarantine/part-quarantine.ts
@@ -11,7 +11,8 @@
  * reason. Therefore single prompts with it still run as trials, at first at one
  * instance only. If other quarantined parts, which the prompt does not have,
  * explain the crashes, a trial may run at once, else after a delay that grows
- * with the number of crashes.
+ * with the number of failed trials. Prompts with fewer quarantined parts go
+ * first, as their outcome says more about each of them.
  */
 import type {Quarantine, StrikeRecord} from './quarantine.ts';
 import type {Clock} from '#clock';
@@ -38,12 +39,15 @@
 /** Maximum number of quarantined parts that may explain the crashes of another. */
 const maxExplanations = 64;
 
-/** Delays from the last crash to a trial, in milliseconds, by the number of crashes above the strike limit. */
+/** Delays from the last crash to a trial, in milliseconds, by the number of failed trials. */
 const trialDelaysMs = [1000, 5000, 60_000, 300_000, 1_800_000];
 
 /** Time in which twice as many instances may run a trial if none has been run, in milliseconds. */
 const rankDoublingMs = 2000;
 
+/** Delay for each further quarantined part of a prompt, in milliseconds. */
+const furtherSuspectMs = 2000;
+
 /** Retry time while a trial runs, or may run at another instance, in milliseconds: a short answer takes less. */
 const trialRetryMs = 500;
 
@@ -69,7 +73,7 @@
 		const fingerprints = listFingerprints(prompt);
 		const suspects = fingerprints.filter(fingerprint => strikes.getQuarantine(fingerprint));
 		for (const suspect of suspects) {
-			const retryAfterMs = this.#computeRetryMs(suspect, fingerprints);
+			const retryAfterMs = this.#computeRetryMs(suspect, fingerprints, (suspects.length - 1) * furtherSuspectMs);
 			if (retryAfterMs > 0) {
 				return {isAdmitted: false, part: prompt.parts[fingerprints.indexOf(suspect)]!.key, retryAfterMs};
 			}
@@ -104,6 +108,10 @@
 		let most = 0;
 		for (const fingerprint of listFingerprints(prompt)) {
 			strikes.recordCrash(fingerprint, target, incarnation);
+			if (this.#trials.has(fingerprint)) {
+				strikes.recordFailedTrial(fingerprint);
+			}
+
 			most = Math.max(most, strikes.countStrikes(fingerprint));
 		}
 
@@ -123,7 +131,7 @@
 	}
 
 	/** Computes the time until a prompt with a quarantined part may run as a trial, in milliseconds; 0 if it may run now. */
-	#computeRetryMs(suspect: string, fingerprints: readonly string[]): number {
+	#computeRetryMs(suspect: string, fingerprints: readonly string[], extraDelayMs: number): number {
 		const {clock, strikes, getRank} = this.#dependencies;
 		const record = strikes.getQuarantine(suspect);
 		if (!record) {
@@ -134,8 +142,8 @@
 			return trialRetryMs;
 		}
 
-		const excess = this.#countUnexplained(record, fingerprints) - strikes.strikeLimit;
-		const delayMs = excess < 0 ? 0 : trialDelaysMs[Math.min(excess, trialDelaysMs.length - 1)]!;
+		const isExplained = this.#countUnexplained(record, fingerprints) < strikes.strikeLimit;
+		const delayMs = isExplained ? 0 : trialDelaysMs[Math.min(record.failedTrials, trialDelaysMs.length - 1)]! + extraDelayMs;
 		const dueMs = clock.now() - record.lastStrikeMs - delayMs;
 		if (dueMs < 0) {
 			return -dueMs;
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -43,6 +43,8 @@
 	crashes: ReadonlySet<string>;
 	/** Time at which this instance learned of the newest crash, in milliseconds. */
 	lastStrikeMs: number;
+	/** Number of trials since the quarantine began that ended with a crash. */
+	failedTrials: number;
 }>;
 
 /** The strikes of one fingerprint. */
@@ -51,12 +53,14 @@
 	/** The newest crashes cleared by a completed run. They are kept so that a peer that has missed the completion cannot add them again. */
 	readonly cleared: Set<string>;
 	lastStrikeMs: number;
+	failedTrials: number;
 	expiresMs: number;
 	/** Time at which this instance or a peer last broadcast the entry. */
 	lastBroadcastMs: number;
 };
 
 const maxCrashesPerEntry = 16;
+const maxFailedTrials = 1000;
 
 /** Maximum number of entries that are broadcast again per interval. */
 const maxRebroadcastEntries = 64;
@@ -66,7 +70,7 @@
 
 /** The strikes of requests by fingerprint. Exchanges them with the peers. */
 export class Quarantine {
-	/** Emits a fingerprint when its quarantine begins, gets another strike, or is cleared. */
+	/** Emits a fingerprint when it is one strike short of the limit or beyond, and its strikes change. */
 	readonly events = new Emittery<{changed: string}>();
 	/** Number of crashes at which a fingerprint is quarantined. */
 	readonly strikeLimit: number;
@@ -152,6 +156,17 @@
 		this.#notifySubscribers(fingerprint);
 	}
 
+	/** Records that a trial of a quarantined fingerprint ended with a crash, and broadcasts it. */
+	recordFailedTrial(fingerprint: string): void {
+		const entry = this.#quarantined.has(fingerprint) ? this.#find(fingerprint) : undefined;
+		if (entry) {
+			entry.failedTrials = Math.min(maxFailedTrials, entry.failedTrials + 1);
+			entry.lastStrikeMs = this.#dependencies.clock.now();
+			this.#broadcast(fingerprint, entry);
+			void this.events.emit('changed', fingerprint);
+		}
+	}
+
 	/** Records that a run completed, which clears the strikes on this instance and its peers. */
 	recordCompletion(fingerprint: string): void {
 		const entry = this.#find(fingerprint);
@@ -185,9 +200,10 @@
 		return [...quarantined, ...newest].map(fingerprint => this.#createStrikeMessage(fingerprint, this.#entries.get(fingerprint)!));
 	}
 
-	/** Returns the strikes of a quarantined fingerprint as a strike message, else `undefined`. */
-	exportQuarantine(fingerprint: string): PeerMessageOf<'strike'> | undefined {
-		return this.getQuarantine(fingerprint) && this.#createStrikeMessage(fingerprint, this.#entries.get(fingerprint)!);
+	/** Returns the strikes of a fingerprint as a strike message; `undefined` if it would take more than one further strike to quarantine it. */
+	exportStrike(fingerprint: string): PeerMessageOf<'strike'> | undefined {
+		const entry = this.#find(fingerprint);
+		return entry && entry.crashes.size >= this.strikeLimit - 1 ? this.#createStrikeMessage(fingerprint, entry) : undefined;
 	}
 
 	/** Merges the strike messages that a peer exported. */
@@ -222,7 +238,7 @@
 	#createEntry(fingerprint: string): Entry {
 		const now = this.#dependencies.clock.now();
 		const entry = {
-			crashes: new Set<string>(), cleared: new Set<string>(), lastStrikeMs: now, expiresMs: now + this.#retentionMs, lastBroadcastMs: now,
+			crashes: new Set<string>(), cleared: new Set<string>(), lastStrikeMs: now, failedTrials: 0, expiresMs: now + this.#retentionMs, lastBroadcastMs: now,
 		};
 		this.#entries.set(fingerprint, entry);
 		if (this.#entries.size > this.#maxEntries) {
@@ -259,7 +275,7 @@
 			this.#dependencies.telemetry.count('quarantines_total');
 		}
 
-		if (entry.crashes.size >= this.strikeLimit) {
+		if (entry.crashes.size >= this.strikeLimit - 1) {
 			void this.events.emit('changed', fingerprint);
 		}
 
@@ -267,6 +283,7 @@
 	}
 
 	#clearCrashes(fingerprint: string, entry: Entry, crashes: Iterable<string>): void {
+		const strikes = entry.crashes.size;
 		for (const crash of crashes) {
 			entry.crashes.delete(crash);
 			entry.cleared.add(crash);
@@ -276,11 +293,15 @@
 		}
 
 		if (entry.crashes.size < this.strikeLimit && this.#quarantined.delete(fingerprint)) {
+			entry.failedTrials = 0;
+		}
+
+		if (entry.crashes.size < strikes && strikes >= this.strikeLimit - 1) {
 			void this.events.emit('changed', fingerprint);
 		}
 	}
 
-	#mergeStrikeMessage({fingerprint: name, crashes, cleared, untilWallMs}: PeerMessageOf<'strike'>): void {
+	#mergeStrikeMessage({fingerprint: name, crashes, cleared, untilWallMs, failedTrials = 0}: PeerMessageOf<'strike'>): void {
 		const {clock, telemetry} = this.#dependencies;
 		const namespaceLength = name.indexOf(namespaceSeparator) + 1;
 		if (name.slice(0, namespaceLength) !== this.#prefix) {
@@ -300,6 +321,11 @@
 		const isNewQuarantine = entry.crashes.size >= this.strikeLimit && crashes.length < this.strikeLimit && added.length > 0;
 		entry.expiresMs = Math.max(entry.expiresMs, isNewQuarantine ? this.#computeExpiryMs(entry) : clock.now() + remainingMs);
 		entry.lastBroadcastMs = clock.now();
+		if (this.#quarantined.has(fingerprint) && failedTrials > entry.failedTrials) {
+			entry.failedTrials = failedTrials;
+			entry.lastStrikeMs = clock.now();
+		}
+
 		if (added.length > 0) {
 			telemetry.count('strikes_total', {source: 'peer'}, added.length);
 			this.#notifySubscribers(fingerprint);
@@ -331,7 +357,8 @@
 	#createStrikeMessage(fingerprint: string, entry: Entry): PeerMessageOf<'strike'> {
 		const {clock} = this.#dependencies;
 		return {
-			kind: 'strike', fingerprint: `${this.#prefix}${fingerprint}`, crashes: [...entry.crashes], cleared: [...entry.cleared], untilWallMs: clock.getWallTimeMs() + entry.expiresMs - clock.now(),
+			kind: 'strike', fingerprint: `${this.#prefix}${fingerprint}`, crashes: [...entry.crashes], cleared: [...entry.cleared],
+			...(entry.failedTrials > 0 && {failedTrials: entry.failedTrials}), untilWallMs: clock.getWallTimeMs() + entry.expiresMs - clock.now(),
 		};
 	}
 
