--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -47,8 +47,14 @@
 /** Why an attempt gave the caller no complete answer. */
 export type AttemptFailure = Readonly<{cause: AttemptCause; detail: string}>;
 
-/** Why an attempt failed, if it did, and the status and what was received of its answer's body, if its head arrived. */
-export type AttemptResult = Readonly<{failure?: AttemptFailure | undefined; status?: number; body?: BodyRecord}>;
+/** Why an attempt failed, if it did, and what its answer stated, if the head arrived. */
+export type AttemptResult = Readonly<{
+	failure?: AttemptFailure | undefined;
+	status?: number;
+	body?: BodyRecord;
+	/** Requests per second that the target takes from all instances, as the answer states. */
+	requestLimit?: number | undefined;
+}>;
 
 /** Causes of aborts by this instance, by the detail passed to {@link Exchange.abort}. Any other fault has the cause `lost` if the request may have reached the target, else `not_sent`. */
 const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
@@ -115,7 +121,9 @@
 		const fault = await delivery.deliver(decoded, body, () => {
 			dependencies.streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
 		});
-		return {failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, body: body.describe()};
+		return {
+			failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, requestLimit: decoded.requestLimit, body: body.describe(),
+		};
 	}
 
 	if (failure.cause === 'crossed') {
@@ -129,7 +137,9 @@
 	}
 
 	handleRefusal(dependencies, attempt, decoded);
-	return {failure, status: decoded.status, body: body.describe()};
+	return {
+		failure, status: decoded.status, requestLimit: decoded.requestLimit, body: body.describe(),
+	};
 }
 
 /** Callbacks that update the target's work in progress during an attempt. */
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -25,6 +25,8 @@
 	/** Times from the request's arrival to the start and the end of the attempt, in milliseconds. */
 	fromMs: number;
 	toMs: number;
+	/** Requests per second that the target takes from all instances, as its answer states; absent if it states no limit. */
+	requestLimit?: number;
 	/** Cause of the failure, or `answered`. */
 	end: string;
 	detail?: string;
@@ -65,13 +67,13 @@
 	}
 
 	/** Records a finished attempt. */
-	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body}: AttemptResult): void {
+	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body, requestLimit}: AttemptResult): void {
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
 			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
-			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}),
+			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(requestLimit !== undefined && {requestLimit}),
 		});
 		if (!failure) {
 			return;
--- a/packages/relay/dialect.ts
+++ b/packages/relay/dialect.ts
@@ -38,6 +38,8 @@
 	load: TargetLoad | undefined;
 	/** Version of the weights that produced the answer. */
 	weights: number | undefined;
+	/** Requests per second that the target now takes from all instances together; absent if it states no limit. */
+	requestLimit: number | undefined;
 }>;
 
 /** Encodes heads of requests and decodes heads of answers. */
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -36,7 +36,8 @@
 	decodeHead: ({status, headers}) => ({
 		status, headers: headers.filter((_line, index) => forwardedNames.has(headers[index - (index % 2)]!.toLowerCase())),
 		requestId: findHeader(headers, 'x-id'), isSigned: findHeader(headers, 'x-signed') !== undefined,
-		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'), load: undefined, weights: undefined,
+		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'),
+		load: undefined, weights: undefined, requestLimit: undefined,
 	}),
 };
 
