Relay: a target's stated limit holds over all instances

Cause: the limit was not read, and no instance knew what the others send to a target in need; the choice of targets knows costs only.

Change: RequestLimit keeps what a target states and divides it: only the instances that rank first for the target send it requests, each at its share of nine tenths of the rate. An answer to a request that was sent after the limit was stated, and that states none, ends it. A limited target without room is no candidate; if all are, the request is refused as target_limited.

Why it works: the shares of the instances that may send add up to less than the limit, and an instance that does not rank first sends nothing, so that the sum does not grow with their number.

--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -31,6 +31,7 @@
 	queue_full: {status: 503, ran: 'not_run', message: 'The queue of the target pool is full.'},
 	deadline_exceeded: {status: 504, ran: 'unknown', message: 'No complete answer came within the route\'s time.'},
 	no_target: {status: 503, ran: 'not_run', message: 'The target pool has no target that can take the request.'},
+	target_limited: {status: 503, ran: 'not_run', message: 'The targets of the pool take fewer requests for the time being.'},
 	stream_origin_gone: {status: 503, ran: 'not_run', message: 'No target has the software version at which the stream began, so it cannot be resumed.'},
 	stream_origin_unknown: {status: 503, ran: 'not_run', message: 'It is not known at which software version the stream began, so it cannot be resumed.'},
 	retry_budget_spent: {status: 503, ran: 'unknown', message: 'The target pool\'s retry budget is spent.'},
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -173,6 +173,7 @@
 	const relay = new Relay({
 		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
+		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(`limit ${id}`)}),
 		handleMismatch(state, mismatch) {
 			mismatchHandler.handle(state, mismatch);
 		},
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -64,10 +64,10 @@
 	unsubscribe();
 }
 
-/** Compares two lists of work by target, requests and tokens; the tokens by urgency are not compared. */
+/** Compares two lists of work by target, requests, tokens and limit; the tokens by urgency and the age of the limit are not compared. */
 function isSameWork(a: readonly TargetWork[], b: readonly TargetWork[]): boolean {
-	return a.length === b.length && a.every(({target, requests, tokens}, index) => {
+	return a.length === b.length && a.every(({target, requests, tokens, limit}, index) => {
 		const other = b[index]!;
-		return other.target === target && other.requests === requests && other.tokens === tokens;
+		return other.target === target && other.requests === requests && other.tokens === tokens && Boolean(other.limit) === Boolean(limit) && other.limit?.perSecond === limit?.perSecond;
 	});
 }
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -90,7 +90,7 @@
 		}),
 	];
 	try {
-		return await receiveAnswer(dependencies, attempt, exchange, work.handleAnswerStart);
+		return await receiveAnswer(dependencies, attempt, exchange, work);
 	} finally {
 		for (const cancel of cancels) {
 			cancel();
@@ -100,7 +100,7 @@
 	}
 }
 
-async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, handleAnswerStart: () => void): Promise<AttemptResult> {
+async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, {startedMs, handleAnswerStart}: AttemptWork): Promise<AttemptResult> {
 	const {clock, dialect} = dependencies;
 	const {request, pool, choice, delivery} = attempt;
 	const {softwareVersion} = choice.state.target;
@@ -110,6 +110,7 @@
 	}
 
 	const decoded = dialect.decodeHead(read.head);
+	choice.state.requestLimit.recordAnswer(decoded.requestLimit, startedMs, clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
@@ -142,8 +143,8 @@
 	};
 }
 
-/** Callbacks that update the target's work in progress during an attempt. */
-type AttemptWork = Readonly<{handleAnswerStart: () => void; finish: () => void}>;
+/** Start time of an attempt, in milliseconds, and callbacks that update the target's work in progress. */
+type AttemptWork = Readonly<{startedMs: number; handleAnswerStart: () => void; finish: () => void}>;
 
 /** Counts a request as in progress on its target, and its prompt tokens as pending until the answer starts. */
 function startWork({clock, cachedParts}: AttemptDependencies, {request, choice: {state, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
@@ -155,6 +156,7 @@
 		pendingTokens = 0;
 	};
 
+	state.requestLimit.recordSent();
 	state.inFlight++;
 	state.pendingTokens.add(urgency, pendingTokens);
 	for (const key of partKeys) {
@@ -162,6 +164,7 @@
 	}
 
 	return {
+		startedMs,
 		handleAnswerStart() {
 			if (pendingTokens > 0) {
 				state.recordAnswerStart(aheadTokens + unreadTokens, clock.now() - startedMs);
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -26,7 +26,7 @@
 function createQuery(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetQuery {
 	return {
 		targets, excluded: new Set(), engine, prompt: undefined, cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
-		cachedParts: new CachedParts(), zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), ...options,
+		cachedParts: new CachedParts(), zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), getLimitSharing: () => ({instances: 1, rank: 0}), ...options,
 	};
 }
 
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -5,9 +5,10 @@
  * simulate loads without sending requests.
  */
 import type {CachedParts} from './cached-parts.ts';
+import type {LimitSharing} from './request-limit.ts';
 import type {TargetState} from './target-state.ts';
 import type {
-	EngineTraits, Prompt, PromptPart, Random,
+	EngineTraits, Prompt, PromptPart, Random, RelayTarget,
 } from '#core';
 import {chooseHomes} from '#placement';
 
@@ -44,6 +45,8 @@
 	zone: string;
 	/** Maximum number of connections from this instance to one target: its share of those that a target accepts. */
 	maxConnections: number;
+	/** Returns the place of this instance among those that share the limit of a target. */
+	getLimitSharing: (target: RelayTarget) => LimitSharing;
 	nowMs: number;
 	random: Random;
 }>;
@@ -76,8 +79,9 @@
  * - `other_software`: none of the remaining targets has the software version at which the stream began.
  * - `old_weights`: the weights of all remaining targets are too stale.
  * - `connections_used`: all connections that this instance may open to the others are in use.
+ * - `limits_reached`: the others have stated limits, of which this instance has used up its shares.
  */
-export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'connections_used';
+export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'connections_used' | 'limits_reached';
 
 /** Cost of a target in another availability zone, in milliseconds: the round trip and the price of the traffic. */
 const crossZoneCostMs = 4;
@@ -128,7 +132,12 @@
 		return 'connections_used';
 	}
 
-	const ready = preferIf(reachable, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
+	const permitted = reachable.filter(state => computeLimitDelayMs(query, state) === 0);
+	if (permitted.length === 0) {
+		return 'limits_reached';
+	}
+
+	const ready = preferIf(permitted, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const createChoice = query.prompt && query.engine ? prepareEngineChoices(query, query.prompt, query.engine) : (state: TargetState) => createServiceChoice(query, state);
 	let best: TargetChoice | undefined;
@@ -142,6 +151,11 @@
 	return best!;
 }
 
+/** Computes the time until this instance may send a request to a target by its stated limit, in milliseconds. */
+export function computeLimitDelayMs({getLimitSharing, nowMs}: Pick<TargetQuery, 'getLimitSharing' | 'nowMs'>, {requestLimit, target}: TargetState): number {
+	return requestLimit.computeDelayMs(() => getLimitSharing(target), nowMs);
+}
+
 /** Returns the targets that pass, or all if none does. */
 function preferIf(states: readonly TargetState[], passes: (state: TargetState) => boolean): readonly TargetState[] {
 	const passing = states.filter(state => passes(state));
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -7,7 +7,9 @@
 import {AnswerDelivery} from './_answer-delivery.ts';
 import {runAttempt, type AttemptDependencies} from './_attempt.ts';
 import type {RelayCaller} from './caller.ts';
-import {chooseRelayTarget, type NoTarget, type TargetChoice} from './choose-target.ts';
+import {
+	chooseRelayTarget, computeLimitDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
+} from './choose-target.ts';
 import type {PublishedWeights} from './published-weights.ts';
 import {RelayProgress} from './_progress.ts';
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
@@ -32,6 +34,7 @@
 	zone: string;
 	/** Counts the instances that share the connections to the targets. */
 	countInstances: () => number;
+	getLimitSharing: TargetQuery['getLimitSharing'];
 }>;
 
 /** Time for which a target is avoided after an exchange with it was lost, in milliseconds: a crashed target is back after a few seconds. */
@@ -52,6 +55,7 @@
 	other_software: {cause: 'origin_gone', retryAfterMs: 1000},
 	old_weights: {cause: 'none', retryAfterMs: 1000},
 	connections_used: {cause: 'full', retryAfterMs: 300},
+	limits_reached: {cause: 'limited', retryAfterMs: 1000},
 } as const satisfies Readonly<Record<NoTarget, Readonly<{cause: RelayProgress['cause']; retryAfterMs: number}>>>;
 
 /** Statuses by which a caller knows that its request has not run and never will. */
@@ -160,16 +164,19 @@
 			request, pool, excluded, softwareVersion,
 		} = progress;
 		const {
-			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, countInstances,
+			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, countInstances, getLimitSharing,
 		} = this.#dependencies;
+		const poolTargets = targets.listPool(pool.name);
+		const nowMs = clock.now();
 		const choice = chooseRelayTarget({
-			targets: targets.listPool(pool.name), excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
+			targets: poolTargets, getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
 			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, zone,
-			nowMs: clock.now(), random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
+			nowMs, random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
 		});
 		if (typeof choice === 'string') {
 			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
-			progress.retryAfterMs = noTargetRules[choice].retryAfterMs;
+			const limitDelayMs = Math.min(...poolTargets.map(state => computeLimitDelayMs({getLimitSharing, nowMs}, state)));
+			progress.retryAfterMs = choice === 'limits_reached' && limitDelayMs > 0 ? Math.min(limitDelayMs, noTargetRules[choice].retryAfterMs) : noTargetRules[choice].retryAfterMs;
 		}
 
 		return choice;
@@ -293,7 +300,7 @@
 
 /** Refusal reasons by cause, for requests that the router itself refuses. */
 const routerCauseReasons = {
-	none: 'no_target', origin_gone: 'stream_origin_gone', full: 'queue_full', overloaded: 'promise_unreachable', quarantined: 'crashes_targets',
+	none: 'no_target', origin_gone: 'stream_origin_gone', full: 'queue_full', overloaded: 'promise_unreachable', limited: 'target_limited', quarantined: 'crashes_targets',
 } as const;
 
 function isRouterCause(cause: RelayProgress['cause']): cause is keyof typeof routerCauseReasons {
--- /dev/null
+++ b/packages/relay/request-limit.test.ts
@@ -0,0 +1,153 @@
+import t from 'tap';
+import fc from 'fast-check';
+import {RequestLimit, type LimitSharing} from './request-limit.ts';
+import {createRandom, type Random} from '#core';
+
+const windowMs = 4000;
+const stepMs = 10;
+const contactMs = 3000;
+
+const alone = (): LimitSharing => ({instances: 1, rank: 0});
+
+function computeAllowed(limit: number): number {
+	return (1.5 * limit * windowMs / 1000) + 5;
+}
+
+t.test('a target without a limit takes requests at any time', async t => {
+	const limit = new RequestLimit();
+	limit.recordAnswer(undefined, 0, 10);
+	t.equal(limit.computeDelayMs(alone, 10), 0);
+	t.equal(limit.announce(10), undefined);
+});
+
+t.test('an answer without a limit ends the limit, unless its request was sent before the limit was stated', async t => {
+	const limit = new RequestLimit();
+	limit.recordAnswer(2, 0, 100);
+	limit.recordAnswer(undefined, 50, 200);
+	t.equal(limit.perSecond, 2);
+	limit.recordAnswer(undefined, 150, 300);
+	t.equal(limit.perSecond, undefined);
+	t.strictSame(limit.announce(300), {perSecond: undefined, ageMs: 0}, 'the peers are told of the end');
+});
+
+t.test('the newer of two statements holds, whoever heard it', async t => {
+	const limit = new RequestLimit();
+	limit.recordAnswer(2, 0, 1000);
+	limit.merge({perSecond: 9, ageMs: 500}, 1200);
+	t.equal(limit.perSecond, 2);
+	limit.merge({perSecond: 9, ageMs: 100}, 1200);
+	t.equal(limit.perSecond, 9);
+	limit.merge({ageMs: 10}, 1300);
+	t.equal(limit.perSecond, undefined);
+});
+
+t.test('an instance that does not share a limit sends nothing until the target has been silent for a minute', async t => {
+	const limit = new RequestLimit();
+	const last = (): LimitSharing => ({instances: 12, rank: 11});
+	limit.recordAnswer(1, 0, 0);
+	t.equal(limit.computeDelayMs(last, 59_000), Infinity);
+	t.ok(limit.computeDelayMs(last, 70_000) < Infinity);
+});
+
+/** A sender of one target, as one of several instances. */
+type Sender = {limit: RequestLimit; isUp: boolean; isCut: boolean; excusedUntilMs: number};
+
+type Fleet = Readonly<{instances: number; seed: number; perSecond: number; isDisturbed: boolean; /** Whether requests come in bursts, so that instances have saved up theirs. */ isBursty?: boolean}>;
+
+/** Simulates instances with more requests than a target takes; the target states its limit after two seconds. Returns the requests within each window, of instances that were neither restarted nor cut off lately. */
+function runFleet({instances, seed, perSecond, isDisturbed, isBursty = false}: Fleet): Readonly<{busiest: number; total: number}> {
+	const random: Random = createRandom(seed);
+	const create = (): Sender => ({
+		limit: new RequestLimit(), isUp: true, isCut: false, excusedUntilMs: 0,
+	});
+	const senders = Array.from({length: instances}, () => create());
+	const answers: Array<Readonly<{atMs: number; sender: Sender; limit: RequestLimit; sentMs: number; stated: number | undefined}>> = [];
+	const arrivals: number[] = [];
+	for (let nowMs = 0; nowMs < 30_000; nowMs += stepMs) {
+		if (isDisturbed && nowMs % 1000 === 0 && random.next() < 0.5) {
+			const sender = senders[random.integerBelow(senders.length)]!;
+			if (random.next() < 0.4) {
+				Object.assign(sender, create(), {excusedUntilMs: nowMs + contactMs});
+			} else if (random.next() < 0.5) {
+				sender.isCut = !sender.isCut;
+				sender.excusedUntilMs = nowMs + contactMs;
+			} else {
+				senders.push(create());
+			}
+		}
+
+		for (const answer of answers.splice(0)) {
+			if (answer.atMs <= nowMs) {
+				answer.limit.recordAnswer(answer.stated, answer.sentMs, nowMs);
+			} else {
+				answers.push(answer);
+			}
+		}
+
+		if (nowMs % 100 === 0) {
+			exchange(senders, nowMs);
+		}
+
+		for (const sender of senders) {
+			const {limit} = sender;
+			// An instance that is cut off from its peers takes itself for the only one.
+			const linked = senders.filter(({isCut}) => !isCut);
+			const sharing = (): LimitSharing => sender.isCut ? {instances: 1, rank: 0} : {instances: linked.length, rank: linked.indexOf(sender)};
+			const hasRequest = isBursty ? nowMs % 7000 < 100 : random.next() < 0.2;
+			if (hasRequest && limit.computeDelayMs(sharing, nowMs) === 0) {
+				limit.recordSent();
+				answers.push({
+					atMs: nowMs + 20 + random.integerBelow(200), sender, limit, sentMs: nowMs, stated: nowMs >= 2000 ? perSecond : undefined,
+				});
+				if (nowMs >= 2000 + contactMs && !sender.isCut && nowMs >= sender.excusedUntilMs && limit.perSecond !== undefined) {
+					arrivals.push(nowMs);
+				}
+			}
+		}
+	}
+
+	const busiest = Math.max(0, ...arrivals.map(startMs => arrivals.filter(atMs => atMs >= startMs && atMs < startMs + windowMs).length));
+	return {busiest, total: arrivals.length};
+}
+
+/** Tells the peers that are not cut off what each instance knows. */
+function exchange(senders: readonly Sender[], nowMs: number): void {
+	const linked = senders.filter(({isCut}) => !isCut);
+	for (const sender of linked) {
+		const announced = sender.limit.announce(nowMs);
+		for (const other of announced ? linked : []) {
+			if (other !== sender) {
+				other.limit.merge(announced!, nowMs);
+			}
+		}
+	}
+}
+
+// Guards against a limit that each instance keeps for itself, so that the target gets their sum.
+t.test('a limit holds for the sum over all instances', async t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 24}), fc.nat(1000), fc.constantFrom(0, 0.5, 1, 1.1, 3, 10, 40), (instances, seed, perSecond) => {
+		const {busiest, total} = runFleet({
+			instances, seed, perSecond, isDisturbed: false,
+		});
+		return busiest <= computeAllowed(perSecond) && total >= perSecond * 25 * 0.7;
+	}), {seed: 20, numRuns: 60});
+	t.pass('1 to 24 instances, limits of 0 to 40 requests a second');
+});
+
+t.test('a limit holds while instances are killed, cut off and added', async t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 16}), fc.nat(1000), fc.constantFrom(0.5, 1, 1.1, 3, 10, 40), (instances, seed, perSecond) => runFleet({
+		instances, seed, perSecond, isDisturbed: true,
+	}).busiest <= computeAllowed(perSecond)), {seed: 21, numRuns: 60});
+	t.pass('1 to 16 instances, and those that are added');
+});
+
+t.test('a limit holds when all instances have saved up requests', async t => {
+	for (const instances of [1, 3, 7, 12, 24]) {
+		for (const perSecond of [0.5, 1, 3, 10, 40]) {
+			const {busiest} = runFleet({
+				instances, seed: 5, perSecond, isDisturbed: false, isBursty: true,
+			});
+			t.ok(busiest <= computeAllowed(perSecond), `${instances} instances: ${busiest} requests in ${windowMs} ms at a limit of ${perSecond}`);
+		}
+	}
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -85,13 +85,14 @@
 		this.#pools = groupByPool(this.#states.values());
 	}
 
-	/** Lists the work that this instance has in progress on each target. */
+	/** Lists the work that this instance has in progress on each target, and the limits that the peers should know. */
 	listWork(): readonly TargetWork[] {
+		const nowMs = this.#clock.now();
 		return [...this.#states.values()]
-			.filter(({inFlight}) => inFlight > 0)
-			.map(({target, inFlight, pendingTokens}) => ({
-				target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(),
-			}));
+			.map(({target, inFlight, pendingTokens, requestLimit}) => ({
+				target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit: requestLimit.announce(nowMs),
+			}))
+			.filter(({requests, limit}) => requests > 0 || limit);
 	}
 
 	/** Replaces the work that a peer has in progress with its newest report. */
@@ -102,8 +103,12 @@
 
 		this.#targetIdsByPeer.set(peer, work.map(({target}) => target));
 		// Without counts by urgency, all tokens count as the most urgent.
-		for (const {target, requests, tokens, byUrgency = [tokens]} of work) {
-			this.#states.get(target)?.setPeerWork(peer, {requests, byUrgency}, nowMs);
+		for (const {target, requests, tokens, byUrgency = [tokens], limit} of work) {
+			const state = this.#states.get(target);
+			state?.setPeerWork(peer, {requests, byUrgency}, nowMs);
+			if (limit) {
+				state?.requestLimit.merge(limit, nowMs);
+			}
 		}
 	}
 
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -4,6 +4,7 @@
  * measured speed.
  */
 import type {TargetConnections} from './connections.ts';
+import {RequestLimit} from './request-limit.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
 import type {RelayTarget} from '#core';
 
@@ -50,6 +51,7 @@
 	inFlight = 0;
 	/** Prompt tokens that the target still has to read, of this instance's requests whose answer has not started. */
 	readonly pendingTokens = new TokenQueue();
+	readonly requestLimit = new RequestLimit();
 	/** Load that the target reported last. */
 	load: TargetLoad | undefined;
 	/** Time at which that load was received, in milliseconds. */
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -150,7 +150,7 @@
 	const relay = new Relay({
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
-		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, probe: async ({id}) => alive.has(id),
+		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), probe: async ({id}) => alive.has(id),
 		handleMismatch(state, mismatch) {
 			mismatches.push(`${state.target.id} ${mismatch}`);
 		},
