Tests: a limit when all instances have saved up requests

Cause: a trial with twenty sharers of a limit passed request-limit.test, as no instance had saved up a request there.

--- a/packages/relay/request-limit.test.ts
+++ b/packages/relay/request-limit.test.ts
@@ -50,30 +50,19 @@
 });
 
 /** A sender of one target, as one of several instances. */
-type Sender = {limit: RequestLimit; isUp: boolean; isCut: boolean; excusedUntilMs: number};
+type Sender = {limit: RequestLimit; isCut: boolean; excusedUntilMs: number};
 
 type Fleet = Readonly<{instances: number; seed: number; perSecond: number; isDisturbed: boolean; /** Whether requests come in bursts, so that instances have saved up theirs. */ isBursty?: boolean}>;
 
 /** Simulates instances with more requests than a target takes; the target states its limit after two seconds. Returns the requests within each window, of instances that were neither restarted nor cut off lately. */
 function runFleet({instances, seed, perSecond, isDisturbed, isBursty = false}: Fleet): Readonly<{busiest: number; total: number}> {
 	const random: Random = createRandom(seed);
-	const create = (): Sender => ({
-		limit: new RequestLimit(), isUp: true, isCut: false, excusedUntilMs: 0,
-	});
-	const senders = Array.from({length: instances}, () => create());
+	const senders = Array.from({length: instances}, () => createSender());
 	const answers: Array<Readonly<{atMs: number; sender: Sender; limit: RequestLimit; sentMs: number; stated: number | undefined}>> = [];
 	const arrivals: number[] = [];
-	for (let nowMs = 0; nowMs < 30_000; nowMs += stepMs) {
+	for (let nowMs = 0; nowMs < (isBursty ? 60_000 : 30_000); nowMs += stepMs) {
 		if (isDisturbed && nowMs % 1000 === 0 && random.next() < 0.5) {
-			const sender = senders[random.integerBelow(senders.length)]!;
-			if (random.next() < 0.4) {
-				Object.assign(sender, create(), {excusedUntilMs: nowMs + contactMs});
-			} else if (random.next() < 0.5) {
-				sender.isCut = !sender.isCut;
-				sender.excusedUntilMs = nowMs + contactMs;
-			} else {
-				senders.push(create());
-			}
+			disturb(senders, random, nowMs);
 		}
 
 		for (const answer of answers.splice(0)) {
@@ -93,7 +82,7 @@
 			// An instance that is cut off from its peers takes itself for the only one.
 			const linked = senders.filter(({isCut}) => !isCut);
 			const sharing = (): LimitSharing => sender.isCut ? {instances: 1, rank: 0} : {instances: linked.length, rank: linked.indexOf(sender)};
-			const hasRequest = isBursty ? nowMs % 7000 < 100 : random.next() < 0.2;
+			const hasRequest = isBursty ? nowMs % 28_000 < 400 : random.next() < 0.2;
 			if (hasRequest && limit.computeDelayMs(sharing, nowMs) === 0) {
 				limit.recordSent();
 				answers.push({
@@ -110,6 +99,23 @@
 	return {busiest, total: arrivals.length};
 }
 
+function createSender(): Sender {
+	return {limit: new RequestLimit(), isCut: false, excusedUntilMs: 0};
+}
+
+/** Kills an instance, cuts it off or connects it again, or adds one. */
+function disturb(senders: Sender[], random: Random, nowMs: number): void {
+	const sender = senders[random.integerBelow(senders.length)]!;
+	if (random.next() < 0.4) {
+		Object.assign(sender, createSender(), {excusedUntilMs: nowMs + contactMs});
+	} else if (random.next() < 0.5) {
+		sender.isCut = !sender.isCut;
+		sender.excusedUntilMs = nowMs + contactMs;
+	} else {
+		senders.push(createSender());
+	}
+}
+
 /** Tells the peers that are not cut off what each instance knows. */
 function exchange(senders: readonly Sender[], nowMs: number): void {
 	const linked = senders.filter(({isCut}) => !isCut);
