Relay: bytes without end from a target are bounded

Callers saw: with a target in trouble that sends bytes which are no answer and does not stop, a request that must not run twice waited until its deadline while the instance took in bytes.

Cause: only the size of a head's headers, of an event and of an error answer was bounded.

Why it works: twelve kinds of endless bytes on four kinds of routes end within 5 s of the test's clock, none as complete.

--- a/packages/relay/_answer-body.ts
+++ b/packages/relay/_answer-body.ts
@@ -40,6 +40,9 @@
 /** Maximum size of an event, in bytes; it bounds the memory that a target's incomplete event takes. */
 const maxEventBytes = 1_048_576;
 
+/** Maximum size of a body, in bytes: far more than the longest answer, for a target that does not stop sending. */
+const maxBodyBytes = 33_554_432;
+
 /** Details of faults that the framing of the body does not show. */
 const endFaults: Readonly<Partial<Record<BodyEnd, string>>> = {
 	inside_event: 'the stream ended inside an event',
@@ -88,6 +91,8 @@
 		if (this.#openEventBytes > maxEventBytes) {
 			// The next read returns the fault.
 			this.#exchange.abort(`an event is longer than ${maxEventBytes} bytes`);
+		} else if (this.#bytes > maxBodyBytes) {
+			this.#exchange.abort(`the answer is longer than ${maxBodyBytes} bytes`);
 		}
 
 		return {kind: 'data', bytes, events};
--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -20,11 +20,15 @@
 
 const maxHeaderBytes = 65_536;
 
+/** Interval at which an exchange is checked for bytes that are no part of an answer, in milliseconds. */
+const framingCheckIntervalMs = 100;
+
 /** A connection that carries one exchange at a time. */
 export class TargetConnection {
 	readonly #client: Client;
 	readonly #clock: Clock;
 	readonly #handleClose: () => void;
+	#socket: Socket | undefined;
 	#idleSinceMs: number;
 	#isOpen = true;
 	#hasBeenReset = false;
@@ -44,7 +48,8 @@
 			connect: (target, callback) => {
 				connect(target, (...result) => {
 					if (result[0] === null) {
-						this.#watchForReset(result[1]);
+						this.#socket = result[1];
+						this.#watchForReset(this.#socket);
 					}
 
 					callback(...result);
@@ -78,12 +83,17 @@
 	start(request: ExchangeRequest, recordReceived: () => number, handleEnd: (isReusable: boolean) => void): Exchange {
 		const exchange = new Exchange({
 			recordReceived,
+			countReceivedBytes: () => this.#socket?.bytesRead ?? 0,
 			hasBeenReset: () => this.#hasBeenReset,
 			handleEnd: isReusable => {
+				cancelCheck();
 				this.#idleSinceMs = this.#clock.now();
 				handleEnd(isReusable && this.#isOpen);
 			},
 		});
+		const cancelCheck = this.#clock.subscribe(framingCheckIntervalMs, () => {
+			exchange.checkFraming();
+		});
 		this.#client.dispatch({
 			method: request.method, path: request.path, headers: [...request.headers], body: request.body ?? null,
 		}, exchange);
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -47,6 +47,8 @@
 export type ExchangeCallbacks = Readonly<{
 	/** Called when a part of the answer arrives; returns the current time in milliseconds. */
 	recordReceived: () => number;
+	/** Returns the number of bytes that the connection has received in all. */
+	countReceivedBytes: () => number;
 	/** Whether the connection was reset; undici does not report this for an answer that ends with its connection. */
 	hasBeenReset: () => boolean;
 	/**
@@ -57,6 +59,12 @@
 	handleEnd: (isReusable: boolean) => void;
 }>;
 
+/** Maximum number of bytes received in a row that are neither a head nor a part of a body: interim answers, chunk headers, trailers and a head that does not end. Larger than the largest head and what the socket buffers. */
+const maxFramingBytes = 262_144;
+
+/** Maximum number of interim answers (RFC 9110, section 15.2) before the final one. */
+const maxInterimAnswers = 16;
+
 /** Maximum number of bytes buffered for the caller before the connection is paused. */
 const maxBufferedBytes = 65_536;
 
@@ -70,6 +78,9 @@
 	readonly #callbacks: ExchangeCallbacks;
 	readonly #chunks: Uint8Array[] = [];
 	#bufferedBytes = 0;
+	/** Bytes that the connection had received at the last head or part of a body. */
+	#progressBytes = 0;
+	#interimAnswers = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#head: AnswerHead | undefined;
 	#fault: ExchangeFault | undefined;
@@ -130,8 +141,16 @@
 		this.#controller?.abort(new Error(detail));
 	}
 
+	/** Aborts the exchange if the target keeps sending bytes that are no part of an answer. */
+	checkFraming(): void {
+		if (this.#isStarted && this.#callbacks.countReceivedBytes() - this.#progressBytes > maxFramingBytes) {
+			this.abort(`the target sent more than ${maxFramingBytes} bytes without a head or a part of a body`);
+		}
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.#controller = controller;
+		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		if (this.#isAborted) {
 			controller.abort(new Error(this.#fault?.detail ?? 'aborted'));
 			return;
@@ -141,17 +160,28 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-		if (status < 200 || this.#isAborted) {
+		if (this.#isAborted) {
+			return;
+		}
+
+		if (status < 200) {
+			this.#interimAnswers++;
+			if (this.#interimAnswers > maxInterimAnswers) {
+				this.abort(`the target sent more than ${maxInterimAnswers} interim answers`);
+			}
+
 			return;
 		}
 
 		this.lastReceivedMs = this.#callbacks.recordReceived();
+		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		this.#head = {status, headers: decodeHeaderLines(controller.rawHeaders)};
 		this.#notify();
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
 		this.lastReceivedMs = this.#callbacks.recordReceived();
+		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		this.#chunks.push(bytes);
 		this.#bufferedBytes += bytes.length;
 		if (this.#bufferedBytes > maxBufferedBytes) {
--- a/packages/standins/raw-target.ts
+++ b/packages/standins/raw-target.ts
@@ -23,6 +23,8 @@
 export type RawReply = Readonly<{
 	/** Writes text to the connection unchanged. */
 	write(text: string): void;
+	/** Writes text again and again, as fast as the connection takes it, until the router closes it. */
+	writeEndlessly(text: string): void;
 	/** Closes the connection after the written bytes are sent. */
 	close(): void;
 	/** Resets the connection. */
@@ -67,6 +69,9 @@
 				write(text) {
 					socket.write(text);
 				},
+				writeEndlessly(text) {
+					writeUntilClosed(socket, text);
+				},
 				close() {
 					socket.end();
 				},
@@ -100,3 +105,15 @@
 		},
 	};
 }
+
+function writeUntilClosed(socket: Socket, text: string): void {
+	while (socket.writable && socket.write(text)) {
+		// The socket takes more.
+	}
+
+	if (socket.writable) {
+		socket.once('drain', () => {
+			writeUntilClosed(socket, text);
+		});
+	}
+}
