Membership: the cached ranks of duties are bounded

Cause: each part on trial, archived quarantine and limited target is a duty of its own now, and ranks were kept until an instance joined or left. Change: all cached ranks are dropped at 4096. Result: types and lint pass; the ranks are the same, as they follow from the live instances alone.

--- a/packages/membership/_duty-ranking.ts
+++ b/packages/membership/_duty-ranking.ts
@@ -6,6 +6,9 @@
  */
 import {hash64} from '#core';
 
+/** Maximum number of cached ranks; all are dropped when it is reached. */
+const maxCachedRanks = 4096;
+
 /** Ranks of instances, by duty. */
 export class DutyRanking {
 	readonly #self: string;
@@ -28,6 +31,10 @@
 		if (rank === undefined) {
 			const ownHash = computeRankHash(duty, this.#self);
 			rank = this.#listOthers().filter(incarnation => computeRankHash(duty, incarnation) < ownHash).length;
+			if (this.#ownRanks.size >= maxCachedRanks) {
+				this.#ownRanks.clear();
+			}
+
 			this.#ownRanks.set(duty, rank);
 		}
 
