Dispatch: messages that crash engines are quarantined

Callers saw: on the product's own chat interface, a message that crashes engines crashed one after the other, as long as requests with it differed otherwise.

Change: the messages of a chat but the last are parts for the PartQuarantine, which an attempt asks before it takes its turn. A request that has not run is refused as crashes_targets. The options of the strikes of parts moved from the relay's instance to the quarantine package, where both instances take them; their values are the same.

Why it works: as for the relay, the message is in every crash and never answered.

--- a/packages/dispatch/_crash-guard.ts
+++ b/packages/dispatch/_crash-guard.ts
@@ -1,6 +1,7 @@
 /**
- * Isolates requests that crash targets. When a target crashes, each request that
- * was running there gets a strike. A request with strikes (a struck request) waits
+ * Isolates requests, and messages that requests share, that crash targets. When a
+ * target crashes, each request that was running there gets a strike, and so do
+ * the messages of those whose answers had not begun. A request with strikes (a struck request) waits
  * for its turn before each attempt, so that a target runs at most one struck
  * request at a time. A complete answer clears the strikes.
  */
@@ -9,13 +10,14 @@
 import type {AttemptFailure, Progress} from './_progress.ts';
 import type {Clock} from '#clock';
 import type {Placement, Placer} from '#placement';
-import type {Quarantine, StruckRequestTurns} from '#quarantine';
+import type {PartQuarantine, Quarantine, StruckRequestTurns} from '#quarantine';
 
 /** Dependencies of {@link CrashGuard}. */
 export type CrashGuardDependencies = Readonly<{
 	clock: Clock;
 	placer: Placer;
 	quarantine: Quarantine;
+	partQuarantine: PartQuarantine;
 	turns: StruckRequestTurns;
 }>;
 
@@ -48,37 +50,70 @@
 	/**
 	 * Admits an attempt. A struck request waits for its turn and may be placed on a target other than `preferred`.
 	 *
-	 * @returns `undefined` when the request was quarantined while it waited, no target is left, or `signal` has aborted
+	 * @returns `undefined` when the request was quarantined while it waited, a message of it is quarantined (`progress` then has the time to retry), no target is left, or `signal` has aborted
 	 */
 	async admit(preferred: Placement, progress: Progress, signal: AbortSignal): Promise<Admission | undefined> {
-		const {quarantine} = this.#dependencies;
-		const {fingerprint} = progress;
-		if (quarantine.countStrikes(fingerprint) === 0) {
-			return this.#admitUnstruck(preferred, progress);
+		const {quarantine, partQuarantine} = this.#dependencies;
+		const {fingerprint, prompt} = progress;
+		const parts = prompt && partQuarantine.admit(prompt);
+		if (parts?.isAdmitted === false) {
+			progress.partRetryAfterMs = parts.retryAfterMs;
+			return undefined;
 		}
 
-		const turn = await this.#acquireTurn(preferred, progress, signal);
-		if (turn && quarantine.getRefusalMs(fingerprint) > 0) {
-			turn.release();
+		const admission = await this.#admitRequest(preferred, progress, signal);
+		if (!admission) {
+			parts?.release();
 			return undefined;
 		}
 
-		return turn && {placement: turn.placement, strikeSignal: new AbortController().signal, release: turn.release};
+		return {
+			...admission,
+			release() {
+				admission.release();
+				parts?.release();
+			},
+		};
 	}
 
 	/** Changes the cause `lost` to `crashed` and records the crash, if the target's process has died. */
 	async classifyFailure(failure: AttemptFailure, {link, placement}: AttemptContext, progress: Progress, signal: AbortSignal): Promise<AttemptFailure> {
-		const {clock, quarantine} = this.#dependencies;
+		const {clock, quarantine, partQuarantine} = this.#dependencies;
 		if (failure.cause !== 'lost' || !await probeCrash(link, failure.incarnation, clock, signal)) {
 			return failure;
 		}
 
 		quarantine.recordCrash(progress.fingerprint, placement.target.name, failure.incarnation);
+		if (progress.prompt && !failure.hasAnswered) {
+			partQuarantine.recordCrash(progress.prompt, placement.target.name, failure.incarnation);
+		}
+
 		return {...failure, cause: 'crashed'};
 	}
 
-	recordCompletion({fingerprint}: Progress): void {
-		this.#dependencies.quarantine.recordCompletion(fingerprint);
+	recordCompletion({fingerprint, prompt}: Progress): void {
+		const {quarantine, partQuarantine} = this.#dependencies;
+		quarantine.recordCompletion(fingerprint);
+		if (prompt) {
+			partQuarantine.recordAnswer(prompt);
+		}
+	}
+
+	/** Admits an attempt by the strikes of the whole request. */
+	async #admitRequest(preferred: Placement, progress: Progress, signal: AbortSignal): Promise<Admission | undefined> {
+		const {quarantine} = this.#dependencies;
+		const {fingerprint} = progress;
+		if (quarantine.countStrikes(fingerprint) === 0) {
+			return this.#admitUnstruck(preferred, progress);
+		}
+
+		const turn = await this.#acquireTurn(preferred, progress, signal);
+		if (turn && quarantine.getRefusalMs(fingerprint) > 0) {
+			turn.release();
+			return undefined;
+		}
+
+		return turn && {placement: turn.placement, strikeSignal: new AbortController().signal, release: turn.release};
 	}
 
 	/** Admits an attempt at once. It is aborted when a crash is recorded against the same request, if the request may be repeated and no part of its answer was delivered. */
--- a/packages/dispatch/_progress.ts
+++ b/packages/dispatch/_progress.ts
@@ -3,7 +3,9 @@
 import {
 	causeRules, classifyRun, mergeRunStates, type AttemptCause,
 } from './retry.ts';
-import type {RefusalReason, RoutedRequest, RunState} from '#core';
+import {
+	hash64, type Prompt, type RefusalReason, type RoutedRequest, type RunState,
+} from '#core';
 import type {ChainFactory} from '#placement';
 import {computeFingerprint} from '#quarantine';
 
@@ -29,6 +31,10 @@
 	readonly answer: Answer;
 	/** Identifies the request in the quarantine; equal when the same request is submitted again. */
 	readonly fingerprint: string;
+	/** The messages of a chat as parts of a prompt, for the quarantine; absent for plain services. */
+	readonly prompt: Prompt | undefined;
+	/** Time after which the request may be retried if a message of it is quarantined, in milliseconds. */
+	partRetryAfterMs: number | undefined;
 	/** Names of targets that are not tried again in this round. */
 	readonly excluded = new Set<string>();
 	/** Whether any attempt has run; part of the refusal. */
@@ -51,6 +57,7 @@
 		this.createChain = createChain;
 		this.answer = answer;
 		this.fingerprint = computeFingerprint(request);
+		this.prompt = createPrompt(request);
 		this.shouldUseNewConnection = !request.isRepeatable;
 	}
 
@@ -105,3 +112,12 @@
 		return true;
 	}
 }
+
+function createPrompt({pool, work}: RoutedRequest): Prompt | undefined {
+	return work.kind === 'chat'
+		? {
+			model: pool.model ?? pool.name, inputTokens: 0, maxOutputTokens: work.maxTokens,
+			parts: work.messages.map(({role, content}) => ({key: hash64(`${role}\n${content}`), tokens: 0})),
+		}
+		: undefined;
+}
--- a/packages/dispatch/dispatcher.test.ts
+++ b/packages/dispatch/dispatcher.test.ts
@@ -12,7 +12,9 @@
 	EngineStandin, ScriptedTarget, ServiceStandin, createAnswerSlices,
 } from '#standins';
 import {createNoopBus} from '#peer-protocol';
-import {computeFingerprint, Quarantine, StruckRequestTurns} from '#quarantine';
+import {
+	computeFingerprint, PartQuarantine, Quarantine, StruckRequestTurns,
+} from '#quarantine';
 import {createTelemetry} from '#telemetry';
 
 t.before(prepareHash);
@@ -57,6 +59,11 @@
 	});
 	const dispatcher = new Dispatcher({
 		clock, random, telemetry, views, placer, links, quarantine,
+		partQuarantine: new PartQuarantine({
+			clock, telemetry, getRank: () => 0, strikes: new Quarantine({
+				clock, random, telemetry, bus,
+			}, {namespace: 'part'}),
+		}),
 		turns: new StruckRequestTurns({clock, random, bus}),
 	}, options);
 	const callerAbort = new AbortController();
--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -137,6 +137,10 @@
 			return createRefusal('quarantined', {ran: progress.ran === 'not_run' ? 'unknown' : progress.ran, retryAfterMs: quarantineMs});
 		}
 
+		if (progress.partRetryAfterMs !== undefined) {
+			return createRefusal(progress.ran === 'not_run' ? 'crashes_targets' : 'quarantined', {ran: progress.ran, retryAfterMs: progress.partRetryAfterMs});
+		}
+
 		const reason = signal.aborted ? 'deadline_exceeded' : progress.reason;
 		return createRefusal(reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? defaultRetryAfterMs});
 	}
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -22,7 +22,7 @@
 } from '#object-store';
 import {runWorkExchange} from '#placement';
 import {
-	PartQuarantine, Quarantine, runQuarantineArchive, runStrikeSync, type QuarantineOptions,
+	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
 	CachedParts, OriginExchange, Relay, resolveOrigin, runPartExchange, StreamOrigins, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
@@ -112,11 +112,6 @@
 /** Time for which a crash counts against a request, in milliseconds. */
 const strikeRetentionMs = 60_000;
 
-/** Strikes of prompt parts. A quarantine is kept for twice the longest delay between two trials, so that only a trial ends it while requests still come. */
-const partStrikeOptions = {
-	namespace: 'part', strikeLimit: maxCrashes, retentionMs: 600_000, quarantineRetentionMs: 3_600_000, rebroadcastPeriodMs: 60_000, maxEntries: 4096,
-} as const satisfies QuarantineOptions;
-
 /** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
 const minRegisterRetryDelayMs = 500;
 const maxRegisterRetryDelayMs = 10_000;
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -13,7 +13,7 @@
 import type {Clock} from '#clock';
 import {ConfigurationStore} from '#configuration';
 import {
-	createRefusal, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type Result, type RoutedRequest,
+	createRefusal, hash64, type AnswerEvent, type Configuration, type Customer, type RefusalReason, type Result, type RoutedRequest,
 	type Route, type Random, type TargetConnector,
 } from '#core';
 import {Dispatcher, TargetLinks} from '#dispatch';
@@ -25,7 +25,9 @@
 import {
 	createObjectStoreClient, type InstanceEntry, type ObjectStore, type ObjectStoreClientOptions,
 } from '#object-store';
-import {Quarantine, StruckRequestTurns} from '#quarantine';
+import {
+	PartQuarantine, partStrikeOptions, Quarantine, StruckRequestTurns,
+} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
 /** Dependencies of {@link createRouter}. */
@@ -85,10 +87,16 @@
 		clock, random, telemetry, bus: dependencies.bus,
 	});
 	const turns = new StruckRequestTurns({clock, random, bus: dependencies.bus});
+	const incarnation = dependencies.incarnation ?? random.createId();
+	const partStrikes = new Quarantine({
+		clock, random, telemetry, bus: dependencies.bus,
+	}, partStrikeOptions);
+	const partQuarantine = new PartQuarantine({
+		clock, telemetry, strikes: partStrikes, getRank: duty => computeRank(duty, dependencies.bus, incarnation),
+	});
 	const dispatcher = new Dispatcher({
-		clock, random, telemetry, views, placer, links, quarantine, turns,
+		clock, random, telemetry, views, placer, links, quarantine, partQuarantine, turns,
 	});
-	const incarnation = dependencies.incarnation ?? random.createId();
 	const admission = new Admission({
 		clock, bus: dependencies.bus, telemetry, name: dependencies.name, incarnation, getConfiguration: () => configuration.current,
 		countTargets: pool => pool.targets.filter(target => !views.get(target.name).isDraining).length,
@@ -186,6 +194,7 @@
 			admission.close();
 			stopping.abort();
 			quarantine.close();
+			partStrikes.close();
 			turns.close();
 			await Promise.all(tasks);
 			await links.close();
@@ -218,3 +227,9 @@
 
 	return event;
 }
+
+/** Computes the rank of this instance among the live ones for a duty; 0 is the first. */
+function computeRank(duty: string, bus: PeerBus, self: string): number {
+	const ownHash = hash64(`${duty} ${self}`);
+	return bus.listPeers().filter(({incarnation}) => hash64(`${duty} ${incarnation}`) < ownHash).length;
+}
--- a/packages/quarantine/fleet.test.ts
+++ b/packages/quarantine/fleet.test.ts
@@ -16,6 +16,9 @@
 
 /** With seeds 41, 71 and 111 three targets crashed when ties between targets were broken at random. */
 const seeds = [1, 41, 71, 111, 181, 191];
+/** Interval at which crashed engines are restarted, in milliseconds. */
+const restartIntervalMs = 3000;
+
 const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
 const file = {
 	service: 'stock',
@@ -46,9 +49,9 @@
 	});
 	await clock.advanceUntil(() => routers.every(router => router.configuration.current !== undefined), 2000);
 	await clock.advance(300);
-	const send = (router: number, content: string) => {
+	const send = (router: number, ...contents: readonly string[]) => {
 		const work = {
-			kind: 'chat', messages: [{role: 'user', content}], maxTokens: 30, extra: {},
+			kind: 'chat', messages: contents.map(content => ({role: 'user', content})), maxTokens: 30, extra: {},
 		} as const;
 		const events: AnswerEvent[] = [];
 		void (async () => {
@@ -98,3 +101,34 @@
 		await checkFleet(t, seed);
 	});
 }
+
+// Guards against a message that crashes engine after engine because requests with it were recognised by their whole content only.
+for (const seed of seeds) {
+	t.test(`requests that share a message which crashes targets are stopped, and others with their system prompt are answered (seed ${seed})`, async t => {
+		const {clock, engines, send, countCrashes} = await start(3, seed);
+		for (const engine of engines.values()) {
+			let restarts = 0;
+			clock.subscribe(restartIntervalMs, () => {
+				if (engine.crashes > restarts) {
+					restarts = engine.crashes;
+					engine.restart();
+				}
+			});
+		}
+
+		const harmless = [];
+		const poisonous = [];
+		for (let attempt = 0; attempt < 30; attempt++) {
+			poisonous.push(send(attempt % 3, 'you are a clerk', 'open the gate !!crash!!', `question ${attempt}`));
+			await clock.advance(200);
+			harmless.push(send((attempt + 1) % 3, 'you are a clerk', `file ${attempt % 4}`, `question ${attempt}`));
+			await clock.advance(800);
+		}
+
+		await clock.advance(25_000);
+		t.ok(countCrashes() <= 8, `${countCrashes()} crashes`);
+		t.ok(poisonous.every(({events}) => events.at(-1)?.kind === 'refused'), 'no request with the message is answered');
+		const answered = harmless.slice(10).filter(({events}) => events.at(-1)?.kind === 'end').length;
+		t.ok(answered >= 19, `${answered} of 20 later requests answered`);
+	});
+}
--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -1,6 +1,8 @@
 /** Quarantines requests, and parts of prompts, that crash the targets they run on. */
 export {computeFingerprint, computeRelayFingerprint} from './fingerprint.ts';
-export {PartQuarantine, type PartAdmission, type PartQuarantineDependencies} from './part-quarantine.ts';
+export {
+	PartQuarantine, partStrikeOptions, type PartAdmission, type PartQuarantineDependencies,
+} from './part-quarantine.ts';
 export {
 	Quarantine, type QuarantineDependencies, type QuarantineOptions, type StrikeRecord,
 } from './quarantine.ts';
--- a/packages/quarantine/part-quarantine.ts
+++ b/packages/quarantine/part-quarantine.ts
@@ -14,7 +14,7 @@
  * with the number of failed trials. Prompts with fewer quarantined parts go
  * first, as their outcome says more about each of them.
  */
-import type {Quarantine, StrikeRecord} from './quarantine.ts';
+import type {Quarantine, QuarantineOptions, StrikeRecord} from './quarantine.ts';
 import type {Clock} from '#clock';
 import {hash64, type Prompt} from '#core';
 import type {Telemetry} from '#telemetry';
@@ -33,6 +33,11 @@
 	= | Readonly<{isAdmitted: true; /** Must be called once the outcome of the attempt has been recorded. */ release: () => void}>
 		| Readonly<{isAdmitted: false; /** Key of the part for which the prompt is refused. */ part: string; /** Time after which a trial may be possible, in milliseconds. */ retryAfterMs: number}>;
 
+/** Options of the quarantine that keeps the strikes of parts. A quarantine is kept for twice the longest delay between two trials, so that only a trial ends it while requests still come. */
+export const partStrikeOptions = {
+	namespace: 'part', strikeLimit: 3, retentionMs: 600_000, quarantineRetentionMs: 3_600_000, rebroadcastPeriodMs: 60_000, maxEntries: 4096,
+} as const satisfies QuarantineOptions;
+
 /** Maximum number of parts of a prompt that are tracked, the outermost first; it bounds the messages that a crash causes. */
 const maxParts = 64;
 
--- a/packages/quarantine/testing/crashing-fleet.ts
+++ b/packages/quarantine/testing/crashing-fleet.ts
@@ -1,5 +1,5 @@
 /** Simulates instances that send prompts to targets, some of which hold a part that crashes each target which begins to answer it. Instances are killed, restarted, cut off and added meanwhile. */
-import {PartQuarantine} from '../part-quarantine.ts';
+import {PartQuarantine, partStrikeOptions} from '../part-quarantine.ts';
 import {runQuarantineArchive} from '../quarantine-archive.ts';
 import {Quarantine} from '../quarantine.ts';
 import {runStrikeSync} from '../strike-sync.ts';
@@ -76,9 +76,7 @@
 		const bus = network.join({name, zone: 'z', incarnation: `${name}@${processes++}`});
 		const strikes = new Quarantine({
 			clock, random: createRandom(seed + processes), telemetry, bus,
-		}, {
-			namespace: 'part', strikeLimit: 3, retentionMs: 600_000, quarantineRetentionMs: 3_600_000, rebroadcastPeriodMs: 60_000,
-		});
+		}, partStrikeOptions);
 		const stopping = new AbortController();
 		const rank = (duty: string) => getRank(name, duty);
 		void runStrikeSync({
