--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -4,8 +4,9 @@
 	PartQuarantine, partStrikeOptions, type PartAdmission, type PartQuarantineDependencies,
 } from './part-quarantine.ts';
 export {
-	Quarantine, type QuarantineDependencies, type QuarantineOptions, type StrikeRecord,
+	Quarantine, type QuarantineDependencies, type StrikeRecord,
 } from './quarantine.ts';
+export type {QuarantineOptions} from './quarantine-options.ts';
 export {runQuarantineArchive, type QuarantineArchiveDependencies} from './quarantine-archive.ts';
 export {runStrikeSync, type StrikeSyncDependencies} from './strike-sync.ts';
 export {
--- a/packages/quarantine/part-quarantine.ts
+++ b/packages/quarantine/part-quarantine.ts
@@ -14,7 +14,8 @@
  * with the number of failed trials. Prompts with fewer quarantined parts go
  * first, as their outcome says more about each of them.
  */
-import type {Quarantine, QuarantineOptions, StrikeRecord} from './quarantine.ts';
+import type {QuarantineOptions} from './quarantine-options.ts';
+import type {Quarantine, StrikeRecord} from './quarantine.ts';
 import type {Clock} from '#clock';
 import {hash64, type Prompt} from '#core';
 import type {Telemetry} from '#telemetry';
--- a/packages/quarantine/quarantine.test.ts
+++ b/packages/quarantine/quarantine.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import {Quarantine, type QuarantineOptions} from './quarantine.ts';
+import {Quarantine} from './quarantine.ts';
+import type {QuarantineOptions} from './quarantine-options.ts';
 import {ManualClock} from '#clock';
 import {createRandom} from '#core';
 import {PeerNetworkStandin} from '#standins';
