Quarantine: a peer whose link closed before its answer is asked again

Cause: only a time-out made an instance ask a peer for its strikes again; a link that closed and opened within 100 ms left it without them until they were repeated. Change: any failure but that of a peer which cannot answer. Result: part-quarantine.test passes; found by reading.

--- a/packages/quarantine/strike-sync.ts
+++ b/packages/quarantine/strike-sync.ts
@@ -49,7 +49,8 @@
 				for (const quarantine of quarantines) {
 					quarantine.importStrikes(response.value.strikes);
 				}
-			} else if (response.error === 'timeout') {
+			} else if (response.error !== 'unanswered') {
+				// A peer of an older version cannot answer; any other one is asked again.
 				asked.delete(peer.incarnation);
 			}
 		}));
