Relay: the time to retry at limits is computed where it is used

Change: a method of its own, called where all targets have reached their limits; the head of choose-target names what it brings up to date. Result: relay.test, choose-target.test and target-limits.test pass unchanged.

--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -1,8 +1,9 @@
 /**
  * Chooses the target of an attempt by its cost: the expected time until the
  * answer starts, plus cost terms, such as for stale weights or for another
- * availability zone. The choice only reads its input, so that tests can
- * simulate loads without sending requests.
+ * availability zone. The choice only reads its input, except that limits which
+ * targets state are brought up to date, so that tests can simulate loads without
+ * sending requests.
  */
 import type {CachedParts} from './cached-parts.ts';
 import type {LimitSharing} from './request-limit.ts';
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -14,6 +14,7 @@
 import {RelayProgress} from './_progress.ts';
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
 import type {TargetSet} from './target-set.ts';
+import type {TargetState} from './target-state.ts';
 import {
 	createRefusal, type Random, type Refusal, type RelayPool, type RelayRequest, type RunState,
 } from '#core';
@@ -175,13 +176,19 @@
 		});
 		if (typeof choice === 'string') {
 			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
-			const limitDelayMs = Math.min(...poolTargets.map(state => computeLimitDelayMs({getLimitSharing, nowMs}, state)));
-			progress.retryAfterMs = choice === 'limits_reached' && limitDelayMs > 0 ? Math.min(limitDelayMs, noTargetRules[choice].retryAfterMs) : noTargetRules[choice].retryAfterMs;
+			progress.retryAfterMs = choice === 'limits_reached' ? this.#computeLimitRetryMs(poolTargets) : noTargetRules[choice].retryAfterMs;
 		}
 
 		return choice;
 	}
 
+	/** Computes the time until this instance may send a request to one of a pool's targets, all of which have stated limits, in milliseconds. */
+	#computeLimitRetryMs(targets: readonly TargetState[]): number {
+		const {clock, getLimitSharing} = this.#dependencies;
+		const delaysMs = targets.map(state => computeLimitDelayMs({getLimitSharing, nowMs: clock.now()}, state)).filter(delayMs => delayMs > 0);
+		return Math.min(noTargetRules.limits_reached.retryAfterMs, ...delaysMs);
+	}
+
 	/**
 	 * Chooses the next target of a request and its urgency there. A request that
 	 * will miss its promised time gets the lowest urgency, so that it does not
