--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -47,7 +47,6 @@
 
 /** Maximum number of entries that are broadcast again per interval. */
 const maxRebroadcastEntries = 64;
-
 /** Separates the namespace from the fingerprint in messages. */
 const namespaceSeparator = ':';
 
@@ -55,7 +54,6 @@
 export class Quarantine {
 	/** Emits a fingerprint when it is one strike short of the limit or beyond, and its strikes change. */
 	readonly events = new Emittery<{changed: string}>();
-	/** Number of crashes at which a fingerprint is quarantined. */
 	readonly strikeLimit: number;
 	readonly #dependencies: QuarantineDependencies;
 	readonly #prefix: string;
@@ -65,7 +63,6 @@
 	readonly #maxEntries: number;
 	readonly #rebroadcastIntervalMs: number;
 	readonly #entries = new Map<string, Entry>();
-	/** Fingerprints that have reached the strike limit. */
 	readonly #quarantined = new Set<string>();
 	readonly #subscribers = new Map<string, Set<() => void>>();
 	readonly #cancels: readonly Cancel[];
@@ -111,8 +108,7 @@
 
 	/** Lists up to `maxCount` quarantined fingerprints with their strikes, the newest quarantines first. */
 	listQuarantines(maxCount: number): ReadonlyArray<readonly [string, StrikeRecord]> {
-		const newest = [...this.#quarantined].reverse().slice(0, maxCount); // eslint-disable-line unicorn/no-array-reverse -- the copy is reversed
-		return newest.flatMap(fingerprint => {
+		return [...this.#quarantined].slice(-maxCount).toReversed().flatMap(fingerprint => {
 			const entry = this.#find(fingerprint);
 			return entry ? [[fingerprint, entry] as const] : [];
 		});
