--- a/packages/quarantine/quarantine.test.ts
+++ b/packages/quarantine/quarantine.test.ts
@@ -74,3 +74,43 @@
 	t.equal(quarantine.countStrikes('f999'), 1);
 	t.equal(quarantine.countStrikes('f0'), 0);
 });
+
+t.test('strikes of another namespace on the same bus are ignored', async t => {
+	const {clock, network, join} = start();
+	const requests = join('a');
+	const parts = new Quarantine({
+		clock, random: createRandom(5), telemetry: createTelemetry({level: 'silent'}), bus: network.join({name: 'b', zone: 'z', incarnation: 'b'}),
+	}, {namespace: 'part'});
+	parts.recordCrash('f', 'e1', 'i1');
+	await clock.advance(10);
+	requests.recordCrash('g', 'e1', 'i1');
+	await clock.advance(10);
+	t.same([requests.size, requests.countStrikes('f'), parts.size, parts.countStrikes('g')], [1, 0, 1, 0]);
+});
+
+// Guards against old crashes that a peer adds again to a fingerprint which has been cleared more often than is remembered.
+t.test('the newest cleared crashes stay cleared, however many there were', async t => {
+	const {clock, join} = start();
+	const [a, b] = [join('a'), join('b')];
+	for (let crash = 0; crash < 40; crash++) {
+		a.recordCrash('f', 'e1', `i${crash}`);
+		a.recordCompletion('f');
+		await clock.advance(10);
+		b.recordCrash('f', 'e1', `i${crash}`);
+		await clock.advance(10);
+		t.same([a.countStrikes('f'), b.countStrikes('f')], [0, 0]);
+	}
+});
+
+t.test('a quarantine outlives an overflow of other fingerprints', async t => {
+	const {join} = start({maxEntries: 10});
+	const quarantine = join('a');
+	quarantine.recordCrash('bad', 'e1', 'i1');
+	quarantine.recordCrash('bad', 'e2', 'i1');
+	for (let index = 0; index < 100; index++) {
+		quarantine.recordCrash(`f${index}`, 'e1', 'i1');
+	}
+
+	t.equal(quarantine.size, 10);
+	t.ok(quarantine.getQuarantine('bad'));
+});
