Quarantine: the archive removes only what may exist

A part that many prompts share gets two strikes and is cleared moments later; each of two instances then removed an object that had never been written, a call to the store for nothing, although the comment said that there is none. Change: an instance removes the objects that it has written or read; that holds whatever its rank is by then. Result: quarantine-archive.test failed before (one write in place of none) and passes; part-quarantine.test passes unchanged. The head of the module is wrapped.

--- a/packages/quarantine/quarantine-archive.ts
+++ b/packages/quarantine/quarantine-archive.ts
@@ -1,8 +1,9 @@
 /**
  * Keeps quarantines in the object store, so that they outlive all instances. Each
  * fingerprint that is quarantined, or will be with its next strike, is one object,
- * written by the instances that rank first for it, and removed when it is cleared. An instance reads the objects once, when it starts;
- * after that it learns of changes from its peers.
+ * written by the instances that rank first for it, and removed when it is cleared
+ * by those that have written or read it. An instance reads the objects once, when
+ * it starts; after that it learns of changes from its peers.
  */
 import type {Quarantine} from './quarantine.ts';
 import type {Clock} from '#clock';
@@ -24,7 +25,7 @@
 /** Number of instances that write each quarantine: the first one may end before it has done so. */
 const writerCount = 2;
 
-/** Interval at which changed quarantines are written, in milliseconds; one that is cleared sooner causes no call. */
+/** Interval at which changed quarantines are written, in milliseconds; one that is cleared before that causes no call. */
 const writeIntervalMs = 500;
 
 /** Delay before the objects are read again after a failure, in milliseconds. */
@@ -37,6 +38,8 @@
 export async function runQuarantineArchive(dependencies: QuarantineArchiveDependencies, signal: AbortSignal): Promise<void> {
 	const {clock, quarantine} = dependencies;
 	const pending = new Set<string>();
+	/** Fingerprints whose objects this instance has written or read, and which may therefore exist. */
+	const archived = new Set<string>();
 	const unsubscribe = quarantine.events.on('changed', fingerprint => {
 		if (pending.size < maxPending) {
 			pending.add(fingerprint);
@@ -46,12 +49,12 @@
 	let nextReadMs = clock.now();
 	while (!signal.aborted) {
 		if (!isRead && clock.now() >= nextReadMs) {
-			isRead = await readArchive(dependencies);
+			isRead = await readArchive(dependencies, archived);
 			nextReadMs = clock.now() + readRetryDelayMs;
 		}
 
 		for (const fingerprint of pending) {
-			if (await writeQuarantine(dependencies, fingerprint)) {
+			if (await writeQuarantine(dependencies, fingerprint, archived)) {
 				pending.delete(fingerprint);
 			}
 		}
@@ -63,7 +66,7 @@
 }
 
 /** Imports the archived quarantines, and removes those that have expired or cannot be read. Returns whether the store answered. */
-async function readArchive({store, kind, quarantine, clock, telemetry}: QuarantineArchiveDependencies): Promise<boolean> {
+async function readArchive({store, kind, quarantine, clock, telemetry}: QuarantineArchiveDependencies, archived: Set<string>): Promise<boolean> {
 	const listed = await store.list(`${kind}/`);
 	if (!listed.ok) {
 		return false;
@@ -74,6 +77,7 @@
 		const strike = decodeStrike(stored);
 		if (strike && strike.untilWallMs > clock.getWallTimeMs()) {
 			strikes.push(strike);
+			archived.add(stored.key.slice(kind.length + 1));
 		} else {
 			telemetry.log('archived quarantine removed: it has expired or cannot be decoded', {key: stored.key});
 			await store.remove(stored.key, {ifVersion: stored.version});
@@ -89,14 +93,20 @@
 }
 
 /** Writes or removes one quarantine. Returns whether nothing is left to do. */
-async function writeQuarantine({store, kind, quarantine, getRank, telemetry}: QuarantineArchiveDependencies, fingerprint: string): Promise<boolean> {
-	if (getRank(`archive ${fingerprint}`) >= writerCount) {
+async function writeQuarantine({store, kind, quarantine, getRank, telemetry}: QuarantineArchiveDependencies, fingerprint: string, archived: Set<string>): Promise<boolean> {
+	const key = `${kind}/${fingerprint}`;
+	const strike = quarantine.exportStrike(fingerprint);
+	if (strike ? getRank(`archive ${fingerprint}`) >= writerCount : !archived.has(fingerprint)) {
 		return true;
 	}
 
-	const key = `${kind}/${fingerprint}`;
-	const strike = quarantine.exportStrike(fingerprint);
+	// A write whose answer is lost may have taken effect.
+	archived.add(fingerprint);
 	const written = await (strike ? store.put(key, JSON.stringify(strike)) : store.remove(key));
+	if (written.ok && !strike) {
+		archived.delete(fingerprint);
+	}
+
 	if (!written.ok) {
 		telemetry.log('quarantine could not be archived; will be tried again', {fingerprint, detail: written.error.detail});
 	}
