Relay: targets without work or limits take nothing in the list of work

Since limits are told to peers, the list of work, made up to ten times a second, built an entry for each target and dropped most of them. Change: an entry is built only for a target with work or with a limit to tell. Result: target-set.test and target-limits.test pass unchanged.

--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -88,11 +88,14 @@
 	/** Lists the work that this instance has in progress on each target, and the limits that the peers should know. */
 	listWork(): readonly TargetWork[] {
 		const nowMs = this.#clock.now();
-		return [...this.#states.values()]
-			.map(({target, inFlight, pendingTokens, requestLimit}) => ({
-				target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit: requestLimit.announce(nowMs),
-			}))
-			.filter(({requests, limit}) => requests > 0 || limit);
+		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, requestLimit}) => {
+			const limit = requestLimit.announce(nowMs);
+			return inFlight > 0 || limit
+				? [{
+					target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit,
+				}]
+				: [];
+		});
 	}
 
 	/** Replaces the work that a peer has in progress with its newest report. */
