--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -13,6 +13,8 @@
 	connectTimeoutMs: number;
 	/** Idle timeout of a connection if the target states none, in milliseconds. */
 	idleTimeoutMs: number;
+	/** Opens the TCP connection. Default: the connector of undici, with the timeout. */
+	connector?: buildConnector.connector | undefined;
 }>;
 
 /** Time by which a connection is closed before the idle timeout that the target states, in milliseconds. */
@@ -41,7 +43,7 @@
 		this.#clock = clock;
 		this.#handleClose = handleClose;
 		this.#idleSinceMs = clock.now();
-		const connect = buildConnector({timeout: options.connectTimeoutMs, keepAlive: false});
+		const connect = options.connector ?? buildConnector({timeout: options.connectTimeoutMs, keepAlive: false});
 		this.#client = new Client(`http://${address}`, {
 			pipelining: 1, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: options.idleTimeoutMs,
 			keepAliveTimeoutThreshold: idleMarginMs, maxHeaderSize: maxHeaderBytes,
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -18,3 +18,4 @@
 export {
 	startRawTarget, type RawReply, type RawRequest, type RawScript, type RawTarget,
 } from './raw-target.ts';
+export {LinkSwitch, type LinkFault} from './link-switch.ts';
