Peer protocol: channels carry a request and its streamed answer

Cause: what instances send each other are messages and single responses of bounded size; none can carry a caller's request to a peer and its answer back as it arrives. Change: envelopes of a channel, numbered by the end that opens it, with credit for the bytes of an answer; the hello names the extensions that a program understands, and channels are opened only to peers that name this one, so that older instances get no envelope they would close the link for. Heartbeats may list pools that the sender does not reach; older instances ignore the field. Result: no caller uses it yet; tests of the peer protocol and of the membership pass.

--- a/packages/membership/links.ts
+++ b/packages/membership/links.ts
@@ -2,12 +2,13 @@
  * The open links of an instance. Delivers messages and requests from peers to
  * their handlers, and forwards relayed messages.
  */
+import {Channels} from './_channels.ts';
 import {PendingRequests} from './_pending-requests.ts';
 import {SeenIds} from './_seen-ids.ts';
 import type {Clock} from '#clock';
 import {fail, type Result} from '#core';
 import type {
-	Envelope, Peer, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerIdentity, PeerLink, PeerMessage, PeerMessageKind, PeerRequest,
+	ChannelHandler, ChannelReceiver, Envelope, Peer, PeerChannel, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerIdentity, PeerLink, PeerMessage, PeerMessageKind, PeerRequest,
 	PeerRequestFailure, PeerRequestKind, PeerResponse,
 } from '#peer-protocol';
 import type {Telemetry} from '#telemetry';
@@ -30,6 +31,7 @@
 	readonly #messageHandlers = new Map<string, Set<MessageHandler>>();
 	readonly #requestHandlers = new Map<string, RequestHandler>();
 	readonly #pendingRequests: PendingRequests;
+	readonly #channels = new Channels();
 	readonly #seenIds = new SeenIds();
 	#relayedCount = 0;
 
@@ -76,6 +78,7 @@
 	/** Removes a closed link and fails its pending requests. */
 	remove(link: PeerLink): void {
 		this.#pendingRequests.abortAll(link);
+		this.#channels.abortAll(link);
 		if (link.peer && this.#links.get(link.peer.incarnation) === link) {
 			this.#links.delete(link.peer.incarnation);
 		}
@@ -125,6 +128,21 @@
 		return link ? this.#pendingRequests.send(link, request) : fail('no_link');
 	}
 
+	/** Lists the neighbours to which a channel can be opened. */
+	listChannelPeers(): readonly Peer[] {
+		return this.list().filter(link => link.hasExtension('channels')).map(link => link.peer!);
+	}
+
+	/** Opens a channel to a neighbour; see {@link PeerBus.openChannel}. */
+	openChannel(to: Peer, receiver: ChannelReceiver): PeerChannel | undefined {
+		const link = this.get(to.incarnation);
+		return link?.hasExtension('channels') ? this.#channels.open(link, receiver) : undefined;
+	}
+
+	setChannelHandler(handler: ChannelHandler): void {
+		this.#channels.setHandler(handler);
+	}
+
 	/** Handles an envelope from a peer. */
 	handleEnvelope(link: PeerLink, envelope: Envelope): void {
 		const from = link.peer!;
@@ -155,6 +173,11 @@
 
 			case 'response': {
 				this.#pendingRequests.handleResponse(link, envelope.id, envelope.response);
+				return;
+			}
+
+			case 'channel': {
+				this.#channels.handleEnvelope(link, envelope);
 			}
 		}
 	}
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -161,6 +161,11 @@
 			setRequestHandler(kind, handler) {
 				links.setRequestHandler(kind, handler);
 			},
+			listChannelPeers: () => links.listChannelPeers(),
+			openChannel: (to, receiver) => links.openChannel(to, receiver),
+			setChannelHandler(handler) {
+				links.setChannelHandler(handler);
+			},
 		};
 	}
 
--- a/packages/peer-protocol/bus.ts
+++ b/packages/peer-protocol/bus.ts
@@ -1,4 +1,5 @@
 /** The interface through which the parts of an instance exchange messages and requests with its peers. */
+import type {ChannelPart} from './channel.ts';
 import type {PeerMessage, PeerMessageKind, PeerMessageOf} from './messages.ts';
 import type {
 	PeerRequest, PeerRequestKind, PeerRequestOf, PeerResponseOf,
@@ -26,6 +27,26 @@
 /** Returns the response to a request of a kind, or `undefined` when this instance cannot answer it. */
 export type PeerRequestHandler<Kind extends PeerRequestKind> = (request: PeerRequestOf<Kind>, from: Peer) => PeerResponseOf<Kind> | undefined;
 
+/** Handles what the other end of a channel sends. */
+export type ChannelReceiver = Readonly<{
+	handlePart(part: ChannelPart): void;
+	/** Called once if the link ends before the channel is closed. */
+	handleLost(): void;
+}>;
+
+/** One end of a channel to a peer; see channel.ts. Parts arrive in the order in which they were sent. */
+export type PeerChannel = Readonly<{
+	peer: Peer;
+	/** Time since the peer last sent anything, on this channel or not, in milliseconds. */
+	getSilenceMs(): number;
+	send(part: ChannelPart): void;
+	/** Ends this end of the channel: nothing that arrives later is handled. */
+	close(): void;
+}>;
+
+/** Accepts a channel that a peer has opened. */
+export type ChannelHandler = (channel: PeerChannel) => ChannelReceiver;
+
 /** Sends to and receives from the peers. Delivery is not guaranteed, so senders must repeat state. */
 export type PeerBus = Readonly<{
 	/** Lists the peers that are believed to be live. */
@@ -43,4 +64,10 @@
 	request<Request extends PeerRequest>(to: Peer, request: Request): Promise<Result<PeerResponseOf<Request['kind']>, PeerRequestFailure>>;
 	/** Registers the only handler for requests of a kind. */
 	setRequestHandler<Kind extends PeerRequestKind>(kind: Kind, handler: PeerRequestHandler<Kind>): void;
+	/** Lists the neighbours to which {@link PeerBus.openChannel} can open a channel. */
+	listChannelPeers(): readonly Peer[];
+	/** Opens a channel to a neighbour; returns `undefined` if no link to it is open, or if its program knows no channels. */
+	openChannel(to: Peer, receiver: ChannelReceiver): PeerChannel | undefined;
+	/** Registers the only handler of channels that peers open. */
+	setChannelHandler(handler: ChannelHandler): void;
 }>;
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -1,11 +1,13 @@
 /** Envelopes: the units that two authenticated peers exchange on a link. The receiver checks each against its schema. */
 import * as z from 'zod';
+import {channelPartSchema} from './channel.ts';
 import {peerIdentitySchema} from './identity.ts';
 import {peerMessageSchema} from './messages.ts';
 import {peerRequestSchema, peerResponseSchema} from './requests.ts';
 
 const maxNameLength = 200;
 const maxHops = 64;
+const maxUnreachablePools = 256;
 
 /** Schema of the state that an instance repeats in each heartbeat. */
 export const peerStatusSchema = z.object({
@@ -19,6 +21,8 @@
 	revisions: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
 	/** Digest of the membership table. */
 	membersDigest: z.string().max(maxNameLength),
+	/** Pools of which the instance reaches no target; absent if there are none. */
+	unreachablePools: z.array(z.string().max(maxNameLength)).max(maxUnreachablePools).optional(),
 });
 
 /** Schema of every envelope. */
@@ -37,6 +41,10 @@
 	z.object({type: z.literal('request'), id: z.number().int().min(0), request: peerRequestSchema}),
 	/** The response to the request with the same `id`. `response` is absent if the peer cannot answer. */
 	z.object({type: z.literal('response'), id: z.number().int().min(0), response: peerResponseSchema.optional()}),
+	/** A part of what a channel carries. The end that opened the channel has chosen its `id`. Sent only to peers with the extension `channels`. */
+	z.object({
+		type: z.literal('channel'), id: z.number().int().min(0), isFromOpener: z.boolean(), part: channelPartSchema,
+	}),
 ]);
 
 /** State that an instance repeats in each heartbeat. */
--- a/packages/peer-protocol/handshake.ts
+++ b/packages/peer-protocol/handshake.ts
@@ -24,6 +24,13 @@
 export const frameMacBytes = 16;
 
 const uint64Bytes = 8;
+const maxExtensionLength = 50;
+const maxExtensions = 32;
+
+/** Extensions that this program understands. */
+export const protocolExtensions = ['channels'] as const;
+
+export type ProtocolExtension = (typeof protocolExtensions)[number];
 
 /** Schema of the hello: the first frame in each direction. */
 export const helloSchema = z.object({
@@ -31,6 +38,8 @@
 	least: z.number().int(),
 	newest: z.number().int(),
 	peer: peerIdentitySchema,
+	/** What the sender understands beyond the protocol version; absent from older programs. */
+	extensions: z.array(z.string().max(maxExtensionLength)).max(maxExtensions).optional(),
 	nonce: z.instanceof(Uint8Array).refine(value => value.length === nonceBytes),
 });
 
--- a/packages/peer-protocol/link.ts
+++ b/packages/peer-protocol/link.ts
@@ -12,8 +12,8 @@
 import {envelopeSchema, type Envelope, type PeerStatus} from './envelope.ts';
 import {encodeFrame, FrameReader} from './framing.ts';
 import {
-	computeFrameMac, computeProof, deriveSessionKey, frameMacBytes, isEqualInConstantTime, nonceBytes, parseHello, protocolVersions,
-	type Hello, type LinkRole, type Transcript,
+	computeFrameMac, computeProof, deriveSessionKey, frameMacBytes, isEqualInConstantTime, nonceBytes, parseHello, protocolExtensions, protocolVersions,
+	type Hello, type LinkRole, type ProtocolExtension, type Transcript,
 } from './handshake.ts';
 import type {PeerIdentity} from './identity.ts';
 import {SendQueue} from './send-queue.ts';
@@ -76,6 +76,7 @@
 	readonly #queue: SendQueue;
 	readonly #limits: Required<LinkLimits>;
 	#peer: PeerIdentity | undefined;
+	#peerExtensions: ReadonlySet<string> = new Set();
 	#endReason: LinkEndReason | undefined;
 	#sendKey: Uint8Array | undefined;
 	#sentFrames = 0;
@@ -107,6 +108,16 @@
 		return this.#peer !== undefined && this.#endReason === undefined;
 	}
 
+	/** Time since the peer last sent anything, in milliseconds. */
+	get silenceMs(): number {
+		return this.#dependencies.clock.now() - this.#lastReceivedMs;
+	}
+
+	/** Whether the peer's program understands an extension of the protocol. */
+	hasExtension(extension: ProtocolExtension): boolean {
+		return this.#peerExtensions.has(extension);
+	}
+
 	/** Runs the handshake, then receives envelopes until the link ends. Returns why it ended. */
 	async run(): Promise<LinkEndReason> {
 		const {clock, telemetry} = this.#dependencies;
@@ -180,7 +191,7 @@
 	async #authenticate(frames: AsyncIterator<Uint8Array>): Promise<Uint8Array | undefined> {
 		const {self, role, secret} = this.#dependencies;
 		const hello: Hello = {
-			protocol: 'apricotdoor', ...protocolVersions, peer: self, nonce: Uint8Array.from(randomBytes(nonceBytes)),
+			protocol: 'apricotdoor', ...protocolVersions, peer: self, extensions: [...protocolExtensions], nonce: Uint8Array.from(randomBytes(nonceBytes)),
 		};
 		const ownHello = encodeValue(hello);
 		this.#stream.write(encodeFrame(ownHello));
@@ -210,6 +221,7 @@
 
 		this.#sendKey = deriveSessionKey(secret, role, transcript);
 		this.#peer = parsed.value.peer;
+		this.#peerExtensions = new Set(parsed.value.extensions);
 		return deriveSessionKey(secret, peerRole, transcript);
 	}
 
--- a/packages/peer-protocol/mod.ts
+++ b/packages/peer-protocol/mod.ts
@@ -10,8 +10,11 @@
 	PeerRequest, PeerRequestKind, PeerRequestOf, PeerResponse, PeerResponseOf,
 } from './requests.ts';
 export type {
-	Peer, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerRequestFailure,
+	ChannelHandler, ChannelReceiver, Peer, PeerChannel, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerRequestFailure,
 } from './bus.ts';
+export {
+	maxRelayedBodyBytes, type ChannelPart, type ChannelPartKind, type ChannelPartHandlers, type RelayedRequest,
+} from './channel.ts';
 export type {Envelope, PeerStatus} from './envelope.ts';
 export type {PeerIdentity} from './identity.ts';
 export {
--- a/packages/peer-protocol/noop-bus.ts
+++ b/packages/peer-protocol/noop-bus.ts
@@ -23,5 +23,10 @@
 		setRequestHandler() {
 			// There are no peers that send requests.
 		},
+		listChannelPeers: () => [],
+		openChannel: () => undefined,
+		setChannelHandler() {
+			// There are no peers that open channels.
+		},
 	};
 }
--- a/packages/standins/peer-network.ts
+++ b/packages/standins/peer-network.ts
@@ -2,12 +2,12 @@
 import type {Clock} from '#clock';
 import {fail, succeed, type Result} from '#core';
 import type {
-	Peer, PeerBus, PeerMessage, PeerRequest, PeerRequestFailure, PeerResponse,
+	ChannelHandler, ChannelReceiver, Peer, PeerBus, PeerChannel, PeerMessage, PeerRequest, PeerRequestFailure, PeerResponse,
 } from '#peer-protocol';
 
 type MessageHandler = (message: never, from: Peer) => void;
 type RequestHandler = (request: never, from: Peer) => PeerResponse | undefined;
-type Member = Readonly<{peer: Peer; messageHandlers: Map<string, Set<MessageHandler>>; requestHandlers: Map<string, RequestHandler>}>;
+type Member = {readonly peer: Peer; readonly messageHandlers: Map<string, Set<MessageHandler>>; readonly requestHandlers: Map<string, RequestHandler>; channelHandler?: ChannelHandler};
 
 /** Options of {@link PeerNetworkStandin}. */
 export type PeerNetworkOptions = Readonly<{
@@ -56,6 +56,11 @@
 			setRequestHandler(kind, handler) {
 				member.requestHandlers.set(kind, handler);
 			},
+			listChannelPeers: () => this.#listReachable(peer.name).map(other => other.peer),
+			openChannel: (to, receiver) => this.#openChannel(to.name, peer, receiver),
+			setChannelHandler(handler) {
+				member.channelHandler = handler;
+			},
 		};
 	}
 
@@ -88,6 +93,29 @@
 		return response ? succeed(response) : fail('unanswered');
 	}
 
+	#openChannel(to: string, from: Peer, receiver: ChannelReceiver): PeerChannel | undefined {
+		const member = this.#listReachable(from.name).find(({peer}) => peer.name === to);
+		if (!member?.channelHandler) {
+			return undefined;
+		}
+
+		const ends: {opener: ChannelReceiver | undefined; acceptor: ChannelReceiver | undefined} = {opener: receiver, acceptor: undefined};
+		const createEnd = (peer: Peer, own: keyof typeof ends, other: keyof typeof ends): PeerChannel => ({
+			peer,
+			getSilenceMs: () => 0,
+			send: part => {
+				this.#clock.setTimer(this.#latencyMs, () => {
+					ends[other]?.handlePart(part);
+				});
+			},
+			close() {
+				ends[own] = undefined;
+			},
+		});
+		ends.acceptor = member.channelHandler(createEnd(from, 'acceptor', 'opener'));
+		return createEnd(member.peer, 'opener', 'acceptor');
+	}
+
 	#sendToAll(from: Peer, message: PeerMessage): void {
 		for (const {peer} of this.#listReachable(from.name)) {
 			this.#clock.setTimer(this.#latencyMs, () => {
