Relay: an instance that reaches no target serves through its peers

Cause: an instance had no way to a target but its own links, and nothing told failed links from failed targets, so that each request visited all targets in turn. Change: after a failure that its own links may explain, an instance checks up to four targets of the pool over new connections; if it reaches none, the pool counts as unreachable until a check each 250 ms succeeds. Requests then go through a peer that reaches the pool, one hop, with their deadline, retry class, remaining targets, resumption and software version; the peer chooses, retries, and keeps limits and quarantines as for its own. Open connections that still answer are used first. With no such peer the request is refused at once, as not run. What a lost link to the peer leaves unknown is treated as after a lost target. Why this works: the check tells links from targets without waiting for each to fail, and a heartbeat's list keeps requests from peers that are cut off as well; a pool that is down for all is listed by all, so nothing is passed on.

--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -155,6 +155,8 @@
 	softwareVersion: string | undefined;
 	/** Version of the configuration by which the request was accepted. */
 	configurationVersion: number;
+	/** Name of the instance that accepted the request and reaches no target itself; absent if this one accepted it. */
+	relayedBy?: string;
 	/** Monotonic arrival time, in milliseconds. */
 	arrivedMs: number;
 	/** Monotonic time by which the answer must be complete, in milliseconds. */
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -25,7 +25,8 @@
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
-	CachedParts, OriginExchange, Relay, resolveOrigin, runPartExchange, StreamOrigins, TargetSet, watchEngines, PublishedWeights, type ConnectionOptions,
+	CachedParts, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
+	PublishedWeights, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
@@ -63,7 +64,7 @@
 }>;
 
 /** Calls to targets other than callers' requests. */
-export type TargetCalls = EngineControl & Readonly<{probe: ProbeTarget; readEvents: ReadPartCacheEvents}>;
+export type TargetCalls = EngineControl & Readonly<{probe: ProbeTarget; checkReach: CheckReach; readEvents: ReadPartCacheEvents}>;
 
 /** Dependencies of {@link startRelayInstance}. */
 export type RelayInstanceDependencies = Readonly<{
@@ -120,7 +121,7 @@
 const maxSignalListeners = 32;
 
 /** Components whose state the heartbeats carry. They are created after the peer protocol has started. */
-type StartedComponents = {relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers};
+type StartedComponents = {relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths};
 
 /** Creates a relay instance and starts its background tasks. */
 export async function startRelayInstance(dependencies: RelayInstanceDependencies): Promise<RelayInstance> {
@@ -137,11 +138,13 @@
 	const peers = await startPeers({
 		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
 		getStatus: () => ({
+			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
 			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {},
 		}),
 		handleHeartbeat(peer, status) {
 			started.storeMirrors?.handleHeartbeat(peer, status);
+			started.peerPaths?.recordStatus(peer, status);
 		},
 	});
 	const {bus} = peers;
@@ -165,7 +168,12 @@
 	const mismatchHandler = new MismatchHandler({
 		targets, control: calls, bus, clock, telemetry,
 	});
+	const targetReach = new TargetReach({
+		clock, random, telemetry, targets, getPool: name => started.gateway?.configuration?.pools.get(name), checkReach: calls.checkReach,
+	});
+	const peerPaths = new PeerPaths({bus, random, zone: settings.zone});
 	const relay = new Relay({
+		bus, targetReach, peerPaths,
 		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
 		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(`limit ${id}`)}),
@@ -201,7 +209,10 @@
 		},
 	});
 	Object.assign(started, {
-		relay, gateway, lifecycle, storeMirrors, peers,
+		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
+	});
+	serveRelayedRequests({
+		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
 	});
 	const stopping = new AbortController();
 	const {signal} = stopping;
@@ -212,6 +223,7 @@
 		runWorkExchange({views: targets, bus, clock}, signal),
 		runPartExchange({cachedParts, bus, clock}, signal),
 		originExchange.run(signal),
+		targetReach.run(signal),
 		runStrikeSync({
 			clock, telemetry, bus, quarantines: [partStrikes, quarantine],
 		}, signal),
@@ -243,6 +255,11 @@
 	};
 }
 
+/** Returns the field of a heartbeat's status that lists these pools; none if all pools are reached. */
+function formatUnreachablePools(pools: readonly string[]): Readonly<{unreachablePools?: string[]}> {
+	return pools.length > 0 ? {unreachablePools: [...pools]} : {};
+}
+
 type Registration = Readonly<{store: ObjectStore; key: string; value: string; clock: Clock}>;
 
 /** Writes the entry of this instance, and retries until the store accepts it. */
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -14,6 +14,7 @@
 import type {CachedParts} from './cached-parts.ts';
 import {computeStreamKey, type StreamOrigins} from './stream-origins.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
+import type {TargetReach} from './target-reach.ts';
 import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
 import type {RelayPool, RelayRequest} from '#core';
@@ -25,6 +26,7 @@
 	cachedParts: CachedParts;
 	streamOrigins: StreamOrigins;
 	probe: ProbeTarget;
+	targetReach: Pick<TargetReach, 'recordFailure'>;
 	/** Called when a target refuses because its process was replaced or it serves other weights than expected. */
 	handleMismatch: (state: TargetState, mismatch: TargetMismatch) => void;
 }>;
@@ -85,7 +87,7 @@
 		clock.setTimer(request.deadlineMs - clock.now(), () => {
 			exchange.abort('deadline');
 		}),
-		watchSilence({clock, probe: dependencies.probe}, {
+		watchSilence(dependencies, {
 			request, pool: attempt.pool, choice, exchange,
 		}),
 	];
@@ -187,12 +189,12 @@
 }
 
 /** Returns the key of the stream that the request begins or resumes. */
-function getStreamKey({id, customer, lastEventId, resumedRequestId}: RelayRequest): string {
+export function getStreamKey({id, customer, lastEventId, resumedRequestId}: RelayRequest): string {
 	return computeStreamKey(customer?.name, lastEventId === undefined ? id : resumedRequestId ?? id);
 }
 
 /** Whether the body of an answer is an event stream: by its route, or as the target states. */
-function isEventStream({route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
+export function isEventStream({route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
 	return status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
 }
 
--- /dev/null
+++ b/packages/relay/_peer-attempt.ts
@@ -0,0 +1,130 @@
+/**
+ * Runs one attempt of a request through a peer, which chooses the targets and
+ * retries by the same rules. The attempt is aborted at the request's deadline,
+ * when the caller leaves or when the peer falls silent.
+ */
+import {AnswerBody, type BodyRecord} from './_answer-body.ts';
+import type {AnswerDelivery} from './_answer-delivery.ts';
+import {getStreamKey, isEventStream, type AttemptFailure} from './_attempt.ts';
+import type {RelayCaller} from './caller.ts';
+import type {TargetDialect} from './dialect.ts';
+import {brokenOffDetail, encodeRelayedRequest, PeerExchange} from './peer-exchange.ts';
+import type {PeerPaths} from './peer-paths.ts';
+import type {StreamOrigins} from './stream-origins.ts';
+import type {Clock} from '#clock';
+import type {Refusal, RelayPool, RelayRequest} from '#core';
+import type {AttemptCause} from '#dispatch';
+import type {Peer, PeerBus} from '#peer-protocol';
+
+export type PeerAttemptDependencies = Readonly<{
+	clock: Clock;
+	bus: PeerBus;
+	dialect: TargetDialect;
+	streamOrigins: StreamOrigins;
+	peerPaths: PeerPaths;
+}>;
+
+/** An attempt of a request through a peer. */
+export type PeerAttempt = Readonly<{
+	request: RelayRequest;
+	pool: RelayPool;
+	peer: Peer;
+	/** Maximum number of targets that may still run the request. */
+	maxTargets: number;
+	/** Only version of the targets' software that may run the request. */
+	softwareVersion: string | undefined;
+	caller: RelayCaller;
+	delivery: AnswerDelivery;
+}>;
+
+/** The outcome of such an attempt; there is neither a failure nor a refusal if the caller was sent its complete answer. */
+export type PeerAttemptResult = Readonly<{
+	failure?: AttemptFailure;
+	refusal?: Refusal;
+	/** Whether another path may still give the caller a complete answer: the peer did not end the request by the rules for retries. */
+	canRetry: boolean;
+	body?: BodyRecord;
+	/** Targets that the request may have reached through the peer. */
+	targets: readonly string[];
+	/** Version of the software of the target that answered. */
+	softwareVersion?: string | undefined;
+}>;
+
+/** Time without any sign of life from the peer after which its work is given up, in milliseconds: two heartbeats. */
+const maxPeerSilenceMs = 2200;
+
+const checkIntervalMs = 200;
+
+/** Causes of aborts by this instance, by the detail of the fault; any other fault has the cause `lost`. */
+const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
+
+/** Runs one attempt through a peer until it has finished. */
+export async function runPeerAttempt(dependencies: PeerAttemptDependencies, attempt: PeerAttempt): Promise<PeerAttemptResult> {
+	const {clock, bus, peerPaths} = dependencies;
+	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery} = attempt;
+	const exchange = new PeerExchange(() => clock.now());
+	const relayed = encodeRelayedRequest(request, pool, {
+		maxTargets, softwareVersion, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
+	});
+	if (!exchange.start(bus, peer, relayed)) {
+		return {failure: {cause: 'not_sent', detail: 'no link to the peer is open'}, canRetry: true, targets: []};
+	}
+
+	const recordEnd = peerPaths.recordStart(peer, request.body?.length ?? 0);
+	const cancels = [
+		caller.subscribeLeave(() => {
+			exchange.abort('the caller left');
+		}),
+		clock.setTimer(request.deadlineMs - clock.now(), () => {
+			exchange.abort('deadline');
+		}),
+		clock.subscribe(checkIntervalMs, () => {
+			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs) {
+				exchange.abort('silent');
+			}
+		}),
+	];
+	try {
+		return await receiveAnswer(dependencies, attempt, exchange);
+	} finally {
+		recordEnd();
+		for (const cancel of cancels) {
+			cancel();
+		}
+	}
+}
+
+async function receiveAnswer({dialect, streamOrigins}: PeerAttemptDependencies, {request, pool, delivery}: PeerAttempt, exchange: PeerExchange): Promise<PeerAttemptResult> {
+	const read = await exchange.readHead();
+	const {targets} = exchange;
+	if (read.kind === 'refusal') {
+		const {refusal} = read;
+		return {refusal, canRetry: refusal.ran === 'not_run' && targets.length === 0, targets};
+	}
+
+	if (read.kind === 'fault') {
+		return {...classifyFault(read.fault.detail), targets};
+	}
+
+	const answer = dialect.decodeHead(read.head);
+	const body = new AnswerBody(exchange, isEventStream(request, answer));
+	if (!delivery.canAccept(answer.status)) {
+		body.abort('the status differs from that of the answer that has started');
+		return {failure: {cause: 'failed', detail: `the peer answered with the status ${answer.status} where a started answer should go on`}, canRetry: false, targets};
+	}
+
+	const {softwareVersion} = exchange;
+	const fault = await delivery.deliver(answer, body, () => {
+		if (softwareVersion !== undefined) {
+			streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
+		}
+	});
+	return {
+		...(fault === undefined ? {canRetry: false} : classifyFault(fault)), targets, softwareVersion, body: body.describe(),
+	};
+}
+
+/** Classifies a fault. After an answer that the peer itself left incomplete, there is no retry: the peer has used up what the rules allow. */
+function classifyFault(detail: string): Pick<PeerAttemptResult, 'canRetry'> & Readonly<{failure: AttemptFailure}> {
+	return {failure: {cause: abortCauses.get(detail) ?? 'lost', detail}, canRetry: detail !== brokenOffDetail};
+}
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -1,8 +1,12 @@
 /** Tracks the state of one request over all its attempts. */
 import type {BodyRecord} from './_answer-body.ts';
 import type {AttemptResult} from './_attempt.ts';
+import type {PeerAttemptResult} from './_peer-attempt.ts';
 import type {TargetChoice} from './choose-target.ts';
-import type {RelayPool, RelayRequest, RunState} from '#core';
+import type {
+	Refusal, RelayPool, RelayRequest, RunState,
+} from '#core';
+import type {Peer} from '#peer-protocol';
 import {classifyRun, mergeRunStates, type AttemptCause} from '#dispatch';
 
 /** One attempt as written to the log. */
@@ -34,13 +38,35 @@
 	body?: BodyRecord;
 }>;
 
+/** One attempt through a peer as written to the log. */
+export type PeerAttemptRecord = Readonly<{
+	/** Name of the peer. */
+	peer: string;
+	/** Targets that the request may have reached through it. */
+	targets: readonly string[];
+	fromMs: number;
+	toMs: number;
+	/** Cause of the failure, the reason of the refusal, or `answered`. */
+	end: string;
+	detail?: string;
+	body?: BodyRecord;
+}>;
+
 export class RelayProgress {
 	readonly request: RelayRequest;
 	readonly pool: RelayPool;
 	/** Ids of targets that are not tried again. */
 	readonly excluded = new Set<string>();
 	/** All attempts so far, for the log. */
-	readonly attempts: AttemptRecord[] = [];
+	readonly attempts: Array<AttemptRecord | PeerAttemptRecord> = [];
+	/** Incarnations of the peers through which the request was tried. */
+	readonly triedPeers = new Set<string>();
+	/** Refusal by the last of them; absent after any other attempt. */
+	peerRefusal: Refusal | undefined;
+	/** Number of attempts, since the last one that may have reached a target, whose request could not be sent. */
+	unsentAttempts = 0;
+	/** Time that all attempts took whose request could not be sent, in milliseconds. */
+	unsentMs = 0;
 	/** Number of failed attempts whose request may have reached a target. */
 	sentAttempts = 0;
 	/** Number of failed attempts that may have run the request. */
@@ -76,10 +102,14 @@
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(requestLimit !== undefined && {requestLimit}),
 		});
+		this.peerRefusal = undefined;
 		if (!failure) {
 			return;
 		}
 
+		const isUnsent = failure.cause === 'not_sent';
+		this.unsentAttempts = isUnsent ? this.unsentAttempts + 1 : 0;
+		this.unsentMs += isUnsent ? endMs - startMs : 0;
 		// The relay does not record whether a part of the answer was received before the failure.
 		const runState = classifyRun(failure.cause, false);
 		this.excluded.add(target.id);
@@ -88,6 +118,25 @@
 		this.possibleRuns += runState === 'not_run' ? 0 : 1;
 		this.sentAttempts += failure.cause === 'not_sent' ? 0 : 1;
 	}
+
+	/** Records a finished attempt through a peer. */
+	recordPeerAttempt({name, incarnation}: Peer, startMs: number, endMs: number, {failure, refusal, targets, body}: PeerAttemptResult): void {
+		this.attempts.push({
+			peer: name, targets: [...targets], fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
+			end: failure?.cause ?? refusal?.reason ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}),
+		});
+		this.triedPeers.add(incarnation);
+		this.peerRefusal = refusal;
+		if (failure) {
+			this.cause = failure.cause;
+		}
+
+		const runState = refusal?.ran ?? (failure ? classifyRun(failure.cause, false) : 'ran');
+		this.runState = mergeRunStates(this.runState, runState);
+		// Without news of a target, the peer may have lost its link just after it had sent the request to one.
+		this.possibleRuns += runState === 'not_run' ? 0 : Math.max(1, targets.length);
+		this.sentAttempts += runState === 'not_run' && targets.length === 0 ? 0 : 1;
+	}
 }
 
 function computeLoadAgeMs({state: {loadReceivedMs}}: TargetChoice, nowMs: number): number | undefined {
--- a/packages/relay/_silence.ts
+++ b/packages/relay/_silence.ts
@@ -5,13 +5,18 @@
  */
 import type {TargetChoice} from './choose-target.ts';
 import type {Exchange} from './exchange.ts';
+import type {TargetReach} from './target-reach.ts';
 import type {Cancel, Clock} from '#clock';
 import type {RelayPool, RelayRequest, RelayTarget} from '#core';
 
 /** Probes a target and returns whether it answers within a bounded time. */
 export type ProbeTarget = (target: RelayTarget, pool: RelayPool) => Promise<boolean>;
 
-export type SilenceDependencies = Readonly<{clock: Clock; probe: ProbeTarget}>;
+export type SilenceDependencies = Readonly<{
+	clock: Clock;
+	probe: ProbeTarget;
+	targetReach: Pick<TargetReach, 'recordFailure'>;
+}>;
 
 /** An exchange in progress, its request and the chosen target. */
 export type WatchedExchange = Readonly<{request: RelayRequest; pool: RelayPool; choice: TargetChoice; exchange: Exchange}>;
@@ -36,17 +41,20 @@
 
 const checkIntervalMs = 100;
 
-const cancelNothing: Cancel = () => undefined;
-
 /** Watches an exchange for silence until the returned function is called. */
-export function watchSilence({clock, probe}: SilenceDependencies, {request, pool, choice, exchange}: WatchedExchange): Cancel {
+export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {request, pool, choice, exchange}: WatchedExchange): Cancel {
 	const {state, waitMs} = choice;
+	const probeAfterMs = Math.max(request.prompt ? minEngineSilenceMs : minServiceSilenceMs, probeFactor * waitMs);
+	const startedMs = clock.now();
 	if (request.route.retryPolicy === 'once') {
-		return cancelNothing;
+		// Such an exchange is never aborted, but its silence may be the first sign that this instance's links are cut.
+		return clock.setTimer(probeAfterMs, () => {
+			if (state.lastReceivedMs < startedMs) {
+				targetReach.recordFailure(pool.name);
+			}
+		});
 	}
 
-	const probeAfterMs = Math.max(request.prompt ? minEngineSilenceMs : minServiceSilenceMs, probeFactor * waitMs);
-	const startedMs = clock.now();
 	let isProbing = false;
 	const computeSilenceMs = () => clock.now() - Math.max(startedMs, exchange.lastReceivedMs);
 	const probeTarget = async () => {
--- /dev/null
+++ b/packages/relay/_target-chooser.ts
@@ -0,0 +1,131 @@
+/**
+ * Chooses the next target of a request, and its urgency there, from what this
+ * instance knows; if there is none, records why and when the caller should retry.
+ */
+import type {CachedParts} from './cached-parts.ts';
+import {
+	chooseRelayTarget, computeLimitDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
+} from './choose-target.ts';
+import type {RelayProgress} from './_progress.ts';
+import type {PublishedWeights} from './published-weights.ts';
+import type {TargetSet} from './target-set.ts';
+import type {TargetState} from './target-state.ts';
+import type {Clock} from '#clock';
+import type {Random, RelayRequest} from '#core';
+
+export type TargetChooserDependencies = Readonly<{
+	clock: Clock;
+	random: Random;
+	targets: TargetSet;
+	cachedParts: CachedParts;
+	publishedWeights: PublishedWeights;
+	/** Time for which requests may still start on stale weights, in milliseconds. */
+	maxStaleWeightsMs: number;
+	/** This instance's availability zone. */
+	zone: string;
+	/** Counts the instances that share the connections to the targets. */
+	countInstances: () => number;
+	getLimitSharing: TargetQuery['getLimitSharing'];
+}>;
+
+/** Time for which a caller is expected to wait for the first event, as a multiple of the promised time. */
+const callerWaitFactor = 4;
+
+/** Maximum time after which the caller of an overloaded pool is asked to retry, in milliseconds, before it is multiplied by a random factor. */
+const maxRetryAfterMs = 3000;
+
+/** Cause and retry time of a refusal if no target can be chosen, by reason. Entries of targets arrive about a second late; connections become free as answers finish. */
+const noTargetRules = {
+	none_listed: {cause: 'none', retryAfterMs: 1000},
+	other_software: {cause: 'origin_gone', retryAfterMs: 1000},
+	old_weights: {cause: 'none', retryAfterMs: 1000},
+	unreachable: {cause: 'none', retryAfterMs: 500},
+	connections_used: {cause: 'full', retryAfterMs: 300},
+	limits_reached: {cause: 'limited', retryAfterMs: 1000},
+} as const satisfies Readonly<Record<NoTarget, Readonly<{cause: RelayProgress['cause']; retryAfterMs: number}>>>;
+
+/** The least urgent priority that engines accept. */
+const lowestUrgency = 9;
+
+/** The target chosen for a request, and the urgency of the request there. */
+export type ChoiceWithUrgency = Readonly<{choice: TargetChoice; urgency: number}>;
+
+export class TargetChooser {
+	readonly #dependencies: TargetChooserDependencies;
+
+	constructor(dependencies: TargetChooserDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/**
+	 * Chooses the next target of a request and its urgency there. A request that
+	 * will miss its promised time gets the lowest urgency, so that it does not
+	 * delay those that can still meet theirs. A request that has not reached a
+	 * target yet is refused at once if its caller would not wait for it.
+	 *
+	 * @returns `undefined` if no further target should be tried; the reason is recorded in `progress`
+	 */
+	choose(progress: RelayProgress): ChoiceWithUrgency | undefined {
+		const {request} = progress;
+		const urgency = getUrgency(request);
+		const choice = this.#chooseAt(progress, urgency);
+		if (typeof choice === 'string') {
+			return undefined;
+		}
+
+		const {promisedMs} = request.route;
+		if (!request.prompt || choice.queueMs <= promisedMs) {
+			return {choice, urgency};
+		}
+
+		const lowestChoice = this.#chooseAt(progress, lowestUrgency);
+		if (typeof lowestChoice === 'string') {
+			return undefined;
+		}
+
+		const callerWaitMs = Math.min(promisedMs * callerWaitFactor, request.deadlineMs - this.#dependencies.clock.now());
+		if (progress.sentAttempts === 0 && lowestChoice.queueMs > callerWaitMs) {
+			progress.cause = 'overloaded';
+			// A random factor from 0.75 to 1.25 spreads the retries of several callers.
+			progress.retryAfterMs = Math.min(maxRetryAfterMs, lowestChoice.queueMs - promisedMs) * (0.75 + (this.#dependencies.random.next() / 2));
+			return undefined;
+		}
+
+		return {choice: lowestChoice, urgency: lowestUrgency};
+	}
+
+	/** Chooses the next target of a request at an urgency; if there is none, records the retry time in `progress`, and the cause unless an attempt has failed before. */
+	#chooseAt(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
+		const {
+			request, pool, excluded, softwareVersion,
+		} = progress;
+		const {
+			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, countInstances, getLimitSharing,
+		} = this.#dependencies;
+		const poolTargets = targets.listPool(pool.name);
+		const nowMs = clock.now();
+		const choice = chooseRelayTarget({
+			targets: poolTargets, getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
+			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, zone,
+			nowMs, random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
+		});
+		if (typeof choice === 'string') {
+			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
+			progress.retryAfterMs = choice === 'limits_reached' ? this.#computeLimitRetryMs(poolTargets) : noTargetRules[choice].retryAfterMs;
+		}
+
+		return choice;
+	}
+
+	/** Computes the time until this instance may send a request to one of a pool's targets, all of which have stated limits, in milliseconds. */
+	#computeLimitRetryMs(targets: readonly TargetState[]): number {
+		const {clock, getLimitSharing} = this.#dependencies;
+		const delaysMs = targets.map(state => computeLimitDelayMs({getLimitSharing, nowMs: clock.now()}, state)).filter(delayMs => delayMs > 0);
+		return Math.min(noTargetRules.limits_reached.retryAfterMs, ...delaysMs);
+	}
+}
+
+/** Returns the customer's priority, or else the route's, within the range 0 to 9 that engines accept. */
+function getUrgency({customer, route}: RelayRequest): number {
+	return Math.min(lowestUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
+}
--- a/packages/relay/caller.ts
+++ b/packages/relay/caller.ts
@@ -1,7 +1,7 @@
 /** The interface between the relay and the connection of a caller. */
 import type {HeaderLines} from './exchange.ts';
 import type {Cancel} from '#clock';
-import type {Refusal} from '#core';
+import type {Refusal, RelayTarget} from '#core';
 
 /** A caller's connection. The relay sends either a refusal, or the head and the body of an answer, which it then finishes or aborts. */
 export type RelayCaller = Readonly<{
@@ -9,6 +9,8 @@
 	hasLeft(): boolean;
 	/** Calls `handler` once if the caller closes its connection before its answer is complete. */
 	subscribeLeave(handler: () => void): Cancel;
+	/** Called when an attempt on a target starts, and again if its request has provably not been sent. */
+	recordAttempt?(target: RelayTarget, event: 'started' | 'not_sent'): void;
 	/**
 	 * Sends the head of a target's answer.
 	 *
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -79,10 +79,11 @@
  * - `none_listed`: all targets are excluded, draining or replaced, or there are none.
  * - `other_software`: none of the remaining targets has the software version at which the stream began.
  * - `old_weights`: the weights of all remaining targets are too stale.
+ * - `unreachable`: this instance reaches none of them.
  * - `connections_used`: all connections that this instance may open to the others are in use.
  * - `limits_reached`: the others have stated limits, of which this instance has used up its shares.
  */
-export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'connections_used' | 'limits_reached';
+export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'unreachable' | 'connections_used' | 'limits_reached';
 
 /** Cost of a target in another availability zone, in milliseconds: the round trip and the price of the traffic. */
 const crossZoneCostMs = 4;
@@ -128,12 +129,17 @@
 		return 'old_weights';
 	}
 
-	const reachable = usable.filter(({connections}) => connections.canStart(query.maxConnections));
+	const reachable = usable.filter(({isUnreachable, connections}) => !isUnreachable || connections.hasIdle);
 	if (reachable.length === 0) {
+		return 'unreachable';
+	}
+
+	const startable = reachable.filter(({connections}) => connections.canStart(query.maxConnections));
+	if (startable.length === 0) {
 		return 'connections_used';
 	}
 
-	const permitted = reachable.filter(state => computeLimitDelayMs(query, state) === 0);
+	const permitted = startable.filter(state => computeLimitDelayMs(query, state) === 0);
 	if (permitted.length === 0) {
 		return 'limits_reached';
 	}
--- a/packages/relay/connections.ts
+++ b/packages/relay/connections.ts
@@ -42,6 +42,11 @@
 		return this.#open.size;
 	}
 
+	/** Whether an exchange can start on an open connection. */
+	get hasIdle(): boolean {
+		return this.#idle.length > 0;
+	}
+
 	/** Whether another exchange can start without more than `maxConnections` connections being open. */
 	canStart(maxConnections: number): boolean {
 		return this.#idle.length > 0 || this.#open.size < maxConnections;
--- /dev/null
+++ b/packages/relay/peer-paths.ts
@@ -0,0 +1,96 @@
+/**
+ * Chooses the peer through which a request goes if this instance reaches no target
+ * itself. Peers state in their heartbeats which pools they do not reach either.
+ */
+import type {Random} from '#core';
+import {
+	maxRelayedBodyBytes, type Peer, type PeerBus, type PeerStatus,
+} from '#peer-protocol';
+
+export type PeerPathsDependencies = Readonly<{
+	bus: Pick<PeerBus, 'listChannelPeers'>;
+	random: Random;
+	/** This instance's availability zone. */
+	zone: string;
+}>;
+
+/** Requests in progress through one peer. */
+type PeerUse = {requests: number; bodyBytes: number};
+
+/** Maximum number of requests in progress through one peer; together with the credit of a channel, it bounds the bytes that wait on a link. */
+const maxRequestsPerPeer = 64;
+
+/** Cost of a peer in another availability zone, in requests in progress: traffic between zones is priced. */
+const crossZoneCost = 0.5;
+
+export class PeerPaths {
+	readonly #dependencies: PeerPathsDependencies;
+	readonly #unreachablePools = new Map<string, ReadonlySet<string>>();
+	readonly #uses = new Map<string, PeerUse>();
+
+	constructor(dependencies: PeerPathsDependencies) {
+		this.#dependencies = dependencies;
+	}
+
+	/** Records which pools a peer does not reach. */
+	recordStatus({incarnation}: Peer, {unreachablePools}: PeerStatus): void {
+		if (unreachablePools) {
+			this.#unreachablePools.set(incarnation, new Set(unreachablePools));
+			this.#removeUnknownPeers();
+		} else {
+			this.#unreachablePools.delete(incarnation);
+		}
+	}
+
+	/** Records that a peer has found that it does not reach a pool; its next heartbeat replaces this. */
+	markUnreachable({incarnation}: Peer, pool: string): void {
+		this.#unreachablePools.set(incarnation, new Set([...this.#unreachablePools.get(incarnation) ?? [], pool]));
+	}
+
+	/**
+	 * Chooses the peer with the fewest requests from this instance in progress.
+	 *
+	 * @param excluded incarnations of peers that must not be chosen
+	 * @param bodyBytes size of the request's body
+	 */
+	choose(pool: string, excluded: ReadonlySet<string>, bodyBytes: number): Peer | undefined {
+		const {bus, random, zone} = this.#dependencies;
+		let best: Readonly<{peer: Peer; cost: number}> | undefined;
+		for (const peer of bus.listChannelPeers()) {
+			const use = this.#uses.get(peer.incarnation);
+			const requests = use?.requests ?? 0;
+			const hasRoom = requests < maxRequestsPerPeer && (use?.bodyBytes ?? 0) + bodyBytes <= maxRelayedBodyBytes;
+			const cost = requests + (peer.zone === zone ? 0 : crossZoneCost) + (random.next() / 2);
+			if (hasRoom && !excluded.has(peer.incarnation) && !this.#unreachablePools.get(peer.incarnation)?.has(pool) && (!best || cost < best.cost)) {
+				best = {peer, cost};
+			}
+		}
+
+		return best?.peer;
+	}
+
+	/** Counts a request through a peer as in progress until the returned function is called. */
+	recordStart({incarnation}: Peer, bodyBytes: number): () => void {
+		const use = this.#uses.get(incarnation) ?? {requests: 0, bodyBytes: 0};
+		this.#uses.set(incarnation, use);
+		use.requests++;
+		use.bodyBytes += bodyBytes;
+		return () => {
+			use.requests--;
+			use.bodyBytes -= bodyBytes;
+			if (use.requests === 0) {
+				this.#uses.delete(incarnation);
+			}
+		};
+	}
+
+	/** Forgets what peers have stated to which no link is open any more. */
+	#removeUnknownPeers(): void {
+		const known = new Set(this.#dependencies.bus.listChannelPeers().map(({incarnation}) => incarnation));
+		for (const incarnation of this.#unreachablePools.keys()) {
+			if (!known.has(incarnation)) {
+				this.#unreachablePools.delete(incarnation);
+			}
+		}
+	}
+}
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -27,6 +27,11 @@
 		return [...this.#states.values()];
 	}
 
+	/** Lists the names of the pools that have targets. */
+	listPools(): readonly string[] {
+		return [...this.#pools.keys()];
+	}
+
 	/** Lists the targets of a pool, including draining ones. */
 	listPool(pool: string): readonly TargetState[] {
 		return this.#pools.get(pool) ?? [];
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -27,6 +27,9 @@
 /** Time for which a peer's report of its work is valid, in milliseconds; peers report each second. */
 const peerWorkValidityMs = 2000;
 
+/** Time for which a target's open connections are taken to be alive after something was received from it, in milliseconds; shorter than a cut takes to be noticed. */
+const aliveMs = 300;
+
 /** Weight of the newest measurement in a moving average. */
 const smoothingFactor = 0.2;
 
@@ -62,6 +65,8 @@
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
 	/** Whether another process has taken over the target's address. */
 	isReplaced = false;
+	/** Whether this instance reaches no target of the pool over new connections. */
+	isUnreachable = false;
 	/** Time at which the target last sent an answer or a part of one, in milliseconds. */
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
 	/** Called when the target is suspected; one per exchange in progress whose request may be sent again. */
@@ -93,6 +98,14 @@
 		}
 	}
 
+	/** Sets whether the target can be reached over new connections. If it cannot, idle connections are kept only while the target still sends something over others. */
+	setUnreachable(isUnreachable: boolean, nowMs: number): void {
+		this.isUnreachable = isUnreachable;
+		if (isUnreachable && nowMs - this.lastReceivedMs > aliveMs) {
+			this.connections.closeIdle();
+		}
+	}
+
 	/** Excludes the target for good, as its process has ended and another one has taken over its address. */
 	markReplaced(): void {
 		this.isReplaced = true;
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -8,6 +8,8 @@
 import {CachedParts} from '../cached-parts.ts';
 import {Relay} from '../relay.ts';
 import {StreamOrigins} from '../stream-origins.ts';
+import {PeerPaths} from '../peer-paths.ts';
+import {TargetReach} from '../target-reach.ts';
 import {TargetSet} from '../target-set.ts';
 import {PublishedWeights} from '../published-weights.ts';
 import {ManualClock} from '#clock';
@@ -136,6 +138,8 @@
 		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address, zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map(),
 	})));
 	const mismatches: string[] = [];
+	/** Targets to which this instance cannot connect. */
+	const unreachable = new Set<string>();
 	const alive = new Set(raw.map((_target, index) => `t${index}`));
 	const quarantine = new Quarantine({
 		clock, random: createRandom(1), telemetry, bus: createNoopBus(),
@@ -146,8 +150,13 @@
 	const partQuarantine = new PartQuarantine({
 		clock, telemetry, strikes: partStrikes, getRank: () => 0,
 	});
+	const bus = createNoopBus();
+	const targetReach = new TargetReach({
+		clock, random: createRandom(4), telemetry, targets, getPool: () => pool, checkReach: async ({id}) => !unreachable.has(id),
+	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
+		bus, targetReach, peerPaths: new PeerPaths({bus, random: createRandom(5), zone: 'z'}),
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), probe: async ({id}) => alive.has(id),
@@ -197,7 +206,7 @@
 	};
 
 	return {
-		clock, raw, targets, quarantine, budget, alive, startRequest, waitUntil, mismatches,
+		clock, raw, targets, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
 	};
 }
 
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -29,6 +29,8 @@
 	mirror_fetches_total: {help: 'Changes to mirrored kinds of objects requested from other instances, by kind and result.', labels: ['kind', 'result']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
+	attempts_via_peers_total: {help: 'Attempts through peers, as this instance reaches no target itself, by outcome.', labels: ['outcome']},
+	relayed_requests_total: {help: 'Requests run for peers that reach no target themselves, by pool.', labels: ['pool']},
 	peer_links_opened_total: {help: 'Authenticated connections to other instances.', labels: []},
 	peer_links_closed_total: {help: 'Closed connections to other instances, by reason.', labels: ['reason']},
 	peer_connect_failures_total: {help: 'Connection attempts to other instances that did not result in an authenticated connection.', labels: []},
@@ -54,6 +56,7 @@
 	capacity_serving: {help: 'Engines that are loaded, by pool; set by the holder of the lease.', labels: ['pool']},
 	admission_waiting: {help: 'Requests waiting for a pool on this instance.', labels: ['pool']},
 	platform_breaker_open: {help: 'Whether the circuit breaker blocks calls to the platform (1) or not (0).', labels: []},
+	pools_unreachable: {help: 'Pools of which this instance reaches no target.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
 
