Quarantine: a lost exchange counts as a crash only if another target is reached

Cause: an exchange that was lost, followed by a probe without an answer, counted as a crash of its target, also where the instance's own links were cut; the strikes reach all instances. Class of fault: a failure of one's own taken for that of another. Change: before a strike, the instance checks that it reaches another target, of the pool or else of others. Without any other target there is nothing to compare with, and the crash counts as before. Evidence: 'requests in progress at an instance whose links are reset do not count as crashing their targets' in target-partition.test failed before (strikes for requests in progress), and passes. Result: crashing-parts.test and the tests of the relay pass. Not covered: if all targets of all pools crash within one check, none of these crashes counts.

--- a/packages/relay/_quarantine-guard.ts
+++ b/packages/relay/_quarantine-guard.ts
@@ -7,12 +7,14 @@
 import type {TargetChoice} from './choose-target.ts';
 import type {RelayProgress} from './_progress.ts';
 import type {ProbeTarget} from './_silence.ts';
+import type {TargetReach} from './target-reach.ts';
 import {computeRelayFingerprint, type PartQuarantine, type Quarantine} from '#quarantine';
 import type {Telemetry} from '#telemetry';
 
 export type QuarantineGuardDependencies = Readonly<{
 	telemetry: Telemetry;
 	probe: ProbeTarget;
+	targetReach: Pick<TargetReach, 'confirmTargetFailure'>;
 	/** Quarantines requests by their whole content. */
 	quarantine: Quarantine;
 	partQuarantine: PartQuarantine;
@@ -62,9 +64,10 @@
 		return admission?.release ?? doNothing;
 	}
 
-	/** Records the result of an attempt that the caller has not aborted. After a lost exchange, the target is probed; if it does not answer, it counts as crashed. */
-	async recordResult({request, pool}: RelayProgress, {state: {target}}: TargetChoice, result: AttemptResult): Promise<void> {
-		const {probe, quarantine, partQuarantine, telemetry} = this.#dependencies;
+	/** Records the result of an attempt that the caller has not aborted. After a lost exchange, the target is probed; if it does not answer although another target is reached, it counts as crashed. */
+	async recordResult({request, pool}: RelayProgress, {state}: TargetChoice, result: AttemptResult): Promise<void> {
+		const {target} = state;
+		const {probe, targetReach, quarantine, partQuarantine, telemetry} = this.#dependencies;
 		const isProven = isAnswerProven(result);
 		if (request.prompt && isProven) {
 			partQuarantine.recordAnswer(request.prompt);
@@ -74,7 +77,7 @@
 			quarantine.recordCompletion(computeRelayFingerprint(request));
 		}
 
-		if (result.failure?.cause !== 'lost' || await probe(target, pool)) {
+		if (result.failure?.cause !== 'lost' || await probe(target, pool) || !await targetReach.confirmTargetFailure(state)) {
 			return;
 		}
 
--- a/packages/relay/target-reach.ts
+++ b/packages/relay/target-reach.ts
@@ -27,6 +27,9 @@
 /** Number of targets of a pool that are checked at once. */
 const checkedTargets = 4;
 
+/** Number of targets of other pools that are checked if none of the pool is reached. */
+const checkedOtherTargets = 2;
+
 /** Time for which a successful check of a pool stands for another one, in milliseconds. */
 const validityMs = 200;
 
@@ -35,8 +38,10 @@
 
 export class TargetReach {
 	readonly #dependencies: TargetReachDependencies;
-	/** Checks in progress or valid, by pool: whether a target was reached. */
+	/** Checks in progress, by pool: whether a target is reached. */
 	readonly #checks = new Map<string, Promise<boolean>>();
+	/** Pools of which a check has just reached a target. */
+	readonly #recentlyReached = new Set<string>();
 
 	constructor(dependencies: TargetReachDependencies) {
 		this.#dependencies = dependencies;
@@ -69,7 +74,23 @@
 
 	/** Records that an exchange with a target of a pool has failed in a way that may be due to this instance's links. */
 	recordFailure(pool: string): void {
-		void this.#check(pool);
+		if (!this.#recentlyReached.has(pool)) {
+			void this.#check(pool);
+		}
+	}
+
+	/**
+	 * Confirms that a target which no longer answers has failed, rather than this
+	 * instance's links: another target is reached. Without any other target there
+	 * is nothing to compare with, and the target counts as failed.
+	 */
+	async confirmTargetFailure({target}: TargetState): Promise<boolean> {
+		const others = this.#dependencies.targets.list().filter(state => state.target.id !== target.id && isUsable(state));
+		if (others.length === 0 || await this.#check(target.pool)) {
+			return true;
+		}
+
+		return this.#reachAny(this.#pick(others.filter(state => state.target.pool !== target.pool), checkedOtherTargets));
 	}
 
 	/** Checks unreachable pools again until `signal` aborts. */
@@ -84,7 +105,7 @@
 		return this.#dependencies.targets.listPool(pool).filter(state => isUsable(state));
 	}
 
-	/** Checks a pool, unless a check is in progress or has just succeeded. Returns whether a target was reached. */
+	/** Checks a pool, unless a check is in progress. Returns whether a target was reached. */
 	async #check(pool: string): Promise<boolean> {
 		const known = this.#checks.get(pool);
 		if (known) {
@@ -94,12 +115,12 @@
 		const check = this.#checkPool(pool);
 		this.#checks.set(pool, check);
 		const isReached = await check;
+		this.#checks.delete(pool);
 		if (isReached) {
+			this.#recentlyReached.add(pool);
 			this.#dependencies.clock.setTimer(validityMs, () => {
-				this.#checks.delete(pool);
+				this.#recentlyReached.delete(pool);
 			});
-		} else {
-			this.#checks.delete(pool);
 		}
 
 		return isReached;
