Engine watch: an engine that only its reader does not reach is not announced

Cause: the reader took its own lost links for silence of the engine, and told all others. Class of fault: a failure of one's own taken for that of another. Change: the reader announces an engine as silent only if it reaches another target. Evidence: 'an instance that is cut off does not announce its engines as silent' in target-partition.test failed before, and passes.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -231,7 +231,7 @@
 			clock, telemetry, store: store.status, kind: formats.kinds.quarantine, quarantine: partStrikes, getRank: duty => peers.getRank(duty),
 		}, signal),
 		watchEngines({
-			clock, telemetry, targets, cachedParts, bus, readEvents: calls.readEvents, isReader: ({id}) => peers.getRank(`read ${id}`) === 0,
+			clock, telemetry, targets, cachedParts, bus, targetReach, readEvents: calls.readEvents, isReader: ({id}) => peers.getRank(`read ${id}`) === 0,
 		}, signal),
 		registerInstance({
 			store: store.status, key: `${formats.kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
--- a/packages/relay/engine-watch.ts
+++ b/packages/relay/engine-watch.ts
@@ -4,6 +4,7 @@
  * and notifies the other instances of its silence and of evicted parts.
  */
 import type {CachedParts} from './cached-parts.ts';
+import type {TargetReach} from './target-reach.ts';
 import type {TargetSet} from './target-set.ts';
 import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
@@ -35,6 +36,7 @@
 	cachedParts: CachedParts;
 	bus: PeerBus;
 	readEvents: ReadPartCacheEvents;
+	targetReach: Pick<TargetReach, 'confirmTargetFailure'>;
 	/** Whether this instance reads the events of an engine. */
 	isReader: (target: RelayTarget) => boolean;
 }>;
@@ -102,7 +104,7 @@
 
 /** Reads the events of one engine until `signal` aborts. */
 async function readEngine(dependencies: EngineWatchDependencies, state: TargetState, signal: AbortSignal): Promise<void> {
-	const {clock, telemetry, bus, readEvents} = dependencies;
+	const {clock, telemetry, bus, readEvents, targetReach} = dependencies;
 	const {id, incarnation} = state.target;
 	let since = 0;
 	let epoch = '';
@@ -124,7 +126,8 @@
 
 		if (!isResponsive) {
 			state.suspect(clock.now() + suspectMs);
-			if (clock.now() - notifiedMs >= renotifyIntervalMs) {
+			// The other instances are not told of an engine that only this one does not reach.
+			if (clock.now() - notifiedMs >= renotifyIntervalMs && await targetReach.confirmTargetFailure(state)) {
 				notifiedMs = clock.now();
 				bus.broadcast({kind: 'silent', incarnation});
 			}
