--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -9,7 +9,7 @@
 import type {AnswerDelivery} from './_answer-delivery.ts';
 import type {RelayCaller} from './caller.ts';
 import type {TargetChoice} from './choose-target.ts';
-import type {TargetAnswer, TargetDialect} from './dialect.ts';
+import type {TargetAnswer, TargetDialect, TargetStatement} from './dialect.ts';
 import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
 import {computeStreamKey, type StreamOrigins} from './stream-origins.ts';
@@ -54,8 +54,8 @@
 	failure?: AttemptFailure | undefined;
 	status?: number;
 	body?: BodyRecord;
-	/** Requests per second that the target takes from all instances, as the answer states. */
-	requestLimit?: number | undefined;
+	/** What the target states about itself; absent if it states nothing. */
+	statement?: TargetStatement | undefined;
 }>;
 
 /** Causes of aborts by this instance, by the detail passed to {@link Exchange.abort}. Any other fault has the cause `lost` if the request may have reached the target, else `not_sent`. */
@@ -112,7 +112,7 @@
 	}
 
 	const decoded = dialect.decodeHead(read.head);
-	choice.state.requestLimit.recordAnswer(decoded.requestLimit, startedMs, clock.now());
+	choice.state.requestLimit.recordAnswer(decoded.statement.perSecond, startedMs, clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
@@ -125,7 +125,7 @@
 			dependencies.streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
 		});
 		return {
-			failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, requestLimit: decoded.requestLimit, body: body.describe(),
+			failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, statement: getStatement(decoded), body: body.describe(),
 		};
 	}
 
@@ -141,7 +141,7 @@
 
 	handleRefusal(dependencies, attempt, decoded);
 	return {
-		failure, status: decoded.status, requestLimit: decoded.requestLimit, body: body.describe(),
+		failure, status: decoded.status, statement: getStatement(decoded), body: body.describe(),
 	};
 }
 
@@ -188,6 +188,10 @@
 	return {cause: exchange.hasBeenSent ? abortCauses.get(detail) ?? 'lost' : 'not_sent', detail};
 }
 
+function getStatement({statement}: TargetAnswer): TargetStatement | undefined {
+	return Object.values(statement).some(value => value !== undefined) ? statement : undefined;
+}
+
 /** Returns the key of the stream that the request begins or resumes. */
 export function getStreamKey({id, customer, lastEventId, resumedRequestId}: RelayRequest): string {
 	return computeStreamKey(customer?.name, lastEventId === undefined ? id : resumedRequestId ?? id);
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -1,6 +1,7 @@
 /** Tracks the state of one request over all its attempts. */
 import type {BodyRecord} from './_answer-body.ts';
 import type {AttemptResult} from './_attempt.ts';
+import type {TargetStatement} from './dialect.ts';
 import type {PeerAttemptResult} from './_peer-attempt.ts';
 import type {TargetChoice} from './choose-target.ts';
 import type {
@@ -29,8 +30,8 @@
 	/** Times from the request's arrival to the start and the end of the attempt, in milliseconds. */
 	fromMs: number;
 	toMs: number;
-	/** Requests per second that the target takes from all instances, as its answer states; absent if it states no limit. */
-	requestLimit?: number;
+	/** What the target states about itself in its answer; absent if it states nothing. */
+	statement?: TargetStatement;
 	/** Cause of the failure, or `answered`. */
 	end: string;
 	detail?: string;
@@ -94,13 +95,13 @@
 	}
 
 	/** Records a finished attempt. */
-	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body, requestLimit}: AttemptResult): void {
+	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body, statement}: AttemptResult): void {
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
 			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
-			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(requestLimit !== undefined && {requestLimit}),
+			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(statement && {statement}),
 		});
 		this.peerRefusal = undefined;
 		if (!failure) {
--- a/packages/relay/dialect.ts
+++ b/packages/relay/dialect.ts
@@ -20,6 +20,20 @@
 	urgency: number | undefined;
 }>;
 
+/** What a target states about itself in an answer; a field that it does not state is absent. */
+export type TargetStatement = Readonly<{
+	/** Requests per second that the target now takes from all instances together. */
+	perSecond?: number | undefined;
+	/** Whether the target is about to stop and wants no further requests. */
+	isLeaving?: boolean | undefined;
+	/** Number of requests a second, from all instances together, that the target can refuse for want of room without failing. */
+	maxRefusals?: number | undefined;
+	/** Time for which the target, which has refused the request, wants nothing from this instance, in milliseconds. */
+	restMs?: number | undefined;
+	/** Names of the fields that the target states in a form that cannot be read. */
+	malformed?: readonly string[];
+}>;
+
 /** Decoded head of an answer. */
 export type TargetAnswer = Readonly<{
 	status: number;
@@ -38,8 +52,7 @@
 	load: TargetLoad | undefined;
 	/** Version of the weights that produced the answer. */
 	weights: number | undefined;
-	/** Requests per second that the target now takes from all instances together; absent if it states no limit. */
-	requestLimit: number | undefined;
+	statement: TargetStatement;
 }>;
 
 /** Encodes heads of requests and decodes heads of answers. */
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -15,7 +15,9 @@
 export {TargetListing} from './target-listing.ts';
 export {TargetSet} from './target-set.ts';
 export {TargetState, type TargetLoad, type InstanceWork} from './target-state.ts';
-export type {AttemptParameters, TargetAnswer, TargetDialect} from './dialect.ts';
+export type {
+	AttemptParameters, TargetAnswer, TargetDialect, TargetStatement,
+} from './dialect.ts';
 export type {RelayCaller} from './caller.ts';
 export {EventSplitter, type StreamEvent} from './event-splitter.ts';
 export {
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -39,7 +39,7 @@
 		status, headers: headers.filter((_line, index) => forwardedNames.has(headers[index - (index % 2)]!.toLowerCase())),
 		requestId: findHeader(headers, 'x-id'), isSigned: findHeader(headers, 'x-signed') !== undefined,
 		hasNotRun: findHeader(headers, 'x-not-run') !== undefined, isMisdirected: status === 421, targetId: findHeader(headers, 'x-target'),
-		load: undefined, weights: undefined, requestLimit: undefined,
+		load: undefined, weights: undefined, statement: {},
 	}),
 };
 
