Relay: what a target states about itself decides when it gets requests

Cause: of all that a target states about itself only its limit was followed; Retry-After on its 503, its mark of leaving and its brittleness were not read. Change: TargetStatements holds all that a target states, and says in how long this instance may send it a request. A target that leaves counts as draining for as long as its process. The slots of a brittle target are divided among the instances by rank, so that all of them together do not fill it, and a refusal is followed by a rest that keeps the refusals of all below half of what it can stand. A caller that is refused is told when the first target may take a request again. Why this works: each statement becomes a bound that one instance can keep by itself, whatever the others do.

--- a/packages/node/_instance-rollout.ts
+++ b/packages/node/_instance-rollout.ts
@@ -77,7 +77,7 @@
 		lease: new Lease(dutyName, {
 			platform: dependencies.store, clock, random, telemetry, holder: name,
 		}, {termMs: dependencies.leaseMs, guardMs: leaseGuardMs, kind: dependencies.leaseKind}),
-		listEngines: () => targets.list().filter(({target}) => !target.isDraining && target.weights.size > 0)
+		listEngines: () => targets.list().filter(({target, isLeaving}) => !isLeaving && target.weights.size > 0)
 			.map(({target, weights}) => ({...target, weights})),
 		countRequests: ({id}) => targets.get(id)?.countRequests(clock.now()) ?? 0,
 		listNewestVersions: () => publishedWeights.listNewest(),
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -42,8 +42,16 @@
 			target: nameSchema, requests: z.number(), tokens: z.number(),
 			/** Tokens by urgency, for engines that schedule by urgency. */
 			byUrgency: z.array(z.number()).max(maxUrgencies).optional(),
-			/** Requests per second that the target takes from all instances, absent if it no longer states a limit, and the time since it stated that, in milliseconds. */
-			limit: z.object({perSecond: z.number().min(0).optional(), ageMs: z.number().min(0)}).optional(),
+			/** What the target states about itself, and the time since it did, in milliseconds; an absent field is not stated any more. */
+			limit: z.object({
+				/** Requests per second that it takes from all instances. */
+				perSecond: z.number().min(0).optional(),
+				/** Whether it is about to stop. */
+				isLeaving: z.boolean().optional(),
+				/** Requests per second that it can refuse without failing. */
+				maxRefusals: z.number().min(0).optional(),
+				ageMs: z.number().min(0),
+			}).optional(),
 		})).max(maxEntries),
 	}),
 	strikeSchema,
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -37,7 +37,7 @@
 	/** The same tokens by urgency. Only the relay states and reads them, whose engines process prompts in order of urgency. */
 	byUrgency?: readonly number[];
 	/** Limit that the target states: requests per second over all instances, absent if it no longer states one, and the time since it stated that, in milliseconds. Only the relay states and reads it. */
-	limit?: Readonly<{perSecond?: number | undefined; ageMs: number}> | undefined;
+	limit?: Readonly<{perSecond?: number | undefined; isLeaving?: boolean | undefined; maxRefusals?: number | undefined; ageMs: number}> | undefined;
 }>;
 
 /** Options of {@link TargetViews}. */
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -68,6 +68,7 @@
 function isSameWork(a: readonly TargetWork[], b: readonly TargetWork[]): boolean {
 	return a.length === b.length && a.every(({target, requests, tokens, limit}, index) => {
 		const other = b[index]!;
-		return other.target === target && other.requests === requests && other.tokens === tokens && Boolean(other.limit) === Boolean(limit) && other.limit?.perSecond === limit?.perSecond;
+		return other.target === target && other.requests === requests && other.tokens === tokens && Boolean(other.limit) === Boolean(limit)
+			&& other.limit?.perSecond === limit?.perSecond && other.limit?.isLeaving === limit?.isLeaving && other.limit?.maxRefusals === limit?.maxRefusals;
 	});
 }
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -8,7 +8,7 @@
 import {AnswerBody, type BodyRecord} from './_answer-body.ts';
 import type {AnswerDelivery} from './_answer-delivery.ts';
 import type {RelayCaller} from './caller.ts';
-import type {TargetChoice} from './choose-target.ts';
+import type {TargetChoice, TargetQuery} from './choose-target.ts';
 import type {TargetAnswer, TargetDialect, TargetStatement} from './dialect.ts';
 import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
@@ -25,6 +25,7 @@
 	dialect: TargetDialect;
 	cachedParts: CachedParts;
 	streamOrigins: StreamOrigins;
+	getLimitSharing: TargetQuery['getLimitSharing'];
 	probe: ProbeTarget;
 	targetReach: Pick<TargetReach, 'recordFailure'>;
 	/** Called when a target refuses because its process was replaced or it serves other weights than expected. */
@@ -103,7 +104,7 @@
 }
 
 async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, {startedMs, handleAnswerStart}: AttemptWork): Promise<AttemptResult> {
-	const {clock, dialect} = dependencies;
+	const {clock, dialect, getLimitSharing} = dependencies;
 	const {request, pool, choice, delivery} = attempt;
 	const {softwareVersion} = choice.state.target;
 	const read = await exchange.readHead();
@@ -112,7 +113,8 @@
 	}
 
 	const decoded = dialect.decodeHead(read.head);
-	choice.state.requestLimit.recordAnswer(decoded.statement.perSecond, startedMs, clock.now());
+	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
+	choice.state.statements.recordOutcome(decoded.hasNotRun, () => getLimitSharing(choice.state.target), clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
@@ -158,7 +160,7 @@
 		pendingTokens = 0;
 	};
 
-	state.requestLimit.recordSent();
+	state.statements.recordSent();
 	state.inFlight++;
 	state.pendingTokens.add(urgency, pendingTokens);
 	for (const key of partKeys) {
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -4,7 +4,7 @@
  */
 import type {CachedParts} from './cached-parts.ts';
 import {
-	chooseRelayTarget, computeLimitDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
+	chooseRelayTarget, computeSendDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
 import type {RelayProgress} from './_progress.ts';
 import type {PublishedWeights} from './published-weights.ts';
@@ -111,17 +111,21 @@
 		});
 		if (typeof choice === 'string') {
 			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
-			progress.retryAfterMs = choice === 'limits_reached' ? this.#computeLimitRetryMs(poolTargets) : noTargetRules[choice].retryAfterMs;
+			progress.retryAfterMs = choice === 'limits_reached' ? this.#computeWelcomeMs(poolTargets) : noTargetRules[choice].retryAfterMs;
 		}
 
 		return choice;
 	}
 
 	/** Computes the time until this instance may send a request to one of a pool's targets, all of which have stated limits, in milliseconds. */
-	#computeLimitRetryMs(targets: readonly TargetState[]): number {
-		const {clock, getLimitSharing} = this.#dependencies;
-		const delaysMs = targets.map(state => computeLimitDelayMs({getLimitSharing, nowMs: clock.now()}, state)).filter(delayMs => delayMs > 0);
-		return Math.min(noTargetRules.limits_reached.retryAfterMs, ...delaysMs);
+
+	/** Computes the time until one of a pool's targets may take a request of this instance again, by what they state, in milliseconds. A random factor spreads the retries of several callers. */
+	#computeWelcomeMs(targets: readonly TargetState[]): number {
+		const {clock, random, getLimitSharing} = this.#dependencies;
+		const delaysMs = targets.filter(({isLeaving}) => !isLeaving).map(state => computeSendDelayMs({getLimitSharing, nowMs: clock.now()}, state))
+			.filter(delayMs => delayMs > 0 && Number.isFinite(delayMs));
+		const firstMs = delaysMs.length > 0 ? Math.min(...delaysMs) : noTargetRules.limits_reached.retryAfterMs;
+		return Math.min(maxRetryAfterMs, firstMs) * (1 + (random.next() / 4));
 	}
 }
 
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -320,13 +320,13 @@
 
 t.test('a target in need whose limit is used up is not chosen; if all are, there is no choice', async t => {
 	const targets = [createState(0), createState(1)];
-	for (const {requestLimit} of targets) {
-		requestLimit.recordAnswer(1, 0, 0);
+	for (const {statements} of targets) {
+		statements.recordAnswer({perSecond: 1}, 0, 0);
 	}
 
 	const first = chooseRelayTarget(createQuery([targets[0]!, createState(2)], {nowMs: 1}));
 	t.equal(typeof first === 'string' ? first : first.state.target.id, 'e2');
 	t.equal(chooseRelayTarget(createQuery(targets, {nowMs: 1})), 'limits_reached');
-	targets[1]!.requestLimit.recordAnswer(undefined, 2, 3);
+	targets[1]!.statements.recordAnswer({}, 2, 3);
 	t.equal(choose(createQuery(targets, {nowMs: 4})).state.target.id, 'e1');
 });
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -6,7 +6,7 @@
  * sending requests.
  */
 import type {CachedParts} from './cached-parts.ts';
-import type {LimitSharing} from './request-limit.ts';
+import type {LimitSharing} from './_limit-share.ts';
 import type {TargetState} from './target-state.ts';
 import type {
 	EngineTraits, Prompt, PromptPart, Random, RelayTarget,
@@ -46,7 +46,7 @@
 	zone: string;
 	/** Maximum number of connections from this instance to one target: its share of those that a target accepts. */
 	maxConnections: number;
-	/** Returns the place of this instance among those that share the limit of a target. */
+	/** Returns the place of this instance among those that share what a target takes. */
 	getLimitSharing: (target: RelayTarget) => LimitSharing;
 	nowMs: number;
 	random: Random;
@@ -81,7 +81,7 @@
  * - `old_weights`: the weights of all remaining targets are too stale.
  * - `unreachable`: this instance reaches none of them.
  * - `connections_used`: all connections that this instance may open to the others are in use.
- * - `limits_reached`: the others have stated limits, of which this instance has used up its shares.
+ * - `limits_reached`: the others have stated that they want no request from this instance now.
  */
 export type NoTarget = 'none_listed' | 'other_software' | 'old_weights' | 'unreachable' | 'connections_used' | 'limits_reached';
 
@@ -118,7 +118,7 @@
 
 /** Chooses the target with the lowest cost, or returns why there is none. */
 export function chooseRelayTarget(query: TargetQuery): TargetChoice | NoTarget {
-	const listed = query.targets.filter(({target, isReplaced}) => !target.isDraining && !isReplaced && !query.excluded.has(target.id));
+	const listed = query.targets.filter(({target, isLeaving, isReplaced}) => !isLeaving && !isReplaced && !query.excluded.has(target.id));
 	const fitting = listed.filter(({target}) => query.softwareVersion === undefined || target.softwareVersion === query.softwareVersion);
 	if (fitting.length === 0) {
 		return listed.length > 0 ? 'other_software' : 'none_listed';
@@ -139,7 +139,7 @@
 		return 'connections_used';
 	}
 
-	const permitted = startable.filter(state => computeLimitDelayMs(query, state) === 0);
+	const permitted = startable.filter(state => computeSendDelayMs(query, state) === 0);
 	if (permitted.length === 0) {
 		return 'limits_reached';
 	}
@@ -158,9 +158,9 @@
 	return best!;
 }
 
-/** Computes the time until this instance may send a request to a target by its stated limit, in milliseconds. */
-export function computeLimitDelayMs({getLimitSharing, nowMs}: Pick<TargetQuery, 'getLimitSharing' | 'nowMs'>, {requestLimit, target}: TargetState): number {
-	return requestLimit.computeDelayMs(() => getLimitSharing(target), nowMs);
+/** Computes the time until this instance may send a request to a target by what the target states, in milliseconds. */
+export function computeSendDelayMs({getLimitSharing, nowMs}: Pick<TargetQuery, 'getLimitSharing' | 'nowMs'>, {statements, target, inFlight}: TargetState): number {
+	return statements.computeDelayMs(() => getLimitSharing(target), {inFlight, slots: target.slots}, nowMs);
 }
 
 /** Returns the targets that pass, or all if none does. */
@@ -219,8 +219,8 @@
 /** Returns a function that creates the choice of one engine for a prompt. The layout of the prompt's parts is created once per version of the weights. */
 function prepareEngineChoices(query: TargetQuery, prompt: Prompt, engine: EngineTraits): (state: TargetState) => TargetChoice {
 	const layouts = new Map<number | undefined, PartLayout>();
-	const notDraining = query.targets.filter(({target}) => !target.isDraining);
-	const targetIds = notDraining.map(({target}) => target.id);
+	const staying = query.targets.filter(({isLeaving}) => !isLeaving);
+	const targetIds = staying.map(({target}) => target.id);
 	const getPartLayout = (weights: number | undefined): PartLayout => {
 		let layout = layouts.get(weights);
 		if (!layout) {
@@ -285,7 +285,7 @@
 /** Finds another target that is believed to have more of the prompt cached: a recorded holder of a part, or the home of that part. */
 function findCacheSource(query: TargetQuery, layout: PartLayout, state: TargetState, cachedCount: number): CacheSource | undefined {
 	const {cachedParts, nowMs, targets} = query;
-	const isUsable = (other: TargetState | undefined): other is TargetState => other !== undefined && other !== state
+	const isUsable = (other: TargetState | undefined): other is TargetState => other !== undefined && other !== state && !other.isLeaving
 		&& other.loadingUntilMs <= nowMs && other.suspectUntilMs <= nowMs && getWeights(query, other) === getWeights(query, state);
 	for (let partCount = layout.parts.length; partCount > cachedCount; partCount--) {
 		const holders = cachedParts.listHolders(layout.keys[partCount - 1]!, nowMs);
--- a/packages/relay/peer-paths.test.ts
+++ b/packages/relay/peer-paths.test.ts
@@ -15,18 +15,18 @@
 t.test('peers that state that they do not reach the pool are not chosen', async t => {
 	const paths = createPaths();
 	paths.recordStatus(peers[0]!, {...status, unreachablePools: ['p']});
-	paths.markUnreachable(peers[1]!, 'p');
-	t.equal(paths.choose('p', new Set(), 0)?.name, 'farther');
-	t.equal(paths.choose('q', new Set(), 0)?.name, 'near');
+	paths.avoid(peers[1]!, 'p');
+	t.equal(paths.choose('p', {excluded: new Set(), bodyBytes: 0})?.name, 'farther');
+	t.equal(paths.choose('q', {excluded: new Set(), bodyBytes: 0})?.name, 'near');
 	paths.recordStatus(peers[0]!, status);
-	t.equal(paths.choose('p', new Set(['farther']), 0)?.name, 'near');
-	t.equal(paths.choose('p', new Set(['near', 'farther']), 0), undefined);
+	t.equal(paths.choose('p', {excluded: new Set(['farther']), bodyBytes: 0})?.name, 'near');
+	t.equal(paths.choose('p', {excluded: new Set(['near', 'farther']), bodyBytes: 0}), undefined);
 });
 
 t.test('requests are spread by what is in progress through each peer, up to a bound', async t => {
 	const paths = createPaths();
 	const counts = new Map<string, number>();
-	for (let peer = paths.choose('p', new Set(), 10); peer; peer = paths.choose('p', new Set(), 10)) {
+	for (let peer = paths.choose('p', {excluded: new Set(), bodyBytes: 10}); peer; peer = paths.choose('p', {excluded: new Set(), bodyBytes: 10})) {
 		paths.recordStart(peer, 10);
 		counts.set(peer.name, (counts.get(peer.name) ?? 0) + 1);
 	}
@@ -38,7 +38,7 @@
 	const paths = createPaths();
 	const others = new Set(['far', 'farther']);
 	const end = paths.recordStart(peers[0]!, 1_000_000);
-	t.equal(paths.choose('p', others, 100_000), undefined);
+	t.equal(paths.choose('p', {excluded: others, bodyBytes: 100_000}), undefined);
 	end();
-	t.equal(paths.choose('p', others, 100_000)?.name, 'near');
+	t.equal(paths.choose('p', {excluded: others, bodyBytes: 100_000})?.name, 'near');
 });
--- a/packages/relay/peer-paths.ts
+++ b/packages/relay/peer-paths.ts
@@ -14,6 +14,16 @@
 	zone: string;
 }>;
 
+/** Which peers may be chosen. */
+export type PeerCriteria = Readonly<{
+	/** Incarnations of peers that must not be chosen. */
+	excluded: ReadonlySet<string>;
+	/** Incarnations of the only peers that may be chosen; absent if any may. */
+	allowed?: ReadonlySet<string>;
+	/** Size of the request's body. */
+	bodyBytes: number;
+}>;
+
 /** Requests in progress through one peer. */
 type PeerUse = {requests: number; bodyBytes: number};
 
@@ -42,18 +52,17 @@
 		}
 	}
 
-	/** Records that a peer has found that it does not reach a pool; its next heartbeat replaces this. */
-	markUnreachable({incarnation}: Peer, pool: string): void {
+	/** Avoids a peer for a pool until its next heartbeat, as it has no target there either. */
+	avoid({incarnation}: Peer, pool: string): void {
 		this.#unreachablePools.set(incarnation, new Set([...this.#unreachablePools.get(incarnation) ?? [], pool]));
 	}
 
 	/**
 	 * Chooses the peer with the fewest requests from this instance in progress.
 	 *
-	 * @param excluded incarnations of peers that must not be chosen
-	 * @param bodyBytes size of the request's body
+	 * @returns `undefined` if there is none, or none has room
 	 */
-	choose(pool: string, excluded: ReadonlySet<string>, bodyBytes: number): Peer | undefined {
+	choose(pool: string, {excluded, allowed, bodyBytes}: PeerCriteria): Peer | undefined {
 		const {bus, random, zone} = this.#dependencies;
 		let best: Readonly<{peer: Peer; cost: number}> | undefined;
 		for (const peer of bus.listChannelPeers()) {
@@ -61,7 +70,8 @@
 			const requests = use?.requests ?? 0;
 			const hasRoom = requests < maxRequestsPerPeer && (use?.bodyBytes ?? 0) + bodyBytes <= maxRelayedBodyBytes;
 			const cost = requests + (peer.zone === zone ? 0 : crossZoneCost) + (random.next() / 2);
-			if (hasRoom && !excluded.has(peer.incarnation) && !this.#unreachablePools.get(peer.incarnation)?.has(pool) && (!best || cost < best.cost)) {
+			const isEligible = !excluded.has(peer.incarnation) && (allowed?.has(peer.incarnation) ?? true);
+			if (hasRoom && isEligible && !this.#unreachablePools.get(peer.incarnation)?.has(pool) && (!best || cost < best.cost)) {
 				best = {peer, cost};
 			}
 		}
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -124,6 +124,12 @@
 			telemetry.count('answer_bodies_total', {framing: result.body.framing, end: result.body.end});
 		}
 
+		for (const [field, value] of Object.entries(result.statement ?? {})) {
+			if (value !== undefined) {
+				telemetry.count('target_statements_total', {field});
+			}
+		}
+
 		if (caller.hasLeft()) {
 			release();
 			return {kind: 'caller_left'};
@@ -162,7 +168,7 @@
 		}
 
 		if (refusal?.reason === 'no_target') {
-			peerPaths.markUnreachable(peer, pool.name);
+			peerPaths.avoid(peer, pool.name);
 		}
 
 		if (!failure && !refusal) {
@@ -172,11 +178,19 @@
 		return canRetry && this.#canRetry(progress, failure?.cause ?? 'not_sent', delivery) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 	}
 
-	/** Chooses a peer for the next attempt, if this instance reaches no target of the pool and has accepted the request itself. */
+	/** Chooses a peer for the next attempt of a request that this instance has accepted itself, if it reaches no target of the pool. */
 	#choosePeer({request, pool, excluded, unsentAttempts, triedPeers}: RelayProgress): Peer | undefined {
 		const {peerPaths, targetReach} = this.#dependencies;
-		const isNeeded = request.relayedBy === undefined && triedPeers.size < maxTriedPeers && (unsentAttempts >= maxUnsentAttempts || !targetReach.canStart(pool.name, excluded));
-		return isNeeded ? peerPaths.choose(pool.name, triedPeers, request.body?.length ?? 0) : undefined;
+		if (request.relayedBy !== undefined || triedPeers.size >= maxTriedPeers) {
+			return undefined;
+		}
+
+		const bodyBytes = request.body?.length ?? 0;
+		if (unsentAttempts >= maxUnsentAttempts || !targetReach.canStart(pool.name, excluded)) {
+			return peerPaths.choose(pool.name, {excluded: triedPeers, bodyBytes});
+		}
+
+		return undefined;
 	}
 
 	/** Whether another attempt may follow. Such an attempt is charged to the pool's retry budget, unless no earlier attempt reached a target. */
--- a/packages/relay/target-reach.ts
+++ b/packages/relay/target-reach.ts
@@ -174,6 +174,6 @@
 	}
 }
 
-function isUsable({target, isReplaced}: TargetState): boolean {
-	return !target.isDraining && !isReplaced;
+function isUsable({isLeaving, isReplaced}: TargetState): boolean {
+	return !isLeaving && !isReplaced;
 }
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -90,11 +90,11 @@
 		this.#pools = groupByPool(this.#states.values());
 	}
 
-	/** Lists the work that this instance has in progress on each target, and the limits that the peers should know. */
+	/** Lists the work that this instance has in progress on each target, and what the peers should know of the targets' statements. */
 	listWork(): readonly TargetWork[] {
 		const nowMs = this.#clock.now();
-		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, requestLimit}) => {
-			const limit = requestLimit.announce(nowMs);
+		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, statements}) => {
+			const limit = statements.announce(nowMs);
 			return inFlight > 0 || limit
 				? [{
 					target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit,
@@ -115,7 +115,7 @@
 			const state = this.#states.get(target);
 			state?.setPeerWork(peer, {requests, byUrgency}, nowMs);
 			if (limit) {
-				state?.requestLimit.merge(limit, nowMs);
+				state?.statements.merge(limit, nowMs);
 			}
 		}
 	}
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -4,7 +4,7 @@
  * measured speed.
  */
 import type {TargetConnections} from './connections.ts';
-import {RequestLimit} from './request-limit.ts';
+import {TargetStatements} from './target-statements.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
 import type {RelayTarget} from '#core';
 
@@ -54,7 +54,7 @@
 	inFlight = 0;
 	/** Prompt tokens that the target still has to read, of this instance's requests whose answer has not started. */
 	readonly pendingTokens = new TokenQueue();
-	readonly requestLimit = new RequestLimit();
+	readonly statements = new TargetStatements();
 	/** Load that the target reported last. */
 	load: TargetLoad | undefined;
 	/** Time at which that load was received, in milliseconds. */
@@ -84,6 +84,11 @@
 		this.update(target);
 	}
 
+	/** Whether the target is about to stop, as the store or its answers state. */
+	get isLeaving(): boolean {
+		return this.target.isDraining || this.statements.isLeaving;
+	}
+
 	/** Time until which other targets are preferred to this one, in milliseconds. */
 	get suspectUntilMs(): number {
 		return this.#suspectUntilMs;
--- a/packages/relay/request-limit.test.ts
+++ b/packages/relay/target-statements.test.ts
@@ -1,12 +1,14 @@
 import t from 'tap';
 import fc from 'fast-check';
-import {RequestLimit, type LimitSharing} from './request-limit.ts';
+import type {LimitSharing} from './_limit-share.ts';
+import {TargetStatements} from './target-statements.ts';
 import {createRandom, type Random} from '#core';
 
 const windowMs = 4000;
 const stepMs = 10;
 const contactMs = 3000;
 
+const idle = {inFlight: 0, slots: 4};
 const alone = (): LimitSharing => ({instances: 1, rank: 0});
 
 function computeAllowed(limit: number): number {
@@ -14,25 +16,25 @@
 }
 
 t.test('a target without a limit takes requests at any time', async t => {
-	const limit = new RequestLimit();
-	limit.recordAnswer(undefined, 0, 10);
-	t.equal(limit.computeDelayMs(alone, 10), 0);
+	const limit = new TargetStatements();
+	limit.recordAnswer({}, 0, 10);
+	t.equal(limit.computeDelayMs(alone, idle, 10), 0);
 	t.equal(limit.announce(10), undefined);
 });
 
 t.test('an answer without a limit ends the limit, unless its request was sent before the limit was stated', async t => {
-	const limit = new RequestLimit();
-	limit.recordAnswer(2, 0, 100);
-	limit.recordAnswer(undefined, 50, 200);
+	const limit = new TargetStatements();
+	limit.recordAnswer({perSecond: 2}, 0, 100);
+	limit.recordAnswer({}, 50, 200);
 	t.equal(limit.perSecond, 2);
-	limit.recordAnswer(undefined, 150, 300);
+	limit.recordAnswer({}, 150, 300);
 	t.equal(limit.perSecond, undefined);
-	t.strictSame(limit.announce(300), {perSecond: undefined, ageMs: 0}, 'the peers are told of the end');
+	t.strictSame(limit.announce(300), {ageMs: 0}, 'the peers are told of the end');
 });
 
 t.test('the newer of two statements holds, whoever heard it', async t => {
-	const limit = new RequestLimit();
-	limit.recordAnswer(2, 0, 1000);
+	const limit = new TargetStatements();
+	limit.recordAnswer({perSecond: 2}, 0, 1000);
 	limit.merge({perSecond: 9, ageMs: 500}, 1200);
 	t.equal(limit.perSecond, 2);
 	limit.merge({perSecond: 9, ageMs: 100}, 1200);
@@ -42,15 +44,15 @@
 });
 
 t.test('an instance that does not share a limit sends nothing until the target has been silent for a minute', async t => {
-	const limit = new RequestLimit();
+	const limit = new TargetStatements();
 	const last = (): LimitSharing => ({instances: 12, rank: 11});
-	limit.recordAnswer(1, 0, 0);
-	t.equal(limit.computeDelayMs(last, 59_000), Infinity);
-	t.ok(limit.computeDelayMs(last, 70_000) < Infinity);
+	limit.recordAnswer({perSecond: 1}, 0, 0);
+	t.equal(limit.computeDelayMs(last, idle, 59_000), Infinity);
+	t.ok(limit.computeDelayMs(last, idle, 70_000) < Infinity);
 });
 
 /** A sender of one target, as one of several instances. */
-type Sender = {limit: RequestLimit; isCut: boolean; excusedUntilMs: number};
+type Sender = {limit: TargetStatements; isCut: boolean; excusedUntilMs: number};
 
 type Fleet = Readonly<{instances: number; seed: number; perSecond: number; isDisturbed: boolean; /** Whether requests come in bursts, so that instances have saved up theirs. */ isBursty?: boolean}>;
 
@@ -58,7 +60,7 @@
 function runFleet({instances, seed, perSecond, isDisturbed, isBursty = false}: Fleet): Readonly<{busiest: number; total: number}> {
 	const random: Random = createRandom(seed);
 	const senders = Array.from({length: instances}, () => createSender());
-	const answers: Array<Readonly<{atMs: number; sender: Sender; limit: RequestLimit; sentMs: number; stated: number | undefined}>> = [];
+	const answers: Array<Readonly<{atMs: number; sender: Sender; limit: TargetStatements; sentMs: number; stated: number | undefined}>> = [];
 	const arrivals: number[] = [];
 	for (let nowMs = 0; nowMs < (isBursty ? 60_000 : 30_000); nowMs += stepMs) {
 		if (isDisturbed && nowMs % 1000 === 0 && random.next() < 0.5) {
@@ -67,7 +69,7 @@
 
 		for (const answer of answers.splice(0)) {
 			if (answer.atMs <= nowMs) {
-				answer.limit.recordAnswer(answer.stated, answer.sentMs, nowMs);
+				answer.limit.recordAnswer({perSecond: answer.stated}, answer.sentMs, nowMs);
 			} else {
 				answers.push(answer);
 			}
@@ -83,7 +85,7 @@
 			const linked = senders.filter(({isCut}) => !isCut);
 			const sharing = (): LimitSharing => sender.isCut ? {instances: 1, rank: 0} : {instances: linked.length, rank: linked.indexOf(sender)};
 			const hasRequest = isBursty ? nowMs % 28_000 < 400 : random.next() < 0.2;
-			if (hasRequest && limit.computeDelayMs(sharing, nowMs) === 0) {
+			if (hasRequest && limit.computeDelayMs(sharing, idle, nowMs) === 0) {
 				limit.recordSent();
 				answers.push({
 					atMs: nowMs + 20 + random.integerBelow(200), sender, limit, sentMs: nowMs, stated: nowMs >= 2000 ? perSecond : undefined,
@@ -100,7 +102,7 @@
 }
 
 function createSender(): Sender {
-	return {limit: new RequestLimit(), isCut: false, excusedUntilMs: 0};
+	return {limit: new TargetStatements(), isCut: false, excusedUntilMs: 0};
 }
 
 /** Kills an instance, cuts it off or connects it again, or adds one. */
@@ -157,3 +159,65 @@
 		}
 	}
 });
+
+const restingFor = (restMs: number) => ({restMs});
+
+t.test('a target that asks for rest gets nothing until its end, whatever else is answered meanwhile', async t => {
+	const statements = new TargetStatements();
+	statements.recordAnswer(restingFor(3000), 0, 100);
+	statements.recordAnswer({}, 200, 300);
+	statements.recordAnswer(restingFor(500), 300, 400);
+	t.equal(statements.computeDelayMs(alone, idle, 1000), 2100);
+	t.ok(statements.isResting(3099));
+	t.equal(statements.computeDelayMs(alone, idle, 3100), 0);
+	t.equal(statements.announce(400), undefined, 'the rest concerns this instance only');
+});
+
+t.test('a target that has said that it leaves stays so, and the peers are told', async t => {
+	const statements = new TargetStatements();
+	statements.recordAnswer({isLeaving: true}, 0, 100);
+	t.same(statements.announce(200), {isLeaving: true, ageMs: 100});
+	const other = new TargetStatements();
+	other.merge({isLeaving: true, ageMs: 100}, 200);
+	for (const known of [statements, other]) {
+		known.recordAnswer({}, 300, 400);
+		known.merge({perSecond: 1, ageMs: 0}, 500);
+		t.ok(known.isLeaving);
+	}
+});
+
+t.test('an answer to an earlier request ends nothing of a statement, and adds to it', async t => {
+	const statements = new TargetStatements();
+	statements.recordAnswer({maxRefusals: 4}, 0, 100);
+	statements.recordAnswer({perSecond: 2}, 50, 200);
+	t.same(statements.announce(200), {maxRefusals: 4, perSecond: 2, ageMs: 0});
+	statements.recordAnswer({}, 250, 300);
+	t.same(statements.announce(300), {ageMs: 0});
+});
+
+t.test('the shares of all instances in a brittle target stay below its slots', async t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 100}), fc.integer({min: 1, max: 64}), (instances, slots) => {
+		let sum = 0;
+		for (let rank = 0; rank < instances; rank++) {
+			const statements = new TargetStatements();
+			statements.recordAnswer({maxRefusals: 5}, 0, 0);
+			let inFlight = 0;
+			while (statements.computeDelayMs(() => ({instances, rank}), {inFlight, slots}, 1) === 0) {
+				inFlight++;
+			}
+
+			sum += inFlight;
+		}
+
+		return sum <= slots && sum >= Math.floor(slots * 0.9);
+	}), {seed: 23});
+});
+
+t.test('the refusals of a brittle target are followed by a rest, longer with more instances', async t => {
+	for (const [instances, restMs] of [[2, 1000], [8, 4000], [100, 5000]] as const) {
+		const statements = new TargetStatements();
+		statements.recordAnswer({maxRefusals: 4}, 0, 0);
+		statements.recordOutcome(true, () => ({instances, rank: 0}), 10);
+		t.equal(statements.computeDelayMs(() => ({instances, rank: 0}), idle, 10), restMs);
+	}
+});
--- /dev/null
+++ b/packages/relay/target-statements.ts
@@ -0,0 +1,171 @@
+/**
+ * What one target states about itself, and when this instance may therefore send
+ * it a request: a limit on the requests of all instances, the time for which it
+ * wants nothing from this one, that it is about to stop, and how many requests it
+ * can refuse without failing. The newest statement holds. Instances tell each
+ * other what concerns all of them, as those that send nothing would not hear of a
+ * change.
+ */
+import type {TargetStatement} from './dialect.ts';
+import {LimitShare, type LimitSharing} from './_limit-share.ts';
+
+/** The part of a statement that concerns all instances. */
+type CommonStatement = Omit<TargetStatement, 'malformed' | 'restMs'>;
+
+/** What is known of a target's statement, as instances tell it each other. */
+export type SharedStatement = CommonStatement & Readonly<{
+	/** Time since the target stated this, in milliseconds. */
+	ageMs: number;
+}>;
+
+/** The work in progress on a target, which bounds further requests while it is brittle. */
+export type TargetOccupancy = Readonly<{
+	/** Requests of this instance in progress. */
+	inFlight: number;
+	/** Requests that the target runs at once. */
+	slots: number;
+}>;
+
+/** Time for which a change is told to the peers, in milliseconds, and for which an answer of the target counts as new. */
+const announceChangeMs = 3000;
+const announceHeardMs = 1500;
+
+/** Interval at which an unchanged limit that this instance knows from a peer is passed on, in milliseconds. */
+const announceIntervalMs = 10_000;
+
+/** Age at which two reports are taken for the same statement, in milliseconds. */
+const sameStatementMs = 5;
+
+/** Part of a brittle target's slots that is divided among the instances. The rest covers the time in which they disagree on their ranks. */
+const dividedSlots = 0.9;
+
+/** Time after which a request may find room on a brittle target, in milliseconds. */
+const brittleRetryMs = 100;
+
+/** Maximum rest of a brittle target after a refusal, in milliseconds. */
+const maxBrittleRestMs = 5000;
+
+const msPerSecond = 1000;
+
+const fields = ['perSecond', 'isLeaving', 'maxRefusals'] as const satisfies ReadonlyArray<keyof CommonStatement>;
+
+export class TargetStatements {
+	#stated: CommonStatement = {};
+	/** Time at which the target stated that, in milliseconds. */
+	#statedMs = Number.NEGATIVE_INFINITY;
+	/** Time at which this instance itself last heard it, in milliseconds. */
+	#heardMs = Number.NEGATIVE_INFINITY;
+	#changedMs = Number.NEGATIVE_INFINITY;
+	#announcedMs = Number.NEGATIVE_INFINITY;
+	/** Time until which the target wants nothing from this instance, in milliseconds. */
+	#restUntilMs = Number.NEGATIVE_INFINITY;
+	readonly #limitShare = new LimitShare();
+
+	/** Requests per second over all instances; `undefined` if the target states no limit. */
+	get perSecond(): number | undefined {
+		return this.#stated.perSecond;
+	}
+
+	/** Whether the target is about to stop; once stated, this holds as long as its process. */
+	get isLeaving(): boolean {
+		return this.#stated.isLeaving === true;
+	}
+
+	/**
+	 * Records what an answer states.
+	 *
+	 * @param sentMs time at which the request was sent; an answer to a request that was sent before the latest statement does not end what that states
+	 */
+	recordAnswer({restMs, malformed: _malformed, ...stated}: TargetStatement, sentMs: number, nowMs: number): void {
+		this.#restUntilMs = Math.max(this.#restUntilMs, nowMs + (restMs ?? 0));
+		const isLate = sentMs < this.#statedMs;
+		const hasStatement = hasFields(stated);
+		if (!hasStatement && (isLate || !hasFields(this.#stated))) {
+			return;
+		}
+
+		this.#heardMs = nowMs;
+		this.#set(isLate ? {...this.#stated, ...pickFields(stated)} : stated, nowMs, nowMs);
+	}
+
+	/** Records whether the target has refused a request without running it. While it is brittle, it then gets a rest from each instance, so that all of them cause at most half of the refusals that it can stand. */
+	recordOutcome(isRefused: boolean, sharing: () => LimitSharing, nowMs: number): void {
+		const {maxRefusals} = this.#stated;
+		if (isRefused && maxRefusals !== undefined) {
+			const restMs = Math.min(maxBrittleRestMs, 2 * msPerSecond * sharing().instances / Math.max(1, maxRefusals));
+			this.#restUntilMs = Math.max(this.#restUntilMs, nowMs + restMs);
+		}
+	}
+
+	/** Merges what a peer knows, if that is newer. */
+	merge({ageMs, ...stated}: SharedStatement, nowMs: number): void {
+		const statedMs = nowMs - ageMs;
+		if (statedMs > this.#statedMs + sameStatementMs) {
+			this.#set(stated, statedMs, nowMs);
+		}
+	}
+
+	/** Returns what the peers should be told now, if anything. */
+	announce(nowMs: number): SharedStatement | undefined {
+		const hasStatement = hasFields(this.#stated);
+		const isNew = nowMs - this.#changedMs < announceChangeMs || (hasStatement && nowMs - this.#heardMs < announceHeardMs);
+		const isDue = hasStatement && nowMs - this.#announcedMs >= announceIntervalMs;
+		if (!isNew && !isDue) {
+			return undefined;
+		}
+
+		this.#announcedMs = nowMs;
+		return {...pickFields(this.#stated), ageMs: Math.max(0, nowMs - this.#statedMs)};
+	}
+
+	/** Computes the time until this instance may send a request, in milliseconds; `Infinity` if only others may. */
+	computeDelayMs(sharing: () => LimitSharing, occupancy: TargetOccupancy, nowMs: number): number {
+		const {perSecond, maxRefusals} = this.#stated;
+		return Math.max(
+			0,
+			this.#restUntilMs - nowMs,
+			perSecond === undefined ? 0 : this.#limitShare.computeDelayMs(perSecond, this.#statedMs, sharing(), nowMs),
+			maxRefusals === undefined || hasRoom(occupancy, sharing()) ? 0 : brittleRetryMs,
+		);
+	}
+
+	/** Whether the target has asked this instance for rest. */
+	isResting(nowMs: number): boolean {
+		return nowMs < this.#restUntilMs;
+	}
+
+	/** Records that a request is sent. */
+	recordSent(): void {
+		this.#limitShare.recordSent();
+	}
+
+	#set(stated: CommonStatement, statedMs: number, nowMs: number): void {
+		const next: CommonStatement = {...stated, isLeaving: this.isLeaving || stated.isLeaving};
+		this.#statedMs = statedMs;
+		if (fields.some(field => next[field] !== this.#stated[field])) {
+			if (this.#stated.perSecond === undefined) {
+				this.#limitShare.reset();
+			}
+
+			this.#stated = next;
+			this.#changedMs = nowMs;
+		}
+	}
+}
+
+/** Whether this instance may send a brittle target one more request without the risk that it is refused. */
+function hasRoom({inFlight, slots}: TargetOccupancy, {instances, rank}: LimitSharing): boolean {
+	const divided = Math.max(1, Math.floor(slots * dividedSlots));
+	const sharers = Math.min(instances, divided);
+	const quota = rank < sharers ? Math.floor(divided / sharers) + (rank < divided % sharers ? 1 : 0) : 0;
+	return inFlight < quota;
+}
+
+function hasFields(stated: CommonStatement): boolean {
+	return fields.some(field => stated[field] !== undefined && stated[field] !== false);
+}
+
+/** Returns the fields that are stated. */
+function pickFields(stated: CommonStatement): CommonStatement {
+	return Object.fromEntries(fields.filter(field => stated[field] !== undefined).map(field => [field, stated[field]]));
+}
