Relay: a target that refuses requests is avoided while others take them

Class of fault: a failure measured as a success. Change: a refusal is no measurement of the service time, and is followed by a time in which other targets are preferred, 0.5 s, doubled with each refusal in a row up to 4 s, until the target takes a request.

--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -93,7 +93,13 @@
 		}),
 	];
 	try {
-		return await receiveAnswer(dependencies, attempt, exchange, work);
+		const result = await receiveAnswer(dependencies, attempt, exchange, work);
+		// A refusal takes no service time, and would make a busy target look fast.
+		if (!request.prompt && result.failure?.cause !== 'refused' && result.failure?.cause !== 'not_sent') {
+			state.recordServiceTime(clock.now() - work.startedMs);
+		}
+
+		return result;
 	} finally {
 		for (const cancel of cancels) {
 			cancel();
@@ -151,7 +157,7 @@
 type AttemptWork = Readonly<{startedMs: number; handleAnswerStart: () => void; finish: () => void}>;
 
 /** Counts a request as in progress on its target, and its prompt tokens as pending until the answer starts. */
-function startWork({clock, cachedParts}: AttemptDependencies, {request, choice: {state, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
+function startWork({clock, cachedParts}: AttemptDependencies, {choice: {state, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
 	const startedMs = clock.now();
 	const aheadTokens = state.sumWork(startedMs, urgency).tokens;
 	let pendingTokens = unreadTokens;
@@ -179,9 +185,6 @@
 		finish() {
 			removePendingTokens();
 			state.inFlight--;
-			if (!request.prompt) {
-				state.recordServiceTime(clock.now() - startedMs);
-			}
 		},
 	};
 }
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -144,7 +144,8 @@
 		return 'limits_reached';
 	}
 
-	const ready = preferIf(permitted, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
+	const welcoming = preferIf(permitted, ({statements}) => statements.computeAvoidanceMs(query.nowMs) === 0);
+	const ready = preferIf(welcoming, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const createChoice = query.prompt && query.engine ? prepareEngineChoices(query, query.prompt, query.engine) : (state: TargetState) => createServiceChoice(query, state);
 	let best: TargetChoice | undefined;
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -154,7 +154,7 @@
 		this.msPerToken += (measured - this.msPerToken) * smoothingFactor;
 	}
 
-	/** Records the time that an attempt on a plain service took, whether or not it succeeded. */
+	/** Records the time that an attempt on a plain service took, unless its request was not run. */
 	recordServiceTime(ms: number): void {
 		this.serviceMs += (ms - this.serviceMs) * smoothingFactor;
 	}
--- a/packages/relay/target-statements.test.ts
+++ b/packages/relay/target-statements.test.ts
@@ -221,3 +221,17 @@
 		t.equal(statements.computeDelayMs(() => ({instances, rank: 0}), idle, 10), restMs);
 	}
 });
+
+t.test('a target that refuses requests is avoided, longer with each in a row, until it takes one', async t => {
+	const statements = new TargetStatements();
+	const avoidances: number[] = [];
+	for (let refusal = 0; refusal < 9; refusal++) {
+		statements.recordOutcome(true, alone, 0);
+		avoidances.push(statements.computeAvoidanceMs(0));
+	}
+
+	t.same(avoidances, [500, 1000, 2000, 4000, 4000, 4000, 4000, 4000, 4000]);
+	t.equal(statements.computeDelayMs(alone, idle, 0), 0, 'it may still be used if there is no other');
+	statements.recordOutcome(false, alone, 0);
+	t.equal(statements.computeAvoidanceMs(0), 0);
+});
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -4,7 +4,8 @@
  * wants nothing from this one, that it is about to stop, and how many requests it
  * can refuse without failing. The newest statement holds. Instances tell each
  * other what concerns all of them, as those that send nothing would not hear of a
- * change.
+ * change. Refusals without a statement count as a weaker one: the target is
+ * avoided for a while, longer with each refusal in a row.
  */
 import type {TargetStatement} from './dialect.ts';
 import {LimitShare, type LimitSharing} from './_limit-share.ts';
@@ -45,6 +46,10 @@
 /** Maximum rest of a brittle target after a refusal, in milliseconds. */
 const maxBrittleRestMs = 5000;
 
+/** Bounds of the time for which a target that refuses requests is avoided, in milliseconds. */
+const minAvoidanceMs = 500;
+const maxAvoidanceMs = 4000;
+
 const msPerSecond = 1000;
 
 const fields = ['perSecond', 'isLeaving', 'maxRefusals'] as const satisfies ReadonlyArray<keyof CommonStatement>;
@@ -59,6 +64,8 @@
 	#announcedMs = Number.NEGATIVE_INFINITY;
 	/** Time until which the target wants nothing from this instance, in milliseconds. */
 	#restUntilMs = Number.NEGATIVE_INFINITY;
+	#avoidUntilMs = Number.NEGATIVE_INFINITY;
+	#refusalsInRow = 0;
 	readonly #limitShare = new LimitShare();
 
 	/** Requests per second over all instances; `undefined` if the target states no limit. */
@@ -90,8 +97,16 @@
 
 	/** Records whether the target has refused a request without running it. While it is brittle, it then gets a rest from each instance, so that all of them cause at most half of the refusals that it can stand. */
 	recordOutcome(isRefused: boolean, sharing: () => LimitSharing, nowMs: number): void {
+		if (!isRefused) {
+			this.#refusalsInRow = 0;
+			this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
+			return;
+		}
+
+		this.#avoidUntilMs = nowMs + Math.min(maxAvoidanceMs, minAvoidanceMs * (2 ** this.#refusalsInRow));
+		this.#refusalsInRow++;
 		const {maxRefusals} = this.#stated;
-		if (isRefused && maxRefusals !== undefined) {
+		if (maxRefusals !== undefined) {
 			const restMs = Math.min(maxBrittleRestMs, 2 * msPerSecond * sharing().instances / Math.max(1, maxRefusals));
 			this.#restUntilMs = Math.max(this.#restUntilMs, nowMs + restMs);
 		}
@@ -134,6 +149,11 @@
 		return nowMs < this.#restUntilMs;
 	}
 
+	/** Computes the time for which other targets are preferred, as this one has refused requests, in milliseconds. */
+	computeAvoidanceMs(nowMs: number): number {
+		return Math.max(0, this.#avoidUntilMs - nowMs);
+	}
+
 	/** Records that a request is sent. */
 	recordSent(): void {
 		this.#limitShare.recordSent();
