Relay: requests go through a peer that shares what a target takes

What callers saw: where all targets of a small pool state limits or are brittle, instances without a share refused every request with 503 target_limited, also while others had not used up their shares. Cause: the shares are divided by rank, and an instance had no way to those of others. Change: a request for which this instance has no share, while a target is not at rest, goes through a peer that ranks first for one of the targets, one hop, as in a cut; a peer that has none left is avoided until its next heartbeat. A rest that a target has asked of this instance is not passed by in this way.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -113,6 +113,9 @@
 /** Time for which a crash counts against a request, in milliseconds. */
 const strikeRetentionMs = 60_000;
 
+/** Number of instances, of those that share what a target takes, to which others may pass requests on: these have a share of any limit. */
+const sharersPerTarget = 2;
+
 /** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
 const minRegisterRetryDelayMs = 500;
 const maxRegisterRetryDelayMs = 10_000;
@@ -173,10 +176,10 @@
 	});
 	const peerPaths = new PeerPaths({bus, random, zone: settings.zone});
 	const relay = new Relay({
-		bus, targetReach, peerPaths,
+		bus, targetReach, peerPaths, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
 		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
-		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(`limit ${id}`)}),
+		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(formatShareDuty(id))}),
 		handleMismatch(state, mismatch) {
 			mismatchHandler.handle(state, mismatch);
 		},
@@ -255,6 +258,11 @@
 	};
 }
 
+/** Formats the duty by which the instances rank that share what a target takes. */
+function formatShareDuty(targetId: string): string {
+	return `limit ${targetId}`;
+}
+
 /** Returns the field of a heartbeat's status that lists these pools; none if all pools are reached. */
 function formatUnreachablePools(pools: readonly string[]): Readonly<{unreachablePools?: string[]}> {
 	return pools.length > 0 ? {unreachablePools: [...pools]} : {};
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -62,6 +62,8 @@
 	readonly attempts: Array<AttemptRecord | PeerAttemptRecord> = [];
 	/** Incarnations of the peers through which the request was tried. */
 	readonly triedPeers = new Set<string>();
+	/** Targets that want requests of other instances only, as the instances share what these take; none unless the last choice has found no other target. */
+	sharedTargets: readonly string[] = [];
 	/** Refusal by the last of them; absent after any other attempt. */
 	peerRefusal: Refusal | undefined;
 	/** Number of attempts, since the last one that may have reached a target, whose request could not be sent. */
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -111,6 +111,7 @@
 		});
 		if (typeof choice === 'string') {
 			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
+			progress.sharedTargets = choice === 'limits_reached' ? poolTargets.filter(({isLeaving, statements}) => !isLeaving && !statements.isResting(nowMs)).map(({target}) => target.id) : [];
 			progress.retryAfterMs = choice === 'limits_reached' ? this.#computeWelcomeMs(poolTargets) : noTargetRules[choice].retryAfterMs;
 		}
 
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -24,6 +24,8 @@
 export type RelayDependencies = AttemptDependencies & PeerAttemptDependencies & QuarantineGuardDependencies & TargetChooserDependencies & Readonly<{
 	telemetry: Telemetry;
 	targetReach: TargetReach;
+	/** Lists the incarnations of the instances that rank first for what a target takes. */
+	listSharers: (target: string) => readonly string[];
 	budget: RetryBudget;
 }>;
 
@@ -107,7 +109,7 @@
 		const chosen = release && this.#chooser.choose(progress);
 		if (!chosen) {
 			release?.();
-			return this.#finishUnanswered(progress, delivery, caller);
+			return this.#choosePeer(progress) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 		}
 
 		const {choice, urgency} = chosen;
@@ -167,7 +169,7 @@
 			return {kind: 'caller_left'};
 		}
 
-		if (refusal?.reason === 'no_target') {
+		if (refusal?.reason === 'no_target' || refusal?.reason === 'target_limited') {
 			peerPaths.avoid(peer, pool.name);
 		}
 
@@ -178,10 +180,10 @@
 		return canRetry && this.#canRetry(progress, failure?.cause ?? 'not_sent', delivery) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 	}
 
-	/** Chooses a peer for the next attempt of a request that this instance has accepted itself, if it reaches no target of the pool. */
-	#choosePeer({request, pool, excluded, unsentAttempts, triedPeers}: RelayProgress): Peer | undefined {
-		const {peerPaths, targetReach} = this.#dependencies;
-		if (request.relayedBy !== undefined || triedPeers.size >= maxTriedPeers) {
+	/** Chooses a peer for the next attempt of a request that this instance has accepted itself, if it reaches no target of the pool, or has no share in what the targets take. */
+	#choosePeer({request, pool, excluded, unsentAttempts, triedPeers, sharedTargets, quarantinedPart}: RelayProgress): Peer | undefined {
+		const {peerPaths, targetReach, listSharers} = this.#dependencies;
+		if (request.relayedBy !== undefined || triedPeers.size >= maxTriedPeers || quarantinedPart !== undefined) {
 			return undefined;
 		}
 
@@ -190,7 +192,9 @@
 			return peerPaths.choose(pool.name, {excluded: triedPeers, bodyBytes});
 		}
 
-		return undefined;
+		return sharedTargets.length > 0
+			? peerPaths.choose(pool.name, {excluded: triedPeers, bodyBytes, allowed: new Set(sharedTargets.flatMap(target => listSharers(target)))})
+			: undefined;
 	}
 
 	/** Whether another attempt may follow. Such an attempt is charged to the pool's retry budget, unless no earlier attempt reached a target. */
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -156,7 +156,7 @@
 	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
-		bus, targetReach, peerPaths: new PeerPaths({bus, random: createRandom(5), zone: 'z'}),
+		bus, targetReach, listSharers: () => [], peerPaths: new PeerPaths({bus, random: createRandom(5), zone: 'z'}),
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), probe: async ({id}) => alive.has(id),
