Relay: after an unsent request, the check of the instance's links decides the next path

Cause: after two attempts that could not be sent, a request went through a peer even where a check had shown that the links work and single targets had failed; the peer might try the same targets. A target that had refused requests while it loaded weights was avoided after it had loaded them. Newer weights end the avoidance.

--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -66,8 +66,6 @@
 	sharedTargets: readonly string[] = [];
 	/** Refusal by the last of them; absent after any other attempt. */
 	peerRefusal: Refusal | undefined;
-	/** Number of attempts, since the last one that may have reached a target, whose request could not be sent. */
-	unsentAttempts = 0;
 	/** Time that all attempts took whose request could not be sent, in milliseconds. */
 	unsentMs = 0;
 	/** Number of failed attempts whose request may have reached a target. */
@@ -110,9 +108,7 @@
 			return;
 		}
 
-		const isUnsent = failure.cause === 'not_sent';
-		this.unsentAttempts = isUnsent ? this.unsentAttempts + 1 : 0;
-		this.unsentMs += isUnsent ? endMs - startMs : 0;
+		this.unsentMs += failure.cause === 'not_sent' ? endMs - startMs : 0;
 		// The relay does not record whether a part of the answer was received before the failure.
 		const runState = classifyRun(failure.cause, false);
 		this.excluded.add(target.id);
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -35,10 +35,7 @@
 /** Time after which a caller should retry if all targets refused, in milliseconds: queues advance in that time. */
 const refusedRetryAfterMs = 300;
 
-/** Number of attempts in a row whose request could not be sent, after which a peer is tried. */
-const maxUnsentAttempts = 2;
-
-/** Time that all such attempts of a request may take, in milliseconds. */
+/** Time that all attempts of a request may take that could not send it, in milliseconds. */
 const maxUnsentMs = 600;
 
 /** Maximum number of peers that are tried for a request. */
@@ -93,6 +90,11 @@
 
 	async #runAttempts(progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): Promise<RelayOutcome> {
 		for (;;) {
+			if (progress.cause === 'not_sent') {
+				// Whether the target or this instance's links failed decides where the next attempt goes.
+				await this.#dependencies.targetReach.waitForCheck(progress.pool.name);
+			}
+
 			const peer = this.#choosePeer(progress);
 			const outcome = peer ? await this.#runAtPeer(peer, progress, delivery, caller) : await this.#runAtTarget(progress, delivery, caller);
 			if (outcome) {
@@ -181,14 +183,14 @@
 	}
 
 	/** Chooses a peer for the next attempt of a request that this instance has accepted itself, if it reaches no target of the pool, or has no share in what the targets take. */
-	#choosePeer({request, pool, excluded, unsentAttempts, triedPeers, sharedTargets, quarantinedPart}: RelayProgress): Peer | undefined {
+	#choosePeer({request, pool, excluded, triedPeers, sharedTargets, quarantinedPart}: RelayProgress): Peer | undefined {
 		const {peerPaths, targetReach, listSharers} = this.#dependencies;
 		if (request.relayedBy !== undefined || triedPeers.size >= maxTriedPeers || quarantinedPart !== undefined) {
 			return undefined;
 		}
 
 		const bodyBytes = request.body?.length ?? 0;
-		if (unsentAttempts >= maxUnsentAttempts || !targetReach.canStart(pool.name, excluded)) {
+		if (!targetReach.canStart(pool.name, excluded)) {
 			return peerPaths.choose(pool.name, {excluded: triedPeers, bodyBytes});
 		}
 
--- a/packages/relay/target-reach.ts
+++ b/packages/relay/target-reach.ts
@@ -47,6 +47,11 @@
 		this.#dependencies = dependencies;
 	}
 
+	/** Waits for the check of a pool, if one is in progress; this takes a bounded time. */
+	async waitForCheck(pool: string): Promise<void> {
+		await this.#checks.get(pool);
+	}
+
 	/** Whether all targets of a pool that could be tried count as unreachable. */
 	isUnreachable(pool: string): boolean {
 		let hasUsable = false;
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -140,6 +140,8 @@
 		if (version > (this.weights.get(model) ?? 0)) {
 			this.weights.set(model, version);
 			this.loadingUntilMs = Number.NEGATIVE_INFINITY;
+			// It refused requests while it was loading.
+			this.statements.clearAvoidance();
 		}
 	}
 
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -98,8 +98,7 @@
 	/** Records whether the target has refused a request without running it. While it is brittle, it then gets a rest from each instance, so that all of them cause at most half of the refusals that it can stand. */
 	recordOutcome(isRefused: boolean, sharing: () => LimitSharing, nowMs: number): void {
 		if (!isRefused) {
-			this.#refusalsInRow = 0;
-			this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
+			this.clearAvoidance();
 			return;
 		}
 
@@ -112,6 +111,12 @@
 		}
 	}
 
+	/** Ends the effect of earlier refusals that came without a statement. */
+	clearAvoidance(): void {
+		this.#refusalsInRow = 0;
+		this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
+	}
+
 	/** Merges what a peer knows, if that is newer. */
 	merge({ageMs, ...stated}: SharedStatement, nowMs: number): void {
 		const statedMs = nowMs - ageMs;
