--- a/packages/relay/_quarantine-guard.ts
+++ b/packages/relay/_quarantine-guard.ts
@@ -14,7 +14,7 @@
 export type QuarantineGuardDependencies = Readonly<{
 	telemetry: Telemetry;
 	probe: ProbeTarget;
-	targetReach: Pick<TargetReach, 'confirmTargetFailure'>;
+	targetReach: Pick<TargetReach, 'checkTargetFailure'>;
 	/** Quarantines requests by their whole content. */
 	quarantine: Quarantine;
 	partQuarantine: PartQuarantine;
@@ -77,7 +77,7 @@
 			quarantine.recordCompletion(computeRelayFingerprint(request));
 		}
 
-		if (result.failure?.cause !== 'lost' || await probe(target, pool) || !await targetReach.confirmTargetFailure(state)) {
+		if (result.failure?.cause !== 'lost' || await probe(target, pool) || !await targetReach.checkTargetFailure(state)) {
 			return;
 		}
 
--- a/packages/relay/engine-watch.test.ts
+++ b/packages/relay/engine-watch.test.ts
@@ -32,7 +32,7 @@
 		const cachedParts = new CachedParts();
 		void watchEngines({
 			clock, telemetry, targets, cachedParts, bus: network.join({name, zone: 'z', incarnation: name}), isReader: () => name === 'a',
-			targetReach: {confirmTargetFailure: async () => true},
+			targetReach: {checkTargetFailure: async () => true},
 			async readEvents(target, since) {
 				reads.push([name, target.id, since]);
 				return answers.length > 0 ? answers.shift() : defaultAnswer;
--- a/packages/relay/engine-watch.ts
+++ b/packages/relay/engine-watch.ts
@@ -36,7 +36,7 @@
 	cachedParts: CachedParts;
 	bus: PeerBus;
 	readEvents: ReadPartCacheEvents;
-	targetReach: Pick<TargetReach, 'confirmTargetFailure'>;
+	targetReach: Pick<TargetReach, 'checkTargetFailure'>;
 	/** Whether this instance reads the events of an engine. */
 	isReader: (target: RelayTarget) => boolean;
 }>;
@@ -127,7 +127,7 @@
 		if (!isResponsive) {
 			state.suspect(clock.now() + suspectMs);
 			// The other instances are not told of an engine that only this one does not reach.
-			if (clock.now() - notifiedMs >= renotifyIntervalMs && await targetReach.confirmTargetFailure(state)) {
+			if (clock.now() - notifiedMs >= renotifyIntervalMs && await targetReach.checkTargetFailure(state)) {
 				notifiedMs = clock.now();
 				bus.broadcast({kind: 'silent', incarnation});
 			}
--- a/packages/relay/peer-paths.test.ts
+++ b/packages/relay/peer-paths.test.ts
@@ -15,7 +15,7 @@
 t.test('peers that state that they do not reach the pool are not chosen', async t => {
 	const paths = createPaths();
 	paths.recordStatus(peers[0]!, {...status, unreachablePools: ['p']});
-	paths.avoid(peers[1]!, 'p');
+	paths.markUnavailable(peers[1]!, 'p');
 	t.equal(paths.choose('p', {excluded: new Set(), bodyBytes: 0})?.name, 'farther');
 	t.equal(paths.choose('q', {excluded: new Set(), bodyBytes: 0})?.name, 'near');
 	paths.recordStatus(peers[0]!, status);
--- a/packages/relay/peer-paths.ts
+++ b/packages/relay/peer-paths.ts
@@ -52,8 +52,8 @@
 		}
 	}
 
-	/** Avoids a peer for a pool until its next heartbeat, as it has no target there either. */
-	avoid({incarnation}: Peer, pool: string): void {
+	/** Marks a peer as having no target of a pool for a request; its next heartbeat replaces this. */
+	markUnavailable({incarnation}: Peer, pool: string): void {
 		this.#unreachablePools.set(incarnation, new Set([...this.#unreachablePools.get(incarnation) ?? [], pool]));
 	}
 
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -172,7 +172,7 @@
 		}
 
 		if (refusal?.reason === 'no_target' || refusal?.reason === 'target_limited') {
-			peerPaths.avoid(peer, pool.name);
+			peerPaths.markUnavailable(peer, pool.name);
 		}
 
 		if (!failure && !refusal) {
--- a/packages/relay/target-reach.ts
+++ b/packages/relay/target-reach.ts
@@ -85,17 +85,17 @@
 	}
 
 	/**
-	 * Confirms that a target which no longer answers has failed, rather than this
+	 * Checks whether a target which no longer answers has failed, rather than this
 	 * instance's links: another target is reached. Without any other target there
 	 * is nothing to compare with, and the target counts as failed.
 	 */
-	async confirmTargetFailure({target}: TargetState): Promise<boolean> {
+	async checkTargetFailure({target}: TargetState): Promise<boolean> {
 		const others = this.#dependencies.targets.list().filter(state => state.target.id !== target.id && isUsable(state));
 		if (others.length === 0 || await this.#check(target.pool)) {
 			return true;
 		}
 
-		return this.#reachAny(this.#pick(others.filter(state => state.target.pool !== target.pool), checkedOtherTargets));
+		return this.#checkAny(this.#chooseSome(others.filter(state => state.target.pool !== target.pool), checkedOtherTargets));
 	}
 
 	/** Checks unreachable pools again until `signal` aborts. */
@@ -135,7 +135,7 @@
 		const {clock, telemetry} = this.#dependencies;
 		const states = this.#listUsable(pool);
 		const wasUnreachable = this.isUnreachable(pool);
-		const isReached = await this.#reachAny(this.#pick(states, checkedTargets));
+		const isReached = await this.#checkAny(this.#chooseSome(states, checkedTargets));
 		for (const state of states) {
 			state.setUnreachable(!isReached, clock.now());
 		}
@@ -149,7 +149,7 @@
 	}
 
 	/** Whether at least one of these targets is reached. */
-	async #reachAny(states: readonly TargetState[]): Promise<boolean> {
+	async #checkAny(states: readonly TargetState[]): Promise<boolean> {
 		const {getPool, checkReach} = this.#dependencies;
 		let pending = states.length;
 		return new Promise(resolve => {
@@ -171,8 +171,8 @@
 		});
 	}
 
-	/** Picks some states at random, first those that are not suspected themselves. */
-	#pick(states: readonly TargetState[], count: number): readonly TargetState[] {
+	/** Chooses some states at random, first those that are not suspected themselves. */
+	#chooseSome(states: readonly TargetState[], count: number): readonly TargetState[] {
 		const {clock, random} = this.#dependencies;
 		const keyed = states.map(state => ({state, key: random.next() + (state.suspectUntilMs > clock.now() ? 1 : 0)})).toSorted((a, b) => a.key - b.key);
 		return keyed.slice(0, count).map(({state}) => state);
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -92,7 +92,7 @@
 		}
 
 		this.#heardMs = nowMs;
-		this.#set(isLate ? {...this.#stated, ...pickFields(stated)} : stated, nowMs, nowMs);
+		this.#set(isLate ? {...this.#stated, ...getStatedFields(stated)} : stated, nowMs, nowMs);
 	}
 
 	/** Records whether the target has refused a request without running it. While it is brittle, it then gets a rest from each instance, so that all of them cause at most half of the refusals that it can stand. */
@@ -135,7 +135,7 @@
 		}
 
 		this.#announcedMs = nowMs;
-		return {...pickFields(this.#stated), ageMs: Math.max(0, nowMs - this.#statedMs)};
+		return {...getStatedFields(this.#stated), ageMs: Math.max(0, nowMs - this.#statedMs)};
 	}
 
 	/** Computes the time until this instance may send a request, in milliseconds; `Infinity` if only others may. */
@@ -191,6 +191,6 @@
 }
 
 /** Returns the fields that are stated. */
-function pickFields(stated: CommonStatement): CommonStatement {
+function getStatedFields(stated: CommonStatement): CommonStatement {
 	return Object.fromEntries(fields.filter(field => stated[field] !== undefined).map(field => [field, stated[field]]));
 }
