Relay: the room of a brittle target is learned from its refusals

An instance sent up to its share of the slots, was refused and let the target rest, again and again. A peer whose share was used up for a moment was passed over until its next heartbeat. Change: a refusal lowers the number of requests that this instance has there at once, time raises it; a peer that refuses as limited is asked again after the time that it stated.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -174,7 +174,9 @@
 	const targetReach = new TargetReach({
 		clock, random, telemetry, targets, getPool: name => started.gateway?.configuration?.pools.get(name), checkReach: calls.checkReach,
 	});
-	const peerPaths = new PeerPaths({bus, random, zone: settings.zone});
+	const peerPaths = new PeerPaths({
+		bus, clock, random, zone: settings.zone,
+	});
 	const relay = new Relay({
 		bus, targetReach, peerPaths, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
 		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -120,7 +120,7 @@
 
 	const decoded = dialect.decodeHead(read.head);
 	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
-	choice.state.statements.recordOutcome(decoded.hasNotRun, () => getLimitSharing(choice.state.target), clock.now());
+	choice.state.statements.recordOutcome(decoded.hasNotRun, choice.state.inFlight, () => getLimitSharing(choice.state.target), clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
--- a/packages/relay/peer-paths.test.ts
+++ b/packages/relay/peer-paths.test.ts
@@ -1,6 +1,7 @@
 /** The choice of the peer through which a request goes. */
 import t from 'tap';
 import {PeerPaths} from './peer-paths.ts';
+import {ManualClock} from '#clock';
 import {createRandom} from '#core';
 
 const peers = ['near', 'far', 'farther'].map(name => ({name, zone: name === 'near' ? 'z1' : 'z2', incarnation: name}));
@@ -8,8 +9,10 @@
 	generation: 1, ready: true, running: 0, membersDigest: '',
 };
 
-function createPaths() {
-	return new PeerPaths({bus: {listChannelPeers: () => peers}, random: createRandom(1), zone: 'z1'});
+function createPaths(clock = new ManualClock()) {
+	return new PeerPaths({
+		bus: {listChannelPeers: () => peers}, clock, random: createRandom(1), zone: 'z1',
+	});
 }
 
 t.test('peers that state that they do not reach the pool are not chosen', async t => {
@@ -42,3 +45,15 @@
 	end();
 	t.equal(paths.choose('p', {excluded: others, bodyBytes: 100_000})?.name, 'near');
 });
+
+// Guards against a peer whose share is used up for a moment, and that is passed over until its next heartbeat.
+t.test('a peer whose share is used up is chosen again after the time that it stated', async t => {
+	const clock = new ManualClock();
+	const paths = createPaths(clock);
+	paths.markLimited(peers[0]!, 'p', 100);
+	paths.recordStatus(peers[0]!, status);
+	t.equal(paths.choose('p', {excluded: new Set(['farther']), bodyBytes: 0})?.name, 'far');
+	t.equal(paths.choose('q', {excluded: new Set(), bodyBytes: 0})?.name, 'near');
+	await clock.advance(100);
+	t.equal(paths.choose('p', {excluded: new Set(), bodyBytes: 0})?.name, 'near');
+});
--- a/packages/relay/peer-paths.ts
+++ b/packages/relay/peer-paths.ts
@@ -2,6 +2,7 @@
  * Chooses the peer through which a request goes if this instance reaches no target
  * itself. Peers state in their heartbeats which pools they do not reach either.
  */
+import type {Clock} from '#clock';
 import type {Random} from '#core';
 import {
 	maxRelayedBodyBytes, type Peer, type PeerBus, type PeerStatus,
@@ -10,6 +11,7 @@
 export type PeerPathsDependencies = Readonly<{
 	bus: Pick<PeerBus, 'listChannelPeers'>;
 	random: Random;
+	clock: Clock;
 	/** This instance's availability zone. */
 	zone: string;
 }>;
@@ -36,6 +38,8 @@
 export class PeerPaths {
 	readonly #dependencies: PeerPathsDependencies;
 	readonly #unreachablePools = new Map<string, ReadonlySet<string>>();
+	/** Times until which peers want no request of a pool, as they have no share left in what its targets take, by peer and pool. */
+	readonly #limitedUntilMs = new Map<string, Map<string, number>>();
 	readonly #uses = new Map<string, PeerUse>();
 
 	constructor(dependencies: PeerPathsDependencies) {
@@ -57,6 +61,18 @@
 		this.#unreachablePools.set(incarnation, new Set([...this.#unreachablePools.get(incarnation) ?? [], pool]));
 	}
 
+	/** Marks a peer as having no share left in what the targets of a pool take, for a time. */
+	markLimited({incarnation}: Peer, pool: string, durationMs: number): void {
+		const byPool = this.#limitedUntilMs.get(incarnation) ?? new Map<string, number>();
+		this.#limitedUntilMs.set(incarnation, byPool.set(pool, this.#dependencies.clock.now() + durationMs));
+		this.#removeUnknownPeers();
+	}
+
+	/** Whether a peer has stated that it reaches no target of a pool. */
+	isCutOff(incarnation: string, pool: string): boolean {
+		return this.#unreachablePools.get(incarnation)?.has(pool) === true;
+	}
+
 	/**
 	 * Chooses the peer with the fewest requests from this instance in progress.
 	 *
@@ -71,7 +87,7 @@
 			const hasRoom = requests < maxRequestsPerPeer && (use?.bodyBytes ?? 0) + bodyBytes <= maxRelayedBodyBytes;
 			const cost = requests + (peer.zone === zone ? 0 : crossZoneCost) + (random.next() / 2);
 			const isEligible = !excluded.has(peer.incarnation) && (allowed?.has(peer.incarnation) ?? true);
-			if (hasRoom && isEligible && !this.#unreachablePools.get(peer.incarnation)?.has(pool) && (!best || cost < best.cost)) {
+			if (hasRoom && isEligible && this.#isAvailable(peer, pool) && (!best || cost < best.cost)) {
 				best = {peer, cost};
 			}
 		}
@@ -94,12 +110,19 @@
 		};
 	}
 
+	/** Whether a peer reaches a pool and has a share left in what its targets take, as far as known. */
+	#isAvailable({incarnation}: Peer, pool: string): boolean {
+		return !this.isCutOff(incarnation, pool) && (this.#limitedUntilMs.get(incarnation)?.get(pool) ?? 0) <= this.#dependencies.clock.now();
+	}
+
 	/** Forgets what peers have stated to which no link is open any more. */
 	#removeUnknownPeers(): void {
 		const known = new Set(this.#dependencies.bus.listChannelPeers().map(({incarnation}) => incarnation));
-		for (const incarnation of this.#unreachablePools.keys()) {
-			if (!known.has(incarnation)) {
-				this.#unreachablePools.delete(incarnation);
+		for (const records of [this.#unreachablePools, this.#limitedUntilMs]) {
+			for (const incarnation of records.keys()) {
+				if (!known.has(incarnation)) {
+					records.delete(incarnation);
+				}
 			}
 		}
 	}
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -214,7 +214,7 @@
 		const setup = await startRelay(t, completeStream);
 		const state = setup.targets.get('t0')!;
 		state.pendingTokens.add(0, queued);
-		const {caller, isDone} = setup.startRequest(streamRoute, 0, 'a', prompt);
+		const {caller, isDone} = setup.startRequest(streamRoute, 0, 'a', {prompt});
 		await setup.waitUntil(isDone);
 		urgencies.push(String(setup.raw[0]!.requests[0]?.headers['x-urgency']));
 		if (queued === 160_000) {
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -171,8 +171,10 @@
 			return {kind: 'caller_left'};
 		}
 
-		if (refusal?.reason === 'no_target' || refusal?.reason === 'target_limited') {
+		if (refusal?.reason === 'no_target') {
 			peerPaths.markUnavailable(peer, pool.name);
+		} else if (refusal?.reason === 'target_limited') {
+			peerPaths.markLimited(peer, pool.name, refusal.retryAfterMs ?? refusedRetryAfterMs);
 		}
 
 		if (!failure && !refusal) {
--- a/packages/relay/target-statements.test.ts
+++ b/packages/relay/target-statements.test.ts
@@ -217,7 +217,7 @@
 	for (const [instances, restMs] of [[2, 1000], [8, 4000], [100, 5000]] as const) {
 		const statements = new TargetStatements();
 		statements.recordAnswer({maxRefusals: 4}, 0, 0);
-		statements.recordOutcome(true, () => ({instances, rank: 0}), 10);
+		statements.recordOutcome(true, 1, () => ({instances, rank: 0}), 10);
 		t.equal(statements.computeDelayMs(() => ({instances, rank: 0}), idle, 10), restMs);
 	}
 });
@@ -226,12 +226,12 @@
 	const statements = new TargetStatements();
 	const avoidances: number[] = [];
 	for (let refusal = 0; refusal < 9; refusal++) {
-		statements.recordOutcome(true, alone, 0);
+		statements.recordOutcome(true, 1, alone, 0);
 		avoidances.push(statements.computeAvoidanceMs(0));
 	}
 
 	t.same(avoidances, [500, 1000, 2000, 4000, 4000, 4000, 4000, 4000, 4000]);
 	t.equal(statements.computeDelayMs(alone, idle, 0), 0, 'it may still be used if there is no other');
-	statements.recordOutcome(false, alone, 0);
+	statements.recordOutcome(false, 1, alone, 0);
 	t.equal(statements.computeAvoidanceMs(0), 0);
 });
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -8,6 +8,7 @@
  * avoided for a while, longer with each refusal in a row.
  */
 import type {TargetStatement} from './dialect.ts';
+import {LearnedRoom} from './_learned-room.ts';
 import {LimitShare, type LimitSharing} from './_limit-share.ts';
 
 /** The part of a statement that concerns all instances. */
@@ -67,6 +68,7 @@
 	#avoidUntilMs = Number.NEGATIVE_INFINITY;
 	#refusalsInRow = 0;
 	readonly #limitShare = new LimitShare();
+	readonly #learnedRoom = new LearnedRoom();
 
 	/** Requests per second over all instances; `undefined` if the target states no limit. */
 	get perSecond(): number | undefined {
@@ -95,8 +97,14 @@
 		this.#set(isLate ? {...this.#stated, ...getStatedFields(stated)} : stated, nowMs, nowMs);
 	}
 
-	/** Records whether the target has refused a request without running it. While it is brittle, it then gets a rest from each instance, so that all of them cause at most half of the refusals that it can stand. */
-	recordOutcome(isRefused: boolean, sharing: () => LimitSharing, nowMs: number): void {
+	/**
+	 * Records whether the target has refused a request without running it. While it
+	 * is brittle, it then gets a rest from each instance, so that all of them cause
+	 * at most half of the refusals that it can stand, and fewer requests at once.
+	 *
+	 * @param inFlight requests of this instance in progress on the target, with this one
+	 */
+	recordOutcome(isRefused: boolean, inFlight: number, sharing: () => LimitSharing, nowMs: number): void {
 		if (!isRefused) {
 			this.clearAvoidance();
 			return;
@@ -106,6 +114,7 @@
 		this.#refusalsInRow++;
 		const {maxRefusals} = this.#stated;
 		if (maxRefusals !== undefined) {
+			this.#learnedRoom.recordRefusal(inFlight, nowMs);
 			const restMs = Math.min(maxBrittleRestMs, 2 * msPerSecond * sharing().instances / Math.max(1, maxRefusals));
 			this.#restUntilMs = Math.max(this.#restUntilMs, nowMs + restMs);
 		}
@@ -145,7 +154,7 @@
 			0,
 			this.#restUntilMs - nowMs,
 			perSecond === undefined ? 0 : this.#limitShare.computeDelayMs(perSecond, this.#statedMs, sharing(), nowMs),
-			maxRefusals === undefined || hasRoom(occupancy, sharing()) ? 0 : brittleRetryMs,
+			maxRefusals === undefined || (occupancy.inFlight < this.#learnedRoom.get(nowMs) && hasRoom(occupancy, sharing())) ? 0 : brittleRetryMs,
 		);
 	}
 
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -141,6 +141,8 @@
 	/** Targets to which this instance cannot connect. */
 	const unreachable = new Set<string>();
 	const alive = new Set(raw.map((_target, index) => `t${index}`));
+	/** Called during each probe of a target. */
+	let onProbe: () => unknown = () => undefined;
 	const quarantine = new Quarantine({
 		clock, random: createRandom(1), telemetry, bus: createNoopBus(),
 	}, {strikeLimit: 3});
@@ -156,10 +158,15 @@
 	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const relay = new Relay({
-		bus, targetReach, listSharers: () => [], peerPaths: new PeerPaths({bus, random: createRandom(5), zone: 'z'}),
+		bus, targetReach, listSharers: () => [], peerPaths: new PeerPaths({
+			bus, clock, random: createRandom(5), zone: 'z',
+		}),
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
-		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), probe: async ({id}) => alive.has(id),
+		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
+			await onProbe();
+			return alive.has(id);
+		},
 		handleMismatch(state, mismatch) {
 			mismatches.push(`${state.target.id} ${mismatch}`);
 		},
@@ -172,14 +179,14 @@
 	});
 
 	/** Starts a request whose first attempt goes to the target with index `first`. */
-	const startRequest = (route: RelayRoute, first = 0, id = 'a', prompt?: Prompt) => {
+	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST'}: Readonly<{prompt?: Prompt; method?: 'POST' | 'HEAD'}> = {}) => {
 		const caller = new RecordingCaller();
 		for (const [index, state] of targets.list().entries()) {
 			state.serviceMs = index === first ? 1 : 30;
 		}
 
 		const request: RelayRequest = {
-			id, method: 'POST', path: '/x', headers: ['x-own', '1'], body: Buffer.from('body'), route, customer: undefined, prompt,
+			id, method, path: '/x', headers: ['x-own', '1'], body: method === 'POST' ? Buffer.from('body') : undefined, route, customer: undefined, prompt,
 			cacheScope: undefined, lastEventId: undefined, resumedRequestId: undefined, softwareVersion: undefined, configurationVersion: 1,
 			arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
@@ -207,6 +214,9 @@
 
 	return {
 		clock, raw, targets, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		handleProbe(handler: () => unknown) {
+			onProbe = handler;
+		},
 	};
 }
 
