Relay: no attempt starts for a caller that has left or whose deadline has passed

A request that a slow process reads late was sent on before the end of its connection, which lay behind it in the socket, was read; and a caller that left while its target was checked for a crash got another attempt. Change: each request waits until the event loop has read what had arrived before, and the one loop over attempts checks caller and deadline before each. Result: the two tests that failed (2 of 2 late requests reached the target, a second attempt for a caller that had left) pass.

--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -11,6 +11,7 @@
 import {runPeerAttempt, type PeerAttemptDependencies} from './_peer-attempt.ts';
 import {RelayProgress} from './_progress.ts';
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
+import {readArrivedInput} from './_read-arrived-input.ts';
 import {createRelayRefusal} from './_relay-refusal.ts';
 import type {TargetReach} from './target-reach.ts';
 import {TargetChooser, type TargetChooserDependencies} from './_target-chooser.ts';
@@ -89,12 +90,23 @@
 	}
 
 	async #runAttempts(progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): Promise<RelayOutcome> {
+		await readArrivedInput();
 		for (;;) {
 			if (progress.cause === 'not_sent') {
 				// Whether the target or this instance's links failed decides where the next attempt goes.
 				await this.#dependencies.targetReach.waitForCheck(progress.pool.name);
 			}
 
+			// No attempt starts for a caller that no longer waits, whatever the request has waited for.
+			if (caller.hasLeft()) {
+				return {kind: 'caller_left'};
+			}
+
+			if (this.#dependencies.clock.now() >= progress.request.deadlineMs) {
+				progress.cause = 'deadline';
+				return this.#finishUnanswered(progress, delivery, caller);
+			}
+
 			const peer = this.#choosePeer(progress);
 			const outcome = peer ? await this.#runAtPeer(peer, progress, delivery, caller) : await this.#runAtTarget(progress, delivery, caller);
 			if (outcome) {
