--- a/packages/placement/_target-state.ts
+++ b/packages/placement/_target-state.ts
@@ -50,7 +50,8 @@
 			return;
 		}
 
-		if (this.report?.weights !== report.weights) {
+		// Before the first report, the keys of a summary are kept: a key names the weights, so one of other weights matches no prompt.
+		if (this.report && this.report.weights !== report.weights) {
 			this.cache.clear();
 		}
 
--- a/packages/placement/target-views.test.ts
+++ b/packages/placement/target-views.test.ts
@@ -142,3 +142,16 @@
 	restarted.importSummary(summary!);
 	t.equal(findCached(restarted, ['a']).pieces, 0);
 });
+
+// Guards against a starting instance that forgets what its peers told it as soon as it reads the load of a target.
+t.test('entries of a summary are kept when the first load report arrives, and cleared by other weights', t => {
+	const first = createViews();
+	first.applyPrefill('e1', 'i1', ['a', 'b']);
+	const second = new TargetViews();
+	second.importSummary(first.exportSummaries(100)[0]!);
+	second.applyReport('e1', report, 10);
+	t.same(findCached(second, ['a', 'b']), {pieces: 2, suspect: 0});
+	second.applyReport('e1', {...report, weights: 'other'}, 20);
+	t.equal(findCached(second, ['a', 'b']).pieces, 0);
+	t.end();
+});
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -202,9 +202,9 @@
 	return computeStreamKey(customer?.name, lastEventId === undefined ? id : resumedRequestId ?? id);
 }
 
-/** Whether the body of an answer is an event stream: by its route, or as the target states. */
-export function isEventStream({route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
-	return status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
+/** Whether the body of an answer is an event stream: by its route, or as the target states. An answer to HEAD has no body. */
+export function isEventStream({method, route}: RelayRequest, {status, headers}: TargetAnswer): boolean {
+	return method !== 'HEAD' && status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
 }
 
 /** Returns why the answer must not be delivered to the caller, or `undefined` if it may be. */
--- a/packages/relay/answer-endings.test.ts
+++ b/packages/relay/answer-endings.test.ts
@@ -1,7 +1,7 @@
 /** The ways in which a target's answer can break off, for each kind of route and each framing of the body. */
 import t from 'tap';
 import {
-	formatChunk, onceRoute, runRequest, safeRoute, streamRoute,
+	formatChunk, onceRoute, runRequest, safeRoute, startRelay, streamRoute,
 } from './testing/relay.ts';
 import type {RelayRoute} from '#core';
 import type {RawReply, RawScript} from '#standins';
@@ -143,3 +143,16 @@
 		reply.close();
 	};
 }
+
+// Guards against answers to HEAD that are refused as broken off, since they have no body.
+for (const headers of ['content-type: text/event-stream\r\n', '', 'content-length: 400000\r\n', 'transfer-encoding: chunked\r\n']) {
+	t.test(`an answer to HEAD is complete with its head: ${headers.trim() || 'no length'}`, async t => {
+		const setup = await startRelay(t, (_request, reply) => {
+			reply.write(`HTTP/1.1 200 OK\r\nx-signed: s1\r\n${headers}\r\n`);
+			reply.close();
+		});
+		const {caller, isDone} = setup.startRequest(streamRoute, 0, 'a', {method: 'HEAD'});
+		await setup.waitUntil(isDone);
+		t.strictSame(caller.records, ['200 s1', 'end']);
+	});
+}
--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -83,7 +83,7 @@
 	 * @param handleEnd called once, when the exchange has finished
 	 */
 	start(request: ExchangeRequest, recordReceived: () => number, handleEnd: (isReusable: boolean) => void): Exchange {
-		const exchange = new Exchange({
+		const exchange = new Exchange(request.method, {
 			recordReceived,
 			countReceivedBytes: () => this.#socket?.bytesRead ?? 0,
 			hasBeenReset: () => this.#hasBeenReset,
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -75,6 +75,7 @@
 export class Exchange implements Dispatcher.DispatchHandler {
 	/** Time at which a part of the answer last arrived, in milliseconds; negative infinity before that. */
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
+	readonly #method: string;
 	readonly #callbacks: ExchangeCallbacks;
 	readonly #chunks: Uint8Array[] = [];
 	#bufferedBytes = 0;
@@ -89,7 +90,9 @@
 	#isFinished = false;
 	#wake: (() => void) | undefined;
 
-	constructor(callbacks: ExchangeCallbacks) {
+	/** @param method method of the request */
+	constructor(method: string, callbacks: ExchangeCallbacks) {
+		this.#method = method;
 		this.#callbacks = callbacks;
 	}
 
@@ -100,7 +103,7 @@
 
 	/** Framing of the answer's body; `none` before the head has arrived. */
 	get framing(): BodyFraming {
-		return this.#head ? getFraming(this.#head) : 'none';
+		return this.#head ? getFraming(this.#method, this.#head) : 'none';
 	}
 
 	/** Waits for the head of the answer. */
@@ -213,7 +216,7 @@
 
 	#finish(): void {
 		this.#isFinished = true;
-		this.#callbacks.handleEnd(!this.#fault && this.#head !== undefined && isReusable(this.#head));
+		this.#callbacks.handleEnd(!this.#fault && this.#head !== undefined && isReusable(this.framing, this.#head));
 		this.#notify();
 	}
 
@@ -242,12 +245,12 @@
 }
 
 /** Whether the connection can be reused after an answer (RFC 9112, sections 6.3 and 9.3). */
-function isReusable(head: AnswerHead): boolean {
-	return getFraming(head) !== 'connection' && findHeader(head.headers, 'connection')?.toLowerCase() !== 'close';
+function isReusable(framing: BodyFraming, {headers}: AnswerHead): boolean {
+	return framing !== 'connection' && findHeader(headers, 'connection')?.toLowerCase() !== 'close';
 }
 
-function getFraming({status, headers}: AnswerHead): BodyFraming {
-	if (status === 204 || status === 304) {
+function getFraming(method: string, {status, headers}: AnswerHead): BodyFraming {
+	if (method === 'HEAD' || status === 204 || status === 304) {
 		return 'none';
 	}
 
