Roll-out: duties leave an instance that reaches no engine; steps of a roll-out share messages

Change: an instance that reaches no engine neither acquires nor renews the lease, so that its term ends; the first instance not known to be cut off reads an engine's events.

--- a/packages/node/_instance-rollout.ts
+++ b/packages/node/_instance-rollout.ts
@@ -3,12 +3,13 @@
  * messages whether this instance should hold the lease on weights orders, and
  * broadcasts each step of the roll-out to them.
  */
+import {WeightsProgressExchange} from './_weights-progress.ts';
 import type {Clock} from '#clock';
 import type {Random} from '#core';
 import {Lease} from '#lease';
 import type {ObjectStore} from '#object-store';
 import type {PeerBus} from '#peer-protocol';
-import type {TargetSet, PublishedWeights} from '#relay';
+import type {TargetReach, TargetSet, PublishedWeights} from '#relay';
 import {WeightsRollout, type EngineControl, type WeightsProgress} from '#rollout';
 import type {Telemetry} from '#telemetry';
 
@@ -22,6 +23,7 @@
 	/** Kind of leases in the store. */
 	leaseKind: string;
 	targets: TargetSet;
+	targetReach: Pick<TargetReach, 'isUnreachable' | 'recordFailure'>;
 	publishedWeights: PublishedWeights;
 	control: EngineControl;
 	bus: PeerBus;
@@ -52,7 +54,7 @@
 /** Creates the roll-out of an instance; the caller runs it. */
 export function createInstanceRollout(dependencies: InstanceRolloutDependencies): WeightsRollout {
 	const {
-		name, clock, random, telemetry, targets, publishedWeights, bus,
+		name, clock, random, telemetry, targets, targetReach, publishedWeights, bus,
 	} = dependencies;
 	/** Name of the other instance that broadcast progress last; not set if this instance did. */
 	let lastHolder: string | undefined;
@@ -67,18 +69,21 @@
 		}
 	}
 
-	bus.subscribe('weights', (progress, from) => {
-		lastHolder = from.name;
-		lastHolderProgressMs = clock.now();
-		recordProgress(progress);
+	const listEngines = () => targets.list().filter(({target, isLeaving}) => !isLeaving && target.weights.size > 0);
+	const exchange = new WeightsProgressExchange({
+		bus, clock,
+		handleStep(progress, from) {
+			lastHolder = from.name;
+			lastHolderProgressMs = clock.now();
+			recordProgress(progress);
+		},
 	});
 	return new WeightsRollout({
 		name, clock, telemetry, control: dependencies.control, minRemainingTermMs: dependencies.checksFencing ? 0 : minUnfencedRemainingTermMs,
 		lease: new Lease(dutyName, {
 			platform: dependencies.store, clock, random, telemetry, holder: name,
 		}, {termMs: dependencies.leaseMs, guardMs: leaseGuardMs, kind: dependencies.leaseKind}),
-		listEngines: () => targets.list().filter(({target, isLeaving}) => !isLeaving && target.weights.size > 0)
-			.map(({target, weights}) => ({...target, weights})),
+		listEngines: () => listEngines().map(({target, weights}) => ({...target, weights})),
 		countRequests: ({id}) => targets.get(id)?.countRequests(clock.now()) ?? 0,
 		listNewestVersions: () => publishedWeights.listNewest(),
 		getRank() {
@@ -90,6 +95,10 @@
 			const isHolderLive = bus.listPeers().some(peer => peer.name === lastHolder);
 			return (isHolderLive ? 1 : 0) + dependencies.getRank(dutyName);
 		},
+		canReachEngines: () => [...new Set(listEngines().map(({target}) => target.pool))].some(pool => !targetReach.isUnreachable(pool)),
+		handleUnanswered({pool}) {
+			targetReach.recordFailure(pool);
+		},
 		isStandby: () => dependencies.getRank(dutyName) <= 1,
 		handleReplaced({incarnation}) {
 			dependencies.handleReplaced(incarnation);
@@ -98,7 +107,7 @@
 			lastHolder = undefined;
 			lastHolderProgressMs = -Infinity;
 			recordProgress(progress);
-			bus.broadcast({kind: 'weights', ...progress});
+			exchange.broadcast(progress);
 		},
 	});
 }
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -116,6 +116,9 @@
 /** Number of instances, of those that share what a target takes, to which others may pass requests on: these have a share of any limit. */
 const sharersPerTarget = 2;
 
+/** Number of instances that may take over reading an engine's events from those that are cut off. */
+const readerCandidates = 6;
+
 /** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
 const minRegisterRetryDelayMs = 500;
 const maxRegisterRetryDelayMs = 10_000;
@@ -196,8 +199,15 @@
 	const lifecycle = new Lifecycle({
 		clock, telemetry, countRunning, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs,
 	});
+	/** Whether this instance ranks first for reading an engine's events among those not known to be cut off from its pool. */
+	const isFirstReader = ({id, pool}: RelayTarget) => {
+		const candidates = peers.listFirst(formatReadDuty(id), readerCandidates);
+		const first = candidates.find(incarnation => incarnation === peers.incarnation ? !targetReach.isUnreachable(pool) : !peerPaths.isCutOff(incarnation, pool));
+		return first === peers.incarnation;
+	};
+
 	const rollout = createInstanceRollout({
-		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, publishedWeights, control: calls, bus,
+		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, targetReach, publishedWeights, control: calls, bus,
 		handleReplaced(incarnation) {
 			mismatchHandler.markReplaced(incarnation);
 		},
@@ -236,7 +246,7 @@
 			clock, telemetry, store: store.status, kind: formats.kinds.quarantine, quarantine: partStrikes, getRank: duty => peers.getRank(duty),
 		}, signal),
 		watchEngines({
-			clock, telemetry, targets, cachedParts, bus, targetReach, readEvents: calls.readEvents, isReader: ({id}) => peers.getRank(`read ${id}`) === 0,
+			clock, telemetry, targets, cachedParts, bus, targetReach, readEvents: calls.readEvents, isReader: target => isFirstReader(target),
 		}, signal),
 		registerInstance({
 			store: store.status, key: `${formats.kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
@@ -260,6 +270,11 @@
 	};
 }
 
+/** Formats the duty by which the instances rank that read an engine's cache events. */
+function formatReadDuty(targetId: string): string {
+	return `read ${targetId}`;
+}
+
 /** Formats the duty by which the instances rank that share what a target takes. */
 function formatShareDuty(targetId: string): string {
 	return `limit ${targetId}`;
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -33,6 +33,11 @@
 	untilWallMs: z.number(),
 });
 
+/** A step in the update of an engine's weights. */
+const weightsStepFields = {
+	incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
+};
+
 /** Schema of every message. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
 	/** The sender's requests and tokens in progress on each target. */
@@ -94,7 +99,9 @@
 	z.object({kind: z.literal('evicted'), incarnation: nameSchema, keys: z.array(nameSchema).max(maxEntries)}),
 	/** An engine has begun or finished loading weights on the sender's order. */
 	z.object({
-		kind: z.literal('weights'), incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
+		kind: z.literal('weights'), ...weightsStepFields,
+		/** Further steps, in the order in which they were taken; programs that do not know them take the first step only. */
+		more: z.array(z.object(weightsStepFields)).max(maxEntries).optional(),
 	}),
 	/** For each mirrored kind of object, the object store's revision at the newest change known to the sender. */
 	z.object({kind: z.literal('positions'), revisions: z.record(nameSchema, z.number().int().min(0))}),
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -112,12 +112,21 @@
 	/** Starts the roll-out of one instance. */
 	const join = (name: string, rank: number, getRank = () => rank) => {
 		const stopController = new AbortController();
+		const links = {isCut: false};
+		const control: EngineControl = {
+			readReport: async target => links.isCut ? undefined : fleet.readReport(target),
+			sendOrder: async (target, order) => links.isCut ? 'unreachable' : fleet.sendOrder(target, order),
+		};
 		const lease = new Lease('weights', {
 			platform, clock, random: createRandom(rank + 1), telemetry, holder: name,
 		}, {termMs: 3000, guardMs: 500});
 		const rollout = new WeightsRollout({
-			name, clock, telemetry, lease, control: fleet, minRemainingTermMs: 0, listEngines: () => fleet.listTargets(), listNewestVersions: () => newestVersions,
+			name, clock, telemetry, lease, control, minRemainingTermMs: 0, listEngines: () => fleet.listTargets(), listNewestVersions: () => newestVersions,
 			countRequests: ({id}) => fleet.engines.find(engine => engine.id === id)!.running, getRank, isStandby: () => rank <= 1,
+			canReachEngines: () => !links.isCut,
+			handleUnanswered() {
+				// The links of these instances are cut by the tests alone.
+			},
 			handleReplaced() {
 				// No engine of this fleet is replaced.
 			},
@@ -126,7 +135,9 @@
 			},
 		});
 		void rollout.run(stopController.signal);
-		return {rollout, lease, stopController};
+		return {
+			rollout, lease, links, stopController,
+		};
 	};
 
 	const publishVersion = (version: number) => {
@@ -362,3 +373,57 @@
 		return isUpdated && hasRisingTokens;
 	}), {seed: 11, numRuns: 30});
 });
+
+// Guards against weights that wait for the end of a cut, because the holder of the lease renews it while it reaches no engine.
+t.test('the lease leaves a holder that reaches no engine, twice in turn', async t => {
+	const {clock, fleet, join, publishVersion, isLoadedEverywhere} = start(12);
+	const [a, b, c] = [join('a', 0), join('b', 1), join('c', 2)];
+	const publish = (version: number) => {
+		publishVersion(version);
+		for (const {rollout} of [a, b, c]) {
+			rollout.wake();
+		}
+	};
+
+	publish(2);
+	await clock.advance(300);
+	t.ok(a.lease.isHeld);
+	a.links.isCut = true;
+	await clock.advance(4500);
+	t.ok(b.lease.isHeld);
+	publish(3);
+	b.links.isCut = true;
+	await clock.advance(4500);
+	t.ok(c.lease.isHeld);
+	await clock.advance(3000);
+	t.ok(isLoadedEverywhere(3));
+	a.links.isCut = false;
+	b.links.isCut = false;
+	publish(4);
+	await clock.advance(3000);
+	t.ok(isLoadedEverywhere(4));
+	t.strictSame([...new Set(fleet.orders.map(({holder}) => holder))], ['a', 'b', 'c'], 'the lease does not return while its holder is well');
+	for (const {stopController} of [a, b, c]) {
+		stopController.abort();
+	}
+});
+
+// Guards against a lease that passes from instance to instance while none can use it.
+t.test('while all instances are cut off nobody acquires the lease, and the first that reaches engines does', async t => {
+	const {clock, fleet, join, publishVersion, isLoadedEverywhere} = start(4);
+	const instances = [join('a', 0), join('b', 1), join('c', 2)];
+	for (const {links} of instances) {
+		links.isCut = true;
+	}
+
+	publishVersion(2);
+	await clock.advance(20_000);
+	t.strictSame(instances.map(({lease}) => lease.fencing), [0, 0, 0]);
+	instances[1]!.links.isCut = false;
+	await clock.advance(3000);
+	t.ok(isLoadedEverywhere(2));
+	t.strictSame(fleet.orders.map(({fencing}) => fencing), [1, 1, 1, 1]);
+	for (const {stopController} of instances) {
+		stopController.abort();
+	}
+});
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -40,6 +40,10 @@
 	isStandby: () => boolean;
 	/** Minimum remaining term of the lease for sending an order, in milliseconds; 0 if engines refuse old fencing tokens. */
 	minRemainingTermMs: number;
+	/** Returns whether this instance reaches any engine, as far as known; without one, it leaves the lease to others. */
+	canReachEngines: () => boolean;
+	/** Called when an engine did not answer, which may be due to this instance's links. */
+	handleUnanswered: (target: RelayTarget) => void;
 	/** Called when another process has taken an engine's address. */
 	handleReplaced: (target: RelayTarget) => void;
 	/** Broadcasts a step of an engine to all instances. */
@@ -134,7 +138,7 @@
 			this.#checkSuspension();
 			await this.#updateLease();
 
-			if (lease.isHeld) {
+			if (lease.isHeld && this.#dependencies.canReachEngines()) {
 				this.#startUpdates(outdated, signal);
 			}
 
@@ -166,10 +170,16 @@
 		});
 	}
 
-	/** Returns whether this instance may acquire or renew the lease now. The last holder always may, also after a restart, because it need not wait for the end of its own term. The others wait according to their rank. */
+	/**
+	 * Returns whether this instance may acquire or renew the lease now. The last
+	 * holder may, also after a restart, because it need not wait for the end of its
+	 * own term. The others wait according to their rank. An instance that reaches no
+	 * engine may not; its term then ends, and orders that it has sent are no longer
+	 * in transit when a successor acquires the lease.
+	 */
 	#shouldHoldLease(): boolean {
-		const {clock, getRank, lease} = this.#dependencies;
-		return lease.isLastHolder || clock.now() - this.#outdatedSinceMs! >= getRank() * rankDelayMs;
+		const {clock, getRank, lease, canReachEngines} = this.#dependencies;
+		return canReachEngines() && (lease.isLastHolder || clock.now() - this.#outdatedSinceMs! >= getRank() * rankDelayMs);
 	}
 
 	/** Renews the lease or tries to acquire it. A standby, or an instance that does not know the holder, only reads it. */
@@ -235,6 +245,7 @@
 		while (!signal.aborted && clock.now() - startedMs < maxUpdateMs) {
 			const report = await control.readReport(target);
 			if (!report) {
+				this.#dependencies.handleUnanswered(target);
 				break;
 			}
 
