Clock, links: fewer wake-ups, writes and messages for each instance

Each request in progress had two repeating timers of its own, each link one, and the membership one of 50 ms; a message to ten neighbours was encoded ten times and written as ten frames; neighbours told each other revisions that both had stated. Change: repeating timers of one interval share a tick, one-shot timers have a slack of an eighth (64 ms at most), changed records are sent when there are some, an envelope is encoded once, the frames of one turn are one write, and revisions go only to peers that have not stated them.

--- a/packages/clock/clock.ts
+++ b/packages/clock/clock.ts
@@ -18,9 +18,9 @@
 	now(): number;
 	/** Milliseconds since the Unix epoch; may step backwards. */
 	getWallTimeMs(): number;
-	/** Calls `handler` once after `delayMs`; a negative delay counts as 0. */
+	/** Calls `handler` once after `delayMs`, or a little later; a negative delay counts as 0. */
 	setTimer(delayMs: number, handler: () => void): Cancel;
-	/** Calls `handler` every `intervalMs`, first after `intervalMs`, until cancelled. */
+	/** Calls `handler` every `intervalMs`, first after at most `intervalMs`, until cancelled. */
 	subscribe(intervalMs: number, handler: () => void, options?: RepeatingTimerOptions): Cancel;
 	/**
 	 * Resolves after `delayMs`, or at once when `signal` aborts.
--- a/packages/clock/system-clock.ts
+++ b/packages/clock/system-clock.ts
@@ -1,13 +1,17 @@
 /** The timer service on the operating system's clocks. */
 import {performance} from 'node:perf_hooks';
+import {alignDelay} from './_align-delay.ts';
 import type {Clock} from './clock.ts';
+import {SharedTicks} from './_shared-ticks.ts';
 import {createSleep} from './_sleep.ts';
 
 /**
  * Creates a clock that follows real time.
  *
  * One-shot timers keep the process alive. Repeating timers do so only with
- * `shouldKeepProcessAlive`.
+ * `shouldKeepProcessAlive`. To save wake-ups, a one-shot timer may fire an eighth
+ * of its delay late, at most 64 ms, and repeating timers of one interval fire
+ * together.
  *
  * @example
  * ```ts
@@ -17,26 +21,32 @@
  */
 export function createSystemClock(): Clock {
 	const setSystemTimer: Clock['setTimer'] = (delayMs, handler) => {
-		const timer = setTimeout(handler, Math.max(0, delayMs));
+		const timer = setTimeout(handler, Math.max(0, alignDelay(delayMs, performance.now())));
 		return () => {
 			clearTimeout(timer);
 		};
 	};
 
+	const ticks = createTicks(false);
+	const ticksKeepingAlive = createTicks(true);
 	return {
 		now: () => performance.now(),
 		getWallTimeMs: () => Date.now(),
 		setTimer: setSystemTimer,
-		subscribe(intervalMs, handler, options = {}) {
-			const timer = setInterval(handler, intervalMs);
-			if (!options.shouldKeepProcessAlive) {
-				timer.unref();
-			}
-
-			return () => {
-				clearInterval(timer);
-			};
-		},
+		subscribe: (intervalMs, handler, {shouldKeepProcessAlive = false} = {}) => (shouldKeepProcessAlive ? ticksKeepingAlive : ticks).add(intervalMs, handler),
 		sleep: createSleep(setSystemTimer),
 	};
 }
+
+function createTicks(shouldKeepProcessAlive: boolean): SharedTicks {
+	return new SharedTicks((intervalMs, handleTick) => {
+		const timer = setInterval(handleTick, intervalMs);
+		if (!shouldKeepProcessAlive) {
+			timer.unref();
+		}
+
+		return () => {
+			clearInterval(timer);
+		};
+	});
+}
--- a/packages/membership/links.ts
+++ b/packages/membership/links.ts
@@ -7,9 +7,9 @@
 import {SeenIds} from './_seen-ids.ts';
 import type {Clock} from '#clock';
 import {fail, type Result} from '#core';
-import type {
-	ChannelHandler, ChannelReceiver, Envelope, Peer, PeerChannel, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerIdentity, PeerLink, PeerMessage, PeerMessageKind, PeerRequest,
-	PeerRequestFailure, PeerRequestKind, PeerResponse,
+import {
+	encodeEnvelope, type ChannelHandler, type ChannelReceiver, type Envelope, type Peer, type PeerChannel, type PeerRequestHandler, type PeerBus, type PeerMessageHandler,
+	type PeerIdentity, type PeerLink, type PeerMessage, type PeerMessageKind, type PeerRequest, type PeerRequestFailure, type PeerRequestKind, type PeerResponse,
 } from '#peer-protocol';
 import type {Telemetry} from '#telemetry';
 
@@ -103,12 +103,13 @@
 	 * Sends a message to each neighbour.
 	 *
 	 * @param isPeriodic whether the sender repeats the message, so that a link with a full queue may drop it
-	 * @param except neighbour that does not receive the message
+	 * @param isReceiver whether a neighbour receives the message
 	 */
-	sendToNeighbours(message: PeerMessage, isPeriodic: boolean, except?: Peer): void {
+	sendToNeighbours(message: PeerMessage, isPeriodic: boolean, isReceiver: (peer: Peer) => boolean = () => true): void {
+		const body = encodeEnvelope({type: 'message', message});
 		for (const link of this.list()) {
-			if (link.peer!.incarnation !== except?.incarnation) {
-				link.send({type: 'message', message}, isPeriodic);
+			if (isReceiver(link.peer!)) {
+				link.sendEncoded(body, isPeriodic);
 			}
 		}
 	}
@@ -187,10 +188,11 @@
 			return;
 		}
 
+		const body = encodeEnvelope(envelope);
 		for (const link of this.list()) {
 			const {incarnation} = link.peer!;
 			if (incarnation !== except?.incarnation && incarnation !== envelope.origin.incarnation) {
-				link.send(envelope, false);
+				link.sendEncoded(body, false);
 			}
 		}
 	}
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -20,8 +20,8 @@
 	seeds: [], suspicionTimeoutMs: 3000, connectionUpdateIntervalMs: 500, connectTimeoutMs: 1500, minRedialDelayMs: 200, maxRedialDelayMs: 5000, goneRetentionMs: 900_000, limits: {},
 };
 
-/** Interval at which changed records are sent to the neighbours, in milliseconds. */
-const flushIntervalMs = 50;
+/** Time after which a changed record is sent to the neighbours, in milliseconds, with all that changed meanwhile. */
+const flushDelayMs = 50;
 
 /** Minimum time between two transfers of the whole table to one neighbour, in milliseconds. */
 const minResyncIntervalMs = 5000;
@@ -65,16 +65,12 @@
 	/** Runs until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock} = this.#dependencies;
-		const cancelFlush = clock.subscribe(flushIntervalMs, () => {
-			this.#flush();
-		});
 		while (!signal.aborted) {
 			this.#updateConnections();
 			await clock.sleep(this.#options.connectionUpdateIntervalMs, signal);
 		}
 
 		this.#flush();
-		cancelFlush();
 		for (const controller of this.#connectionControllers.values()) {
 			controller.abort();
 		}
@@ -153,8 +149,8 @@
 					links.relay(message);
 				}
 			},
-			sendToSample(message) {
-				links.sendToNeighbours(message, true);
+			sendToSample(message, isReceiver) {
+				links.sendToNeighbours(message, true, isReceiver);
 			},
 			subscribe: (kind, handler) => links.subscribe(kind, handler),
 			request: async (to, request) => links.request(to, request) as never, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a link accepts only responses of the request's kind
@@ -184,6 +180,12 @@
 
 		const {peer, state, version} = changed;
 		this.#dutyRanking.clear();
+		if (this.#pendingRecords.size === 0) {
+			clock.setTimer(flushDelayMs, () => {
+				this.#flush();
+			});
+		}
+
 		this.#pendingRecords.set(peer.incarnation, {record: changed, from});
 		if (state === 'suspect' && peer.incarnation !== self.incarnation) {
 			clock.setTimer(this.#options.suspicionTimeoutMs, () => {
--- a/packages/mirror/mirror-relay.test.ts
+++ b/packages/mirror/mirror-relay.test.ts
@@ -108,3 +108,19 @@
 	t.equal(countFetches('unanswered'), 1);
 	t.equal(behind.mirror.revision, 0);
 });
+
+// Guards against neighbours that tell each other again what both know, with each change of hundreds of targets.
+t.test('in a large fleet the revisions go only to peers that have not stated them', async t => {
+	const {clock, network, ahead, behind} = start(true);
+	ahead.mirror.replace([createObject('k/a', 1)], 1);
+	await clock.advance(1000);
+	t.equal(behind.mirror.revision, 1);
+	t.equal(network.deliveredCounts.get('positions'), 1, 'the peer that fetched a change does not send it back');
+	for (let revision = 2; revision < 12; revision++) {
+		ahead.mirror.apply({changed: [createObject('k/a', revision)], deleted: [], revision}, revision - 1);
+		await clock.advance(1000);
+	}
+
+	t.equal(behind.mirror.revision, 11);
+	t.equal(network.deliveredCounts.get('positions'), 11);
+});
--- a/packages/mirror/mirror-relay.ts
+++ b/packages/mirror/mirror-relay.ts
@@ -31,6 +31,8 @@
 	readonly #dependencies: MirrorRelayDependencies;
 	readonly #mirrorsByKind: ReadonlyMap<string, KindMirror>;
 	readonly #requestedKinds = new Set<string>();
+	/** Revisions that each neighbour has stated, by its incarnation. */
+	readonly #statedRevisions = new Map<string, Readonly<Record<string, number>>>();
 	/** Whether there were changes since the last broadcast. */
 	#hasPendingChanges = false;
 	/** Whether the last broadcast was less than {@link broadcastIntervalMs} ago. */
@@ -74,7 +76,9 @@
 
 		this.#hasPendingChanges = false;
 		this.#isBroadcastPaused = true;
-		bus.sendToSample({kind: 'positions', revisions: {...this.getRevisions()}});
+		const revisions = {...this.getRevisions()};
+		bus.sendToSample({kind: 'positions', revisions}, peer => !this.#isUpToDate(peer, revisions));
+		this.#removeUnknownPeers();
 		clock.setTimer(broadcastIntervalMs, () => {
 			this.#isBroadcastPaused = false;
 			if (this.#hasPendingChanges) {
@@ -83,8 +87,25 @@
 		});
 	}
 
+	/** Whether a peer has stated that it has all changes up to these revisions. */
+	#isUpToDate({incarnation}: Peer, revisions: Readonly<Record<string, number>>): boolean {
+		const stated = this.#statedRevisions.get(incarnation);
+		return stated !== undefined && Object.entries(revisions).every(([kind, revision]) => (stated[kind] ?? 0) >= revision);
+	}
+
+	/** Forgets what peers have stated to which no link is open any more. */
+	#removeUnknownPeers(): void {
+		const known = new Set(this.#dependencies.bus.listNeighbours().map(({incarnation}) => incarnation));
+		for (const incarnation of this.#statedRevisions.keys()) {
+			if (!known.has(incarnation)) {
+				this.#statedRevisions.delete(incarnation);
+			}
+		}
+	}
+
 	/** Schedules a request to the peer for each kind in which it is ahead, unless one is scheduled or in progress. */
 	#compareRevisions(peer: Peer, revisions: Readonly<Record<string, number>>): void {
+		this.#statedRevisions.set(peer.incarnation, revisions);
 		for (const [kind, revision] of Object.entries(revisions)) {
 			const mirror = this.#mirrorsByKind.get(kind);
 			if (mirror && revision > mirror.revision && !this.#requestedKinds.has(kind)) {
--- a/packages/peer-protocol/bus.ts
+++ b/packages/peer-protocol/bus.ts
@@ -57,8 +57,8 @@
 	broadcastViaPeers(message: PeerMessage): void;
 	/** Sends a message to every peer: directly if all live peers are neighbours, otherwise as {@link PeerBus.broadcastViaPeers} does. */
 	broadcast(message: PeerMessage): void;
-	/** Sends a periodic message to a bounded sample of the peers, or to all of them while they are few. */
-	sendToSample(message: PeerMessage): void;
+	/** Sends a periodic message to a bounded sample of the peers, or to all of them while they are few; of these, only to those for which `isReceiver` holds. */
+	sendToSample(message: PeerMessage, isReceiver?: (peer: Peer) => boolean): void;
 	subscribe<Kind extends PeerMessageKind>(kind: Kind, handler: PeerMessageHandler<Kind>): Cancel;
 	/** Sends a request to a neighbour and waits for the response. Fails after a bounded time. */
 	request<Request extends PeerRequest>(to: Peer, request: Request): Promise<Result<PeerResponseOf<Request['kind']>, PeerRequestFailure>>;
--- a/packages/peer-protocol/link.ts
+++ b/packages/peer-protocol/link.ts
@@ -61,6 +61,14 @@
 	limits?: LinkLimits;
 }>;
 
+/** An envelope as the body of a frame. */
+export type EncodedEnvelope = Uint8Array;
+
+/** Encodes an envelope once for several links. */
+export function encodeEnvelope(envelope: Envelope): EncodedEnvelope {
+	return encodeValue(envelope);
+}
+
 /** Maximum size of the payload of a hello or a proof. */
 const maxHandshakeFrameBytes = 2048;
 const finishTimeoutMs = 500;
@@ -82,6 +90,7 @@
 	#sentFrames = 0;
 	#lastReceivedMs: number;
 	#isWriting = false;
+	#isCollecting = false;
 
 	constructor(stream: Duplex, dependencies: LinkDependencies) {
 		this.#stream = stream;
@@ -153,11 +162,18 @@
 	 * @param isPeriodic whether the sender repeats the envelope, so that it may be dropped when the queue is full
 	 */
 	send(envelope: Envelope, isPeriodic: boolean): void {
+		if (this.isOpen) {
+			this.sendEncoded(encodeEnvelope(envelope), isPeriodic);
+		}
+	}
+
+	/** Queues an envelope that is encoded already, as it goes to several peers; see {@link PeerLink.send}. */
+	sendEncoded(body: EncodedEnvelope, isPeriodic: boolean): void {
 		if (!this.isOpen) {
 			return;
 		}
 
-		const outcome = this.#queue.add({body: encodeValue(envelope), isPeriodic});
+		const outcome = this.#queue.add({body, isPeriodic});
 		if (outcome === 'dropped_oldest') {
 			this.#dependencies.telemetry.count('peer_messages_dropped_total');
 		}
@@ -284,6 +300,20 @@
 		this.send({type: 'heartbeat', status: this.#dependencies.getStatus()}, true);
 	}
 
+	/** Collects the frames of one turn of the event loop into one write to the socket. */
+	#collectWrites(): void {
+		if (this.#isCollecting) {
+			return;
+		}
+
+		this.#isCollecting = true;
+		this.#stream.cork();
+		setImmediate(() => {
+			this.#isCollecting = false;
+			this.#stream.uncork();
+		});
+	}
+
 	/** Writes the queued frames one at a time and respects the stream's back-pressure. */
 	async #writeQueuedFrames(): Promise<void> {
 		if (this.#isWriting) {
@@ -291,6 +321,7 @@
 		}
 
 		this.#isWriting = true;
+		this.#collectWrites();
 		for (let body = this.#queue.removeFirst(); body && this.isOpen; body = this.#queue.removeFirst()) {
 			const mac = computeFrameMac(this.#sendKey!, this.#sentFrames++, body);
 			const frame = encodeFrame(Buffer.concat([mac, body]));
--- a/packages/peer-protocol/mod.ts
+++ b/packages/peer-protocol/mod.ts
@@ -18,7 +18,7 @@
 export type {Envelope, PeerStatus} from './envelope.ts';
 export type {PeerIdentity} from './identity.ts';
 export {
-	PeerLink, type LinkDependencies, type LinkEndReason, type LinkLimits,
+	encodeEnvelope, PeerLink, type LinkDependencies, type LinkEndReason, type LinkLimits,
 } from './link.ts';
 export type {LinkRole} from './handshake.ts';
 export type {PeerListener, PeerTransport} from './transport.ts';
--- a/packages/standins/peer-network.ts
+++ b/packages/standins/peer-network.ts
@@ -34,15 +34,19 @@
 		const member: Member = {peer, messageHandlers: new Map(), requestHandlers: new Map()};
 		this.#members.set(peer.name, member);
 		// Each way of sending reaches every other instance directly.
-		const send = (message: PeerMessage) => {
-			this.#sendToAll(peer, message);
+		const send = (message: PeerMessage, isReceiver: (peer: Peer) => boolean = () => true) => {
+			this.#sendToAll(peer, message, isReceiver);
 		};
 
 		return {
 			listPeers: () => this.#listReachable(peer.name).map(other => other.peer),
 			listNeighbours: () => this.#listReachable(peer.name).map(other => other.peer),
-			broadcastViaPeers: send,
-			broadcast: send,
+			broadcastViaPeers(message) {
+				send(message);
+			},
+			broadcast(message) {
+				send(message);
+			},
 			sendToSample: send,
 			subscribe(kind, handler) {
 				const handlers = member.messageHandlers.get(kind) ?? new Set();
@@ -116,8 +120,8 @@
 		return createEnd(member.peer, 'opener', 'acceptor');
 	}
 
-	#sendToAll(from: Peer, message: PeerMessage): void {
-		for (const {peer} of this.#listReachable(from.name)) {
+	#sendToAll(from: Peer, message: PeerMessage, isReceiver: (peer: Peer) => boolean): void {
+		for (const {peer} of this.#listReachable(from.name).filter(other => isReceiver(other.peer))) {
 			this.#clock.setTimer(this.#latencyMs, () => {
 				this.#deliver(peer.name, from, message);
 			});
