Gateway: requests that an overloaded instance cannot start in time are refused at once

Cause: on the small twins, whose instances have 0.12 of a core, requests waited for seconds in the sockets; callers left, and their requests were sent on. Change: the delay of the event loop decides on refusals, with a probability that grows with it; the reason instance_overloaded has its counter. Requests wait for input behind them only while input is late: to wait always cost two turns of a slow loop for each.

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -26,3 +26,4 @@
 export {Channel} from './channel.ts';
 export {hash64, prepareHash} from './hash.ts';
 export {waitForAbort} from './wait-for-abort.ts';
+export {readArrivedInput} from './read-arrived-input.ts';
--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -42,6 +42,7 @@
 	crashes_targets: {status: 503, ran: 'not_run', message: 'Targets crashed while running this request; it is not sent to another for the time being.'},
 	stale_weights: {status: 503, ran: 'unknown', message: 'No target serves the configured weights version.'},
 	answer_too_long: {status: 502, ran: 'ran', message: 'The target\'s answer is longer than this instance accepts.'},
+	instance_overloaded: {status: 503, ran: 'not_run', message: 'This instance is overloaded and cannot start the request in time.'},
 	not_configured: {status: 503, ran: 'not_run', message: 'This instance has no configuration yet.'},
 	stopping: {status: 503, ran: 'not_run', message: 'This instance is stopping.'},
 } as const satisfies Readonly<Record<string, RefusalRule>>;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -3,9 +3,10 @@
  * configuration, finds the route and the customer of a request, checks the
  * limits and sets the deadline.
  */
+import {OverloadGuard} from './overload-guard.ts';
 import type {Clock} from '#clock';
 import {
-	fail, hash64, createRefusal, succeed, type Prompt, type Random, type Refusal, type RefusalOptions, type RefusalReason, type RelayConfiguration, type RelayCustomer,
+	fail, hash64, createRefusal, readArrivedInput, succeed, type Prompt, type Random, type Refusal, type RefusalOptions, type RefusalReason, type RelayConfiguration, type RelayCustomer,
 	type RelayRoute, type Result,
 } from '#core';
 import type {
@@ -85,11 +86,13 @@
 /** Accepts or refuses callers' requests, and runs the accepted ones. */
 export class Gateway {
 	readonly #dependencies: GatewayDependencies;
+	readonly #overloadGuard: OverloadGuard;
 	#active: ActiveConfiguration | undefined;
 	#resolving = 0;
 
 	constructor(dependencies: GatewayDependencies) {
 		this.#dependencies = dependencies;
+		this.#overloadGuard = new OverloadGuard(dependencies);
 	}
 
 	/** Number of accepted requests for which it is not decided yet where their stream may go on. */
@@ -118,7 +121,7 @@
 		return true;
 	}
 
-	/** Finds the route and the customer of a request, and refuses it if it may not be read or run. */
+	/** Finds the route and the customer of a request, and refuses it if it may not be read or run, or cannot be started in time. */
 	accept(head: RequestHead): Result<AcceptedRequest, Refusal> {
 		if (!this.#active) {
 			return fail(this.refuse(head, 'not_configured', {retryAfterMs: notConfiguredRetryAfterMs}));
@@ -145,6 +148,12 @@
 			return fail(this.refuse(head, 'body_too_large'));
 		}
 
+		const retryAfterMs = this.#overloadGuard.admit(route.promisedMs);
+		if (retryAfterMs !== undefined) {
+			const delayMs = Math.round(this.#overloadGuard.estimateDelayMs());
+			return fail(this.refuse(head, 'instance_overloaded', {retryAfterMs, detail: `Input waits ${delayMs} ms until it is read.`}));
+		}
+
 		const arrivedMs = this.#dependencies.clock.now();
 		const deadlineMs = arrivedMs + Math.min(head.remainingMs ?? Infinity, route.timeoutMs);
 		return succeed({
@@ -156,6 +165,11 @@
 	async run({head, configuration, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
 		const {random, relay, resolveOrigin} = this.#dependencies;
 		this.#resolving++;
+		if (this.#overloadGuard.isInputLate) {
+			// The caller may have left meanwhile; the end of its connection lies behind the request.
+			await readArrivedInput();
+		}
+
 		const decision = await resolveOrigin({
 			route, customer: customer?.name, lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId,
 		});
@@ -189,7 +203,7 @@
 		telemetry.count('refusals_total', {reason, ran: refusal.ran});
 		telemetry.log('request refused', {
 			id: requestId, reason, status: refusal.status, configuration: this.configuration?.version, host, path: path.slice(0, maxLoggedPathLength),
-			hasKey: apiKey !== undefined, headerBytes, bodyBytes, returnMs: refusal.retryAfterMs,
+			hasKey: apiKey !== undefined, headerBytes, bodyBytes, returnMs: refusal.retryAfterMs, detail: options.detail,
 		});
 		return refusal;
 	}
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -7,7 +7,9 @@
 import type {HeaderLines} from './exchange.ts';
 import type {Relay} from './relay.ts';
 import type {Cancel, Clock} from '#clock';
-import {createRefusal, type Refusal, type RelayTarget} from '#core';
+import {
+	createRefusal, readArrivedInput, type Refusal, type RelayTarget,
+} from '#core';
 import type {
 	ChannelPart, ChannelPartHandlers, ChannelReceiver, PeerBus, PeerChannel, RelayedRequest,
 } from '#peer-protocol';
@@ -54,6 +56,8 @@
 async function runRequest({clock, telemetry, relay}: PeerRelayDependencies, caller: PeerCaller, {pool, remainingMs, ...request}: RelayedRequest): Promise<void> {
 	telemetry.count('relayed_requests_total', {pool: pool.name});
 	const nowMs = clock.now();
+	// The peer may have cancelled the request in what lies behind it on the link.
+	await readArrivedInput();
 	await relay.run({
 		...request, body: request.body, customer: request.customer, prompt: request.prompt, cacheScope: request.cacheScope, lastEventId: request.lastEventId,
 		resumedRequestId: request.resumedRequestId, softwareVersion: request.softwareVersion, arrivedMs: nowMs, deadlineMs: nowMs + remainingMs, relayedBy: caller.peerName,
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -11,7 +11,6 @@
 import {runPeerAttempt, type PeerAttemptDependencies} from './_peer-attempt.ts';
 import {RelayProgress} from './_progress.ts';
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
-import {readArrivedInput} from './_read-arrived-input.ts';
 import {createRelayRefusal} from './_relay-refusal.ts';
 import type {TargetReach} from './target-reach.ts';
 import {TargetChooser, type TargetChooserDependencies} from './_target-chooser.ts';
@@ -90,7 +89,6 @@
 	}
 
 	async #runAttempts(progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): Promise<RelayOutcome> {
-		await readArrivedInput();
 		for (;;) {
 			if (progress.cause === 'not_sent') {
 				// Whether the target or this instance's links failed decides where the next attempt goes.
