Placement: prompts go to the homes of parts that are not known, the store of KV cache is used, a choice takes linear time

A part that an instance does not know was expected at its home by all engines but the home itself, so prompts went past their homes, which then never had them. The deployment's stores of KV cache were not used. The choice looked for sources for each target among all targets. One instance checks each store and tells the others of its silence.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -25,8 +25,8 @@
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
-	CachedParts, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
-	PublishedWeights, type CheckReach, type ConnectionOptions,
+	CachedParts, KvCacheStores, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
+	PublishedWeights, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
@@ -64,7 +64,7 @@
 }>;
 
 /** Calls to targets other than callers' requests. */
-export type TargetCalls = EngineControl & Readonly<{probe: ProbeTarget; checkReach: CheckReach; readEvents: ReadPartCacheEvents}>;
+export type TargetCalls = EngineControl & Readonly<{probe: ProbeTarget; checkReach: CheckReach; readEvents: ReadPartCacheEvents; checkKvCacheStore: CheckKvCacheStore}>;
 
 /** Dependencies of {@link startRelayInstance}. */
 export type RelayInstanceDependencies = Readonly<{
@@ -180,9 +180,14 @@
 	const peerPaths = new PeerPaths({
 		bus, clock, random, zone: settings.zone,
 	});
+	const kvCacheStores = new KvCacheStores({
+		clock, bus, telemetry, listStores: () => started.gateway?.configuration?.kvCacheStores ?? [], checkStore: calls.checkKvCacheStore,
+		isChecker: ({address}) => peers.getRank(`kv store ${address}`) === 0 && targetReach.listUnreachablePools().length === 0,
+	});
 	const relay = new Relay({
 		bus, targetReach, peerPaths, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
-		clock, random, telemetry, targets, cachedParts, streamOrigins: origins, quarantine, partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
+		clock, random, telemetry, targets, cachedParts, listKvCacheStores: () => kvCacheStores.listAnswering(), streamOrigins: origins, quarantine,
+		partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
 		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(formatShareDuty(id))}),
 		handleMismatch(state, mismatch) {
@@ -239,6 +244,7 @@
 		runPartExchange({cachedParts, bus, clock}, signal),
 		originExchange.run(signal),
 		targetReach.run(signal),
+		kvCacheStores.run(signal),
 		runStrikeSync({
 			clock, telemetry, bus, quarantines: [partStrikes, quarantine],
 		}, signal),
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -75,7 +75,7 @@
 	const {state} = choice;
 	const headers = dialect.encodeHead(request, {
 		target: state.target, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
-		cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.target.address, urgency: request.prompt && urgency,
+		cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.address, keepIn: choice.keeper?.address, urgency: request.prompt && urgency,
 	});
 	const {exchange} = state.connections.start({
 		method: request.method, path: request.path, headers, body: request.body,
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -99,7 +99,7 @@
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
-			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.target.id,
+			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(statement && {statement}),
 		});
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -6,6 +6,7 @@
 import {
 	chooseRelayTarget, computeSendDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
+import {KeepBudget} from './keep-budget.ts';
 import type {RelayProgress} from './_progress.ts';
 import type {PublishedWeights} from './published-weights.ts';
 import type {TargetSet} from './target-set.ts';
@@ -18,6 +19,8 @@
 	random: Random;
 	targets: TargetSet;
 	cachedParts: CachedParts;
+	/** Lists the stores that keep what engines read, as far as they answer. */
+	listKvCacheStores: () => TargetQuery['kvCacheStores'];
 	publishedWeights: PublishedWeights;
 	/** Time for which requests may still start on stale weights, in milliseconds. */
 	maxStaleWeightsMs: number;
@@ -52,9 +55,11 @@
 
 export class TargetChooser {
 	readonly #dependencies: TargetChooserDependencies;
+	readonly #keepBudget: KeepBudget;
 
 	constructor(dependencies: TargetChooserDependencies) {
 		this.#dependencies = dependencies;
+		this.#keepBudget = new KeepBudget(dependencies);
 	}
 
 	/**
@@ -75,7 +80,7 @@
 
 		const {promisedMs} = request.route;
 		if (!request.prompt || choice.queueMs <= promisedMs) {
-			return {choice, urgency};
+			return {choice: this.#limitKeeping(choice, request), urgency};
 		}
 
 		const lowestChoice = this.#chooseAt(progress, lowestUrgency);
@@ -91,7 +96,13 @@
 			return undefined;
 		}
 
-		return {choice: lowestChoice, urgency: lowestUrgency};
+		return {choice: this.#limitKeeping(lowestChoice, request), urgency: lowestUrgency};
+	}
+
+	/** Lets the store keep the prompt only if the budget allows it. */
+	#limitKeeping(choice: TargetChoice, {prompt}: RelayRequest): TargetChoice {
+		const {keeper} = choice;
+		return keeper && !this.#keepBudget.acquire(keeper, prompt?.inputTokens ?? 0) ? {...choice, keeper: undefined} : choice;
 	}
 
 	/** Chooses the next target of a request at an urgency; if there is none, records the retry time in `progress`, and the cause unless an attempt has failed before. */
@@ -100,13 +111,13 @@
 			request, pool, excluded, softwareVersion,
 		} = progress;
 		const {
-			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, countInstances, getLimitSharing,
+			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, listKvCacheStores, countInstances, getLimitSharing,
 		} = this.#dependencies;
 		const poolTargets = targets.listPool(pool.name);
 		const nowMs = clock.now();
 		const choice = chooseRelayTarget({
 			targets: poolTargets, getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
-			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, zone,
+			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, kvCacheStores: listKvCacheStores(), zone,
 			nowMs, random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
 		});
 		if (typeof choice === 'string') {
@@ -118,8 +129,6 @@
 		return choice;
 	}
 
-	/** Computes the time until this instance may send a request to one of a pool's targets, all of which have stated limits, in milliseconds. */
-
 	/** Computes the time until one of a pool's targets may take a request of this instance again, by what they state, in milliseconds. A random factor spreads the retries of several callers. */
 	#computeWelcomeMs(targets: readonly TargetState[]): number {
 		const {clock, random, getLimitSharing} = this.#dependencies;
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -26,7 +26,7 @@
 function createQuery(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetQuery {
 	return {
 		targets, excluded: new Set(), engine, prompt: undefined, cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
-		cachedParts: new CachedParts(), zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), getLimitSharing: () => ({instances: 1, rank: 0}), ...options,
+		cachedParts: new CachedParts(), kvCacheStores: [], zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), getLimitSharing: () => ({instances: 1, rank: 0}), ...options,
 	};
 }
 
@@ -135,7 +135,7 @@
 	first.state.pendingTokens.add(0, 100_000);
 	const other = choose(createQuery(targets, {prompt, cachedParts}));
 	t.not(other.state, first.state);
-	t.equal(other.source, first.state);
+	t.equal(other.source, first.state.target);
 	t.equal(other.unreadTokens, 2000);
 });
 
@@ -208,7 +208,7 @@
 			cached.set(key, holders);
 			const partTokens = prompt.parts[index]!.tokens;
 			sharedTokens += partTokens;
-			const isCached = holders.has(choice.state) || (choice.source !== undefined && holders.has(choice.source));
+			const isCached = holders.has(choice.state) || [...holders].some(({target}) => target === choice.source);
 			tokens -= isCached ? partTokens : 0;
 			recomputedTokens += !isCached && holders.size > 0 ? partTokens : 0;
 			holders.add(choice.state);
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -9,7 +9,7 @@
 import type {LimitSharing} from './_limit-share.ts';
 import type {TargetState} from './target-state.ts';
 import type {
-	EngineTraits, Prompt, PromptPart, Random, RelayTarget,
+	EngineTraits, KvCacheStore, Prompt, PromptPart, Random, RelayTarget,
 } from '#core';
 import {chooseHomes} from '#placement';
 
@@ -42,6 +42,8 @@
 	/** Time for which requests may still start on stale weights, in milliseconds. */
 	maxStaleWeightsMs: number;
 	cachedParts: CachedParts;
+	/** Stores that keep parts which engines read; only those that answer. */
+	kvCacheStores: readonly KvCacheStore[];
 	/** This instance's availability zone. */
 	zone: string;
 	/** Maximum number of connections from this instance to one target: its share of those that a target accepts. */
@@ -52,6 +54,15 @@
 	random: Random;
 }>;
 
+/** Where cached parts can be fetched from. */
+export type CacheSource = Readonly<{
+	/** Id of the target, or the address of the store. */
+	id: string;
+	/** `host:port`. */
+	address: string;
+	zone: string;
+}>;
+
 /** A chosen target and the estimates behind the choice. */
 export type TargetChoice = Readonly<{
 	state: TargetState;
@@ -67,8 +78,10 @@
 	weights: number | undefined;
 	/** Scope within which cached parts may be shared, for these weights. */
 	cacheScope: string | undefined;
-	/** Target from which parts of the prompt can be fetched. */
-	source: TargetState | undefined;
+	/** Target or store from which parts of the prompt can be fetched. */
+	source: CacheSource | undefined;
+	/** Store that may be given the parts which the target reads; absent if it reads none or fetches them from another target, or if there is no store. */
+	keeper: KvCacheStore | undefined;
 	/** Keys under which the prompt's shared parts are recorded, the outermost first. */
 	partKeys: readonly string[];
 }>;
@@ -97,6 +110,12 @@
 /** Cost of a target that does not have all of the prompt's parts cached and is not their preferred home, in milliseconds: a further copy takes up cache memory there. */
 const duplicateCacheMs = 50;
 
+/** Factor by which a fetch from another availability zone takes longer. */
+const crossZoneFetchFactor = 2;
+
+/** Part of the tokens that a home or a store is expected to have, if this instance does not know. */
+const likelyCachedRatio = 0.5;
+
 /** Fixed time of a fetch of cached parts, in milliseconds. */
 const fetchStartMs = 2;
 
@@ -199,7 +218,7 @@
 	const waitMs = queueMs + state.serviceMs;
 	return {
 		state, queueMs, waitMs, costMs: waitMs + (state.serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + (random.next() * jitterMs),
-		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, partKeys: [],
+		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, keeper: undefined, partKeys: [],
 	};
 }
 
@@ -211,10 +230,20 @@
 type PartLayout = Readonly<{
 	keys: readonly string[];
 	parts: readonly PromptPart[];
-	/** Ids of the targets on which the parts are read by default, by rendezvous hashing. */
-	homeIds: readonly string[];
-	/** Home of the part with the most tokens, as caching that part saves the most. */
+	/** Id of the target on which the part with the most tokens is read by default, as caching that part saves the most. */
 	preferredHomeId: string | undefined;
+	/** Store for these parts, by rendezvous hashing of the same part. */
+	store: KvCacheStore | undefined;
+	/** Sources of the leading parts, the best first, by their number, from all parts down. */
+	sources: readonly PartSources[];
+}>;
+
+/** Targets and stores that are believed to have the first `partCount` parts of a prompt cached. */
+type PartSources = Readonly<{
+	partCount: number;
+	sources: readonly CacheSource[];
+	/** Number of sources that are known to have the parts; the others may have them. */
+	knownCount: number;
 }>;
 
 /** Returns a function that creates the choice of one engine for a prompt. The layout of the prompt's parts is created once per version of the weights. */
@@ -236,20 +265,25 @@
 		const weights = getWeights(query, state);
 		const layout = getPartLayout(weights);
 		const cachedCount = countCachedParts(query, layout, state);
-		const source = cachedCount < layout.parts.length ? findCacheSource(query, layout, state, cachedCount) : undefined;
+		const found = cachedCount < layout.parts.length ? findCachedSource(layout, state, cachedCount) : undefined;
 		const cachedTokens = sumTokens(layout.parts, 0, cachedCount);
-		const fetchedTokens = source ? sumTokens(layout.parts, cachedCount, source.partCount) : 0;
+		const isHome = layout.preferredHomeId === state.target.id;
+		const fetchedTokens = found ? sumTokens(layout.parts, cachedCount, found.partCount) * (found.isKnown ? 1 : likelyCachedRatio) : 0;
 		const unreadTokens = Math.max(0, prompt.inputTokens - cachedTokens - fetchedTokens);
+		// A home that others may fetch parts from is as likely to have them for its own requests.
+		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
 		const {requests, tokens} = state.sumWork(query.nowMs, query.urgency);
 		const queueMs = (tokens * state.msPerToken) + (Math.max(0, requests + 1 - engine.slots) * slotWaitMs);
-		const waitMs = queueMs + (unreadTokens * state.msPerToken) + computeFetchMs(engine, fetchedTokens);
+		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
+		const waitMs = queueMs + ((unreadTokens - likelyTokens) * state.msPerToken) + fetchMs;
 		const costMs = waitMs
 			+ (requests * concurrentRequestMs)
-			+ (cachedCount === layout.parts.length || layout.preferredHomeId === state.target.id ? 0 : duplicateCacheMs)
+			+ (cachedCount === layout.parts.length || isHome ? 0 : duplicateCacheMs)
 			+ computeZoneCostMs(query.zone, state)
 			+ ((getStalenessMs(query, weights) ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
 		return {
-			state, queueMs, waitMs, costMs, unreadTokens, weights, cacheScope: formatCacheScope(query, weights), source: source?.state, partKeys: layout.keys,
+			state, queueMs, waitMs, costMs, unreadTokens, weights, cacheScope: formatCacheScope(query, weights), source: found?.source,
+			keeper: found && found.source.id === layout.store?.address ? layout.store : undefined, partKeys: layout.keys,
 		};
 	};
 }
@@ -264,10 +298,53 @@
 	const parts = prompt.parts.slice(0, -1);
 	const scope = formatCacheScope(query, weights) ?? '';
 	const keys = parts.map(({key}) => `${scope}/${key}`);
-	const homeIds = parts.map(({key}) => chooseHomes(targetIds, key)[0] ?? '');
+	const largestPart = parts[findLargestPart(parts)];
+	const preferredHomeId = largestPart && chooseHomes(targetIds, largestPart.key)[0];
+	const store = largestPart && chooseStore(query.kvCacheStores, largestPart.key);
 	return {
-		keys, parts, homeIds, preferredHomeId: homeIds[findLargestPart(parts)],
+		keys, parts, preferredHomeId, store, sources: listPartSources(query, {
+			keys, parts, preferredHomeId, store, targetIds, weights,
+		}),
+	};
+}
+
+/** Chooses the store for a part, so that all instances choose the same one. */
+function chooseStore(stores: readonly KvCacheStore[], key: string): KvCacheStore | undefined {
+	const [address] = stores.length > 1 ? chooseHomes(stores.map(store => store.address), key) : stores.map(store => store.address);
+	return stores.find(store => store.address === address);
+}
+
+type SourceQuery = Omit<PartLayout, 'sources'> & Readonly<{targetIds: readonly string[]; weights: number | undefined}>;
+
+/**
+ * Lists where leading parts of a prompt can be fetched from: recorded holders,
+ * then their home. With a store, only holders of all parts count, and the store
+ * stands for the others: it has a part of what engines have lately read. Created
+ * once for all targets, so that a choice takes a time in proportion to their number.
+ */
+function listPartSources(query: TargetQuery, {keys, parts, preferredHomeId, store, targetIds, weights}: SourceQuery): readonly PartSources[] {
+	const {cachedParts, nowMs, targets} = query;
+	const isUsable = (state: TargetState | undefined): state is TargetState => state !== undefined && !state.isLeaving
+		&& state.loadingUntilMs <= nowMs && state.suspectUntilMs <= nowMs && getWeights(query, state) === weights;
+	const listHolders = (partCount: number) => cachedParts.listHolders(keys[partCount - 1]!, nowMs)
+		.map(incarnation => targets.find(({target}) => target.incarnation === incarnation))
+		.filter(state => isUsable(state))
+		.map(({target}) => target);
+	const listHome = (homeId: string | undefined) => {
+		const home = targets.find(({target}) => target.id === homeId);
+		return isUsable(home) ? [home.target] : [];
 	};
+
+	if (store) {
+		const holders = listHolders(parts.length);
+		return [{partCount: parts.length, knownCount: holders.length, sources: [...holders, ...listHome(preferredHomeId), {id: store.address, ...store}]}];
+	}
+
+	return parts.map((_part, index) => {
+		const partCount = parts.length - index;
+		const holders = listHolders(partCount);
+		return {partCount, knownCount: holders.length, sources: [...holders, ...listHome(chooseHomes(targetIds, parts[partCount - 1]!.key)[0])]};
+	});
 }
 
 /** Counts the leading parts that the target is believed to have cached. */
@@ -280,21 +357,15 @@
 	return count;
 }
 
-/** A target that has the first `partCount` parts of a prompt cached. */
-type CacheSource = Readonly<{state: TargetState; partCount: number}>;
+/** A source that is believed to have the first `partCount` parts of a prompt cached. */
+type FoundSource = Readonly<{source: CacheSource; partCount: number; isKnown: boolean}>;
 
-/** Finds another target that is believed to have more of the prompt cached: a recorded holder of a part, or the home of that part. */
-function findCacheSource(query: TargetQuery, layout: PartLayout, state: TargetState, cachedCount: number): CacheSource | undefined {
-	const {cachedParts, nowMs, targets} = query;
-	const isUsable = (other: TargetState | undefined): other is TargetState => other !== undefined && other !== state && !other.isLeaving
-		&& other.loadingUntilMs <= nowMs && other.suspectUntilMs <= nowMs && getWeights(query, other) === getWeights(query, state);
-	for (let partCount = layout.parts.length; partCount > cachedCount; partCount--) {
-		const holders = cachedParts.listHolders(layout.keys[partCount - 1]!, nowMs);
-		const holder = targets.find(other => holders.includes(other.target.incarnation) && isUsable(other));
-		const home = targets.find(({target}) => target.id === layout.homeIds[partCount - 1]);
-		const source = holder ?? (isUsable(home) ? home : undefined);
-		if (source) {
-			return {state: source, partCount};
+/** Finds the source that is believed to have the most of the prompt cached, and more of it than the target. */
+function findCachedSource({sources: bySize}: PartLayout, {target}: TargetState, cachedCount: number): FoundSource | undefined {
+	for (const {partCount, sources, knownCount} of bySize) {
+		const index = partCount > cachedCount ? sources.findIndex(({id}) => id !== target.id) : -1;
+		if (index !== -1) {
+			return {source: sources[index]!, partCount, isKnown: index < knownCount};
 		}
 	}
 
--- a/packages/relay/dialect.ts
+++ b/packages/relay/dialect.ts
@@ -14,8 +14,10 @@
 	cacheScope: string | undefined;
 	/** The only version of the weights that may run the request; absent if any version may. */
 	weights: number | undefined;
-	/** `host:port` of a target from which parts of the prompt may be fetched. */
+	/** `host:port` of a target or store from which parts of the prompt may be fetched. */
 	fetchFrom: string | undefined;
+	/** `host:port` of the store that is to keep the parts which the target reads. */
+	keepIn: string | undefined;
 	/** 0 is the most urgent; absent if the target's default applies. */
 	urgency: number | undefined;
 }>;
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -28,6 +28,7 @@
 export {
 	computeStreamKey, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
 } from './stream-origins.ts';
+export {KvCacheStores, type CheckKvCacheStore} from './kv-cache-stores.ts';
 export {OriginExchange, type OriginExchangeDependencies} from './origin-exchange.ts';
 export {
 	resolveOrigin, type OriginDecision, type OriginDependencies, type ResumedStream,
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -161,7 +161,7 @@
 		bus, targetReach, listSharers: () => [], peerPaths: new PeerPaths({
 			bus, clock, random: createRandom(5), zone: 'z',
 		}),
-		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(),
+		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
 			await onProbe();
