--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -21,6 +21,17 @@
 	},
 };
 
+/** Omits parts of libraries that a deployed instance never uses, but that load further modules of Node.js at the start: HTTP/2 (not offered to targets) and the push gateway of metrics. */
+const omitUnused = {
+	name: 'omit-unused',
+	setup(api) {
+		/* eslint-disable require-unicode-regexp -- esbuild reads filters as regular expressions of Go, which has no such flag */
+		api.onResolve({filter: /(client-h2\.js|\/pushgateway)$/}, ({path}) => ({path, namespace: 'unused'}));
+		api.onLoad({filter: /.*/, namespace: 'unused'}, ({path}) => ({contents: `module.exports = class { constructor() { throw new Error('${path} is omitted from the bundle'); } };`}));
+		/* eslint-enable require-unicode-regexp */
+	},
+};
+
 /**
  * Bundles an entry file.
  *
@@ -36,7 +47,7 @@
 		platform: 'node',
 		target: 'node20',
 		format: 'cjs',
-		plugins: isDeployed ? [omitOptional, clientOnly] : [omitOptional],
+		plugins: isDeployed ? [omitOptional, clientOnly, omitUnused] : [omitOptional],
 		minifyWhitespace: isDeployed,
 		logLevel: 'warning',
 	});
