Mirrors: two of the five watchers of a large fleet watch rarely

Change: the fourth and fifth watcher wait 9 s in a watch and pause 1 s between two, unless one of the five is blind. Three still notice changes and outages, as many as decide on an outage.

--- a/packages/mirror/sync-mirror.test.ts
+++ b/packages/mirror/sync-mirror.test.ts
@@ -108,7 +108,7 @@
 	let isStoreUnavailable = false;
 	const recorded: boolean[] = [];
 	const {clock, platform, mirror, availability, write, list} = start(t, wrap, {
-		isLargeFleet: true, isWatcher: () => isWatcher, isStoreUnavailable: () => isStoreUnavailable,
+		isLargeFleet: true, getPace: () => ({pauseMs: 200}), isWatcher: () => isWatcher, isStoreUnavailable: () => isStoreUnavailable,
 		recordAnswer(isAnswered) {
 			recorded.push(isAnswered);
 		},
--- a/packages/mirror/sync-mirror.ts
+++ b/packages/mirror/sync-mirror.ts
@@ -28,12 +28,22 @@
 	watchers?: Watchers;
 }>;
 
+/** How often a watcher watches. */
+export type WatchPace = Readonly<{
+	/** See {@link WatchOptions.waitMs}. */
+	waitMs?: number;
+	/** Pause between watches, in milliseconds. Changes are collected in the pause; without it, each change of any of hundreds of objects would cost a call. */
+	pauseMs: number;
+}>;
+
 /** Determines whether this instance calls the store or receives changes from peers. */
 export type Watchers = Readonly<{
 	/** Whether the fleet is so large that only some instances call the store. */
 	isLargeFleet: boolean;
 	/** Returns whether this instance should call the store now. */
 	isWatcher(): boolean;
+	/** Returns how often this instance watches in a large fleet. */
+	getPace(): WatchPace;
 	/** Returns whether the store is unavailable according to the watchers. */
 	isStoreUnavailable(): boolean;
 	/** Records whether the store answered a call of this instance. */
@@ -43,9 +53,6 @@
 /** Time between checks of whether this instance has become a watcher, in milliseconds. */
 const watcherCheckIntervalMs = 300;
 
-/** Pause between watches in a large fleet, in milliseconds. Changes are collected in the pause; without it, each change of any of hundreds of objects would cost a call. */
-const largeFleetPauseMs = 200;
-
 /** Delay before a retry after the first failed call, in milliseconds; doubled after each further failure. */
 const minRetryDelayMs = 100;
 
@@ -80,7 +87,7 @@
 			isListed = true;
 			failures = 0;
 			if (watchers?.isLargeFleet) {
-				await clock.sleep(largeFleetPauseMs, signal);
+				await clock.sleep(watchers.getPace().pauseMs, signal);
 			}
 
 			continue;
@@ -112,9 +119,9 @@
 }
 
 /** Waits for the next changes of the kind and applies them to the mirror. */
-async function watch({mirror, store}: SyncMirrorDependencies, signal: AbortSignal): Promise<StoreFailure | undefined> {
+async function watch({mirror, store, watchers}: SyncMirrorDependencies, signal: AbortSignal): Promise<StoreFailure | undefined> {
 	const since = mirror.revision;
-	const batch = await store.watch(`${mirror.kind}/`, since, signal);
+	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs: watchers?.isLargeFleet ? watchers.getPace().waitMs : undefined});
 	if (!batch.ok) {
 		return batch.error;
 	}
--- a/packages/node/_store-watchers.ts
+++ b/packages/node/_store-watchers.ts
@@ -7,6 +7,7 @@
  */
 import type {Clock} from '#clock';
 import {maxFullMeshPeers} from '#membership';
+import type {WatchPace} from '#mirror';
 import type {PeerBus} from '#peer-protocol';
 
 /** Dependencies of {@link StoreWatchers}. */
@@ -28,6 +29,12 @@
 /** Minimum number of blind instances among the first {@link watcherCount} at which the store counts as unavailable. If fewer are blind, the store only refuses some instances. */
 const minBlindWatchers = 3;
 
+/** How often the first {@link minBlindWatchers} watchers watch: changes and outages of the store are noticed by them. */
+const eagerPace: WatchPace = {pauseMs: 200};
+
+/** How often the other watchers watch, which stand by for the first ones. */
+const standbyPace: WatchPace = {waitMs: 9000, pauseMs: 1000};
+
 /** Time without an answer from the store after which a watcher is blind, in milliseconds: less than half of the time in which a change must reach all instances. */
 const blindTimeoutMs = 800;
 
@@ -74,6 +81,13 @@
 		return rank < watcherCount || candidates.slice(0, rank).filter(incarnation => !this.#isBlind(incarnation)).length < watcherCount;
 	}
 
+	/** Returns how often this instance watches in a large fleet. A watcher that replaces a blind one watches as often as the first ones. */
+	getPace(): WatchPace {
+		const rank = this.#dependencies.listFirst(dutyName, candidateCount).indexOf(this.#dependencies.self);
+		const isStandby = rank >= minBlindWatchers && rank < watcherCount && !this.#dependencies.listFirst(dutyName, watcherCount).some(incarnation => this.#isBlind(incarnation));
+		return isStandby ? standbyPace : eagerPace;
+	}
+
 	/** Whether the store is unavailable according to the watchers. */
 	isStoreUnavailable(): boolean {
 		return this.#dependencies.listFirst(dutyName, watcherCount).filter(incarnation => this.#isBlind(incarnation)).length >= minBlindWatchers;
--- a/packages/node/store-watchers.test.ts
+++ b/packages/node/store-watchers.test.ts
@@ -59,3 +59,14 @@
 	await clock.advance(1500);
 	t.notOk(fleet[19]!.isStoreUnavailable());
 });
+
+// Guards against store calls of five watchers for each change and each pause, where three notice changes and outages.
+t.test('two of the five watchers watch rarely, until one of the others is blind', async t => {
+	const {clock, fleet, failCalls} = createFleet(20);
+	const listPauses = () => fleet.slice(0, 7).map(watchers => watchers.getPace().pauseMs);
+	t.strictSame(listPauses().slice(0, 5), [200, 200, 200, 1000, 1000]);
+	await failCalls([1], 1500);
+	t.ok(listPauses().every(pauseMs => pauseMs === 200));
+	await clock.advance(2000);
+	t.equal(fleet[4]!.getPace().waitMs, 9000);
+});
--- a/packages/object-store/object-store-client.ts
+++ b/packages/object-store/object-store-client.ts
@@ -148,7 +148,7 @@
 		put: async (key, value, putOptions) => sendCall({kind, operation: 'write'}, async () => platform.put(key, value, putOptions)),
 		remove: async (key, putOptions) => sendCall({kind, operation: 'write'}, async () => platform.remove(key, putOptions)),
 		list: async prefix => sendCall({kind, operation: 'read'}, async () => platform.list(prefix)),
-		watch: async (prefix, revision, signal) => sendCall({kind, operation: 'read', signal}, async () => countWatch(platform.watch(prefix, revision, signal))),
+		watch: async (prefix, revision, signal, options) => sendCall({kind, operation: 'read', signal}, async () => countWatch(platform.watch(prefix, revision, signal, options))),
 		listInstances: async () => sendCall({kind, operation: 'read'}, async () => platform.listInstances()),
 	});
 	return {
--- a/packages/object-store/object-store.ts
+++ b/packages/object-store/object-store.ts
@@ -20,6 +20,12 @@
 	revision: number;
 }>;
 
+/** Options of a watch. */
+export type WatchOptions = Readonly<{
+	/** Time for which the store may hold the watch open without a change, in milliseconds; a connection that has gone silent is detected only after that. Default: chosen by the store's adapter. */
+	waitMs?: number | undefined;
+}>;
+
 /** Changes that a watch found after a revision. */
 export type WatchBatch = Readonly<{
 	changed: readonly StoredObject[];
@@ -60,6 +66,6 @@
 	remove(key: string, options?: PutOptions): Promise<Result<void, StoreFailure>>;
 	list(prefix: string): Promise<Result<ObjectList, StoreFailure>>;
 	/** Waits for changes of objects below `prefix` after `revision`; returns an empty batch if none came in time. */
-	watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, StoreFailure>>;
+	watch(prefix: string, revision: number, signal: AbortSignal, options?: WatchOptions): Promise<Result<WatchBatch, StoreFailure>>;
 	listInstances(): Promise<Result<readonly InstanceEntry[], StoreFailure>>;
 }>;
