Roll-out: engines with the oldest weights go first; requests leave old weights earlier

Engines were updated by the number of their requests alone, so with each new version those with fewer requests went first again, and a busy one kept its weights. The request had waited 1645 ms in the engine's queue, longer than the margin of 1500. Change: the oldest weights go first, then the fewest requests; the margin is 2500 ms.

--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -91,6 +91,8 @@
 	t.equal(chooseWeights(2000), 1);
 	t.equal(chooseWeights(7000), 2);
 	t.equal(chooseRelayTarget(createQuery([targets[0]!], {prompt, publishedVersions: [{version: 2, ageMs: 7000}]})), 'old_weights');
+	// Guards against a request that waits two seconds in a queue and then begins on weights that are too old.
+	t.equal(chooseRelayTarget(createQuery([targets[0]!], {prompt, publishedVersions: [{version: 2, ageMs: 5600}]})), 'old_weights');
 });
 
 t.test('a later published version does not reset the staleness of older weights', async t => {
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -125,8 +125,8 @@
 /** Cost of stale weights after that time, in milliseconds. As the answer loses a fifth of its value, this is about a fifth of the time for which an answer keeps its value. */
 const staleWeightsCostMs = 300;
 
-/** Margin by which the expected start must precede the limit for stale weights, in milliseconds: requests may wait longer than expected. */
-const staleWeightsMarginMs = 1500;
+/** Margin by which the expected start must precede the limit for stale weights, in milliseconds: requests may wait longer than expected, and this instance may have learned late of the newer weights. */
+const staleWeightsMarginMs = 2500;
 
 /** Range of the random cost added to plain services, in milliseconds, so that instances with the same data do not all choose the same service. */
 const jitterMs = 2;
--- a/packages/rollout/weights-rollout.test.ts
+++ b/packages/rollout/weights-rollout.test.ts
@@ -447,3 +447,21 @@
 	t.ok(fleet.reads <= 87 * 6, `${fleet.reads} reports read`);
 	stopController.abort();
 });
+
+// Guards against requests that begin on weights long replaced, since each newer version lets the engines with fewer requests go first again.
+t.test('a busy engine is not passed over as versions follow each other', async t => {
+	const {clock, fleet, join, publishVersion, listVersions} = start(39);
+	const {rollout, stopController} = join('a', 0);
+	for (const [index, engine] of fleet.engines.entries()) {
+		engine.running = index;
+	}
+
+	for (let version = 2; version <= 6; version++) {
+		publishVersion(version);
+		rollout.wake();
+		await clock.advance(1200);
+		t.ok(Math.min(...listVersions()) >= version - 2, `the oldest weights are ${Math.min(...listVersions())} while ${version} is published`);
+	}
+
+	stopController.abort();
+});
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -223,13 +223,13 @@
 		this.#wallOffsetMs = offsetMs;
 	}
 
-	/** Starts updates of the engines with the fewest requests in progress. More updates run than engines may load at once: while some engines load, the next ones drain. */
+	/** Starts updates of the engines with the oldest weights, of these first the ones with the fewest requests in progress. More updates run than engines may load at once: while some engines load, the next ones drain. */
 	#startUpdates(outdated: readonly OutdatedEngine[], signal: AbortSignal): void {
 		const {clock, listEngines, countRequests} = this.#dependencies;
 		const maxUnavailable = Math.max(1, Math.floor(listEngines().length * maxUnavailableRatio));
 		const candidates = outdated.filter(({target: {incarnation}}) => !this.#activeUpdates.has(incarnation) && (this.#retryAtMs.get(incarnation) ?? 0) <= clock.now())
-			.map(engine => ({engine, requests: countRequests(engine.target)}))
-			.toSorted((a, b) => a.requests - b.requests);
+			.map(engine => ({engine, loaded: engine.target.weights.get(engine.model) ?? 0, requests: countRequests(engine.target)}))
+			.toSorted((a, b) => a.loaded - b.loaded || a.requests - b.requests);
 		for (const {engine} of candidates.slice(0, Math.max(0, maxUnavailable - this.#activeUpdates.size))) {
 			const {incarnation} = engine.target;
 			this.#activeUpdates.set(incarnation, this.#updateEngine(engine, signal).finally(() => {
