--- a/scripts/deployments.mjs
+++ b/scripts/deployments.mjs
@@ -14,7 +14,8 @@
 
 /** @returns the entries of finished scores, the oldest first */
 async function readScores() {
-	const names = (await readdir(journal)).filter(name => name.endsWith('.json')).toSorted();
+	const files = await readdir(journal);
+	const names = files.filter(name => name.endsWith('.json')).toSorted();
 	const entries = await Promise.all(names.map(async name => JSON.parse(await readFile(`${journal}/${name}`, 'utf8'))));
 	return entries.filter(({cmd, ok, why, days}) => cmd === 'score' && ok && days?.length > 0 && !why.startsWith('trial'));
 }
@@ -56,6 +57,8 @@
 const sections = [...newest].toSorted(([a], [b]) => a < b ? -1 : 1).map(([title, entry]) => formatScore(title, entry));
 await writeFile('docs/DEPLOYMENTS.md', `# Deployments
 
-The newest finished score of each deployment of the users, written by \`npm run deployments\` from the entries in journal/. \`naive\` and \`top\` are the marks of the bench. Small twins are played by the bench beside large days. Scores without processor time charged are trials that show the decisions alone.
+The newest finished score of each deployment of the users, written by \`npm run deployments\` from
+the entries in journal/. \`naive\` and \`top\` are the marks of the bench. Small twins are played by the
+bench beside large days. Scores without processor time charged show the decisions alone.
 
 ${sections.join('\n')}`);
