Relay: the layout of a prompt's parts has a module of its own

Change: the keys, homes, stores and sources of a prompt's parts moved to _part-layout.ts; the constants of loads are named by what they bound.

--- a/packages/gateway/overload-guard.ts
+++ b/packages/gateway/overload-guard.ts
@@ -18,7 +18,7 @@
 /** Time without a request after which the delay is not measured any more, in milliseconds. */
 const maxIdleMs = 10_000;
 
-/** Delay that is no sign of an overload, in milliseconds: a process whose share of a core is an allotment may wait that long for the next one, twice. */
+/** Delay that is no sign of an overload, in milliseconds: a process that has used up its share of a core runs again in the next 100 ms. */
 const minDelayMs = 250;
 
 /** Time in which the estimate of the delay halves if the loop is on time again, in milliseconds. */
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -6,12 +6,14 @@
  * sending requests.
  */
 import type {CachedParts} from './cached-parts.ts';
+import {
+	createPartLayout, findCachedSource, sumTokens, type CacheSource, type PartLayout,
+} from './_part-layout.ts';
 import type {LimitSharing} from './_limit-share.ts';
 import type {TargetState} from './target-state.ts';
 import type {
-	EngineTraits, KvCacheStore, Prompt, PromptPart, Random, RelayTarget,
+	EngineTraits, KvCacheStore, Prompt, Random, RelayTarget,
 } from '#core';
-import {chooseHomes} from '#placement';
 
 /** A published version of a model's weights. */
 export type PublishedVersion = Readonly<{
@@ -54,15 +56,6 @@
 	random: Random;
 }>;
 
-/** Where cached parts can be fetched from. */
-export type CacheSource = Readonly<{
-	/** Id of the target, or the address of the store. */
-	id: string;
-	/** `host:port`. */
-	address: string;
-	zone: string;
-}>;
-
 /** A chosen target and the estimates behind the choice. */
 export type TargetChoice = Readonly<{
 	state: TargetState;
@@ -226,26 +219,6 @@
 	return target.zone === zone ? 0 : crossZoneCostMs;
 }
 
-/** Keys and home targets of the parts of one prompt, for one version of the weights. */
-type PartLayout = Readonly<{
-	keys: readonly string[];
-	parts: readonly PromptPart[];
-	/** Id of the target on which the part with the most tokens is read by default, as caching that part saves the most. */
-	preferredHomeId: string | undefined;
-	/** Store for these parts, by rendezvous hashing of the same part. */
-	store: KvCacheStore | undefined;
-	/** Sources of the leading parts, the best first, by their number, from all parts down. */
-	sources: readonly PartSources[];
-}>;
-
-/** Targets and stores that are believed to have the first `partCount` parts of a prompt cached. */
-type PartSources = Readonly<{
-	partCount: number;
-	sources: readonly CacheSource[];
-	/** Number of sources that are known to have the parts; the others may have them. */
-	knownCount: number;
-}>;
-
 /** Returns a function that creates the choice of one engine for a prompt. The layout of the prompt's parts is created once per version of the weights. */
 function prepareEngineChoices(query: TargetQuery, prompt: Prompt, engine: EngineTraits): (state: TargetState) => TargetChoice {
 	const layouts = new Map<number | undefined, PartLayout>();
@@ -254,7 +227,9 @@
 	const getPartLayout = (weights: number | undefined): PartLayout => {
 		let layout = layouts.get(weights);
 		if (!layout) {
-			layout = createPartLayout(query, prompt, targetIds, weights);
+			layout = createPartLayout({
+				...query, prompt, targetIds, weights, cacheScope: formatCacheScope(query, weights),
+			});
 			layouts.set(weights, layout);
 		}
 
@@ -293,60 +268,6 @@
 	return cacheScope === undefined || weights === undefined ? cacheScope : `${cacheScope} ${weights}`;
 }
 
-function createPartLayout(query: TargetQuery, prompt: Prompt, targetIds: readonly string[], weights: number | undefined): PartLayout {
-	// The last part belongs to the request itself or to its session, so it is neither recorded nor fetched.
-	const parts = prompt.parts.slice(0, -1);
-	const scope = formatCacheScope(query, weights) ?? '';
-	const keys = parts.map(({key}) => `${scope}/${key}`);
-	const largestPart = parts[findLargestPart(parts)];
-	const preferredHomeId = largestPart && chooseHomes(targetIds, largestPart.key)[0];
-	const store = largestPart && chooseStore(query.kvCacheStores, largestPart.key);
-	return {
-		keys, parts, preferredHomeId, store, sources: listPartSources(query, {
-			keys, parts, preferredHomeId, store, targetIds, weights,
-		}),
-	};
-}
-
-/** Chooses the store for a part, so that all instances choose the same one. */
-function chooseStore(stores: readonly KvCacheStore[], key: string): KvCacheStore | undefined {
-	const [address] = stores.length > 1 ? chooseHomes(stores.map(store => store.address), key) : stores.map(store => store.address);
-	return stores.find(store => store.address === address);
-}
-
-type SourceQuery = Omit<PartLayout, 'sources'> & Readonly<{targetIds: readonly string[]; weights: number | undefined}>;
-
-/**
- * Lists where leading parts of a prompt can be fetched from: recorded holders,
- * then their home. With a store, only holders of all parts count, and the store
- * stands for the others: it has a part of what engines have lately read. Created
- * once for all targets, so that a choice takes a time in proportion to their number.
- */
-function listPartSources(query: TargetQuery, {keys, parts, preferredHomeId, store, targetIds, weights}: SourceQuery): readonly PartSources[] {
-	const {cachedParts, nowMs, targets} = query;
-	const isUsable = (state: TargetState | undefined): state is TargetState => state !== undefined && !state.isLeaving
-		&& state.loadingUntilMs <= nowMs && state.suspectUntilMs <= nowMs && getWeights(query, state) === weights;
-	const listHolders = (partCount: number) => cachedParts.listHolders(keys[partCount - 1]!, nowMs)
-		.map(incarnation => targets.find(({target}) => target.incarnation === incarnation))
-		.filter(state => isUsable(state))
-		.map(({target}) => target);
-	const listHome = (homeId: string | undefined) => {
-		const home = targets.find(({target}) => target.id === homeId);
-		return isUsable(home) ? [home.target] : [];
-	};
-
-	if (store) {
-		const holders = listHolders(parts.length);
-		return [{partCount: parts.length, knownCount: holders.length, sources: [...holders, ...listHome(preferredHomeId), {id: store.address, ...store}]}];
-	}
-
-	return parts.map((_part, index) => {
-		const partCount = parts.length - index;
-		const holders = listHolders(partCount);
-		return {partCount, knownCount: holders.length, sources: [...holders, ...listHome(chooseHomes(targetIds, parts[partCount - 1]!.key)[0])]};
-	});
-}
-
 /** Counts the leading parts that the target is believed to have cached. */
 function countCachedParts({cachedParts, nowMs}: TargetQuery, {keys}: PartLayout, {target}: TargetState): number {
 	let count = 0;
@@ -357,39 +278,6 @@
 	return count;
 }
 
-/** A source that is believed to have the first `partCount` parts of a prompt cached. */
-type FoundSource = Readonly<{source: CacheSource; partCount: number; isKnown: boolean}>;
-
-/** Finds the source that is believed to have the most of the prompt cached, and more of it than the target. */
-function findCachedSource({sources: bySize}: PartLayout, {target}: TargetState, cachedCount: number): FoundSource | undefined {
-	for (const {partCount, sources, knownCount} of bySize) {
-		const index = partCount > cachedCount ? sources.findIndex(({id}) => id !== target.id) : -1;
-		if (index !== -1) {
-			return {source: sources[index]!, partCount, isKnown: index < knownCount};
-		}
-	}
-
-	return undefined;
-}
-
-function findLargestPart(parts: readonly PromptPart[]): number {
-	let largest = 0;
-	for (const [index, {tokens}] of parts.entries()) {
-		largest = tokens > parts[largest]!.tokens ? index : largest;
-	}
-
-	return largest;
-}
-
-function sumTokens(parts: readonly PromptPart[], from: number, to: number): number {
-	let sum = 0;
-	for (let index = from; index < to; index++) {
-		sum += parts[index]!.tokens;
-	}
-
-	return sum;
-}
-
 function computeFetchMs({bytesPerToken, linkMbps}: EngineTraits, tokens: number): number {
 	return tokens === 0 ? 0 : fetchStartMs + (tokens * bytesPerToken * bitsPerByte / (linkMbps * bitsPerMbpsMs));
 }
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -71,11 +71,13 @@
 /** Interval between attempts to acquire a lease that another instance holds, in milliseconds. */
 const acquireIntervalMs = 500;
 
-/** Time after an order until the first report is read, in milliseconds, before the time that loads take is known; at most this part of that time afterwards. */
-const initialLoadMs = 250;
-const loadWaitRatio = 0.9;
+/** Bounds of the time after an order until the first report is read, in milliseconds; the lower one holds until it is known how long loads take. */
+const minLoadWaitMs = 250;
 const maxLoadWaitMs = 1000;
 
+/** Part of the time of the last load after which the first report is read. */
+const loadWaitRatio = 0.9;
+
 /** Interval at which the report of an engine is read while its running requests finish, in milliseconds. */
 const drainIntervalMs = 250;
 
@@ -121,7 +123,7 @@
 	#wallOffsetMs: number;
 	#endIdleWait: (() => void) | undefined;
 	/** Time after an order until the first report is read, in milliseconds. */
-	#loadMs = initialLoadMs;
+	#loadWaitMs = minLoadWaitMs;
 
 	constructor(dependencies: RolloutDependencies) {
 		this.#dependencies = dependencies;
@@ -287,7 +289,7 @@
 				}
 
 				orderedMs = clock.now();
-				await clock.sleep(this.#loadMs, signal);
+				await clock.sleep(this.#loadWaitMs, signal);
 				continue;
 			}
 
@@ -301,7 +303,7 @@
 	#recordLoad(orderedMs: number | undefined): void {
 		if (orderedMs !== undefined) {
 			const loadMs = this.#dependencies.clock.now() - orderedMs;
-			this.#loadMs = Math.min(maxLoadWaitMs, Math.max(initialLoadMs, (loadMs - reportIntervalMs) * loadWaitRatio));
+			this.#loadWaitMs = Math.min(maxLoadWaitMs, Math.max(minLoadWaitMs, (loadMs - reportIntervalMs) * loadWaitRatio));
 		}
 	}
 
