--- a/packages/relay/_silence.ts
+++ b/packages/relay/_silence.ts
@@ -41,10 +41,19 @@
 
 const checkIntervalMs = 100;
 
+/** Returns the minimum silence before an exchange is checked, in milliseconds. A stream may pause for longer than a service takes to answer. */
+function getMinSilenceMs({prompt, route}: RelayRequest): number {
+	if (prompt) {
+		return minEngineSilenceMs;
+	}
+
+	return route.isStream ? Math.max(minEngineSilenceMs, probeFactor * route.promisedGapMs) : minServiceSilenceMs;
+}
+
 /** Watches an exchange for silence until the returned function is called. */
 export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {request, pool, choice, exchange}: WatchedExchange): Cancel {
 	const {state, waitMs} = choice;
-	const probeAfterMs = Math.max(request.prompt ? minEngineSilenceMs : minServiceSilenceMs, probeFactor * waitMs);
+	const probeAfterMs = Math.max(getMinSilenceMs(request), probeFactor * waitMs);
 	const startedMs = clock.now();
 	if (request.route.retryPolicy === 'once') {
 		// Such an exchange is never aborted, but its silence may be the first sign that this instance's links are cut.
