Relay: a restarted instance takes weights that it finds published for some seconds old

Change: a version that is known within five seconds of the start of the process counts as three seconds old.

--- a/packages/relay/published-weights.ts
+++ b/packages/relay/published-weights.ts
@@ -2,19 +2,27 @@
 import type {PublishedVersions} from './choose-target.ts';
 import type {Clock} from '#clock';
 
-/** A version, and the time at which this instance learned of it, in milliseconds. */
+/** A version, and the time at which this instance learned of it, or is assumed to have been published before the start of this process, in milliseconds. */
 type StoredVersion = Readonly<{version: number; learnedMs: number}>;
 
 /** Maximum number of versions stored per model; the oldest are removed, as engines are hardly ever that many versions behind. */
 const maxVersions = 16;
 
+/** Time after the start of this process within which versions may have been published before it, in milliseconds: it reads them from the store or from peers. */
+const startMs = 5000;
+
+/** Age of such a version, in milliseconds: by then, most engines have been updated. */
+const assumedAgeMs = 3000;
+
 /** Published versions by model; a model's versions only rise. */
 export class PublishedWeights {
 	readonly #clock: Clock;
+	readonly #createdMs: number;
 	readonly #versions = new Map<string, readonly StoredVersion[]>();
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
+		this.#createdMs = clock.now();
 	}
 
 	/**
@@ -28,7 +36,9 @@
 			return false;
 		}
 
-		this.#versions.set(model, [...known.slice(1 - maxVersions), {version, learnedMs: this.#clock.now()}]);
+		const nowMs = this.#clock.now();
+		const learnedMs = nowMs - this.#createdMs < startMs ? nowMs - assumedAgeMs : nowMs;
+		this.#versions.set(model, [...known.slice(1 - maxVersions), {version, learnedMs}]);
 		return true;
 	}
 
