Caller server: requests whose connection closes before their answer was sent are counted and logged

Cause: a request that never reached the relay, or whose answer had not left the process, ended at a stop without a line or a counter, so the hypotheses on LOST cannot be told apart. Change: OpenRequests counts requests from their head to the end of their answer; unanswered_requests_total and the line 'connection closed before the answer was sent' name the stage, the cause and the phase. No decision uses them yet.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -25,7 +25,7 @@
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
-	CachedParts, KvCacheStores, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
+	CachedParts, KvCacheStores, OpenRequests, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
 	PublishedWeights, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
 } from '#relay';
@@ -88,6 +88,7 @@
 	lifecycle: Lifecycle;
 	peers: Peers;
 	targets: TargetSet;
+	openRequests: OpenRequests;
 	/** Counts the requests in progress. */
 	countRunning(): number;
 	/** Replaces the addresses of the peers to connect to first; see {@link Peers.setSeeds}. */
@@ -154,6 +155,7 @@
 		},
 	});
 	const {bus} = peers;
+	const openRequests = new OpenRequests();
 	const targets = new TargetSet(clock, dependencies.connections);
 	const calls = dependencies.createCalls(targets);
 	const publishedWeights = new PublishedWeights(clock);
@@ -260,7 +262,7 @@
 	];
 
 	return {
-		gateway, lifecycle, peers, targets,
+		gateway, lifecycle, peers, targets, openRequests,
 		countRunning,
 		setSeeds(addresses) {
 			peers.setSeeds(addresses);
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -29,6 +29,7 @@
 	computeStreamKey, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
 } from './stream-origins.ts';
 export {KvCacheStores, type CheckKvCacheStore} from './kv-cache-stores.ts';
+export {OpenRequests} from './open-requests.ts';
 export {OriginExchange, type OriginExchangeDependencies} from './origin-exchange.ts';
 export {
 	resolveOrigin, type OriginDecision, type OriginDependencies, type ResumedStream,
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -30,6 +30,7 @@
 	mirror_fetches_total: {help: 'Changes to mirrored kinds of objects requested from other instances, by kind and result.', labels: ['kind', 'result']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
+	unanswered_requests_total: {help: 'Requests whose connection closed before the whole answer was sent, by what they waited for and by cause.', labels: ['stage', 'cause']},
 	attempts_via_peers_total: {help: 'Attempts through peers, as this instance reaches no target itself, by outcome.', labels: ['outcome']},
 	relayed_requests_total: {help: 'Requests run for peers that reach no target themselves, by pool.', labels: ['pool']},
 	peer_links_opened_total: {help: 'Authenticated connections to other instances.', labels: []},
