Lifecycle: the times of a shutdown count from the request for it

Cause: drain() counted balancerMs and drainMs from its call. A signal waits to be handled while the program starts and while the event loop is busy, so requests were accepted longer than the process has until it is killed. Change: drain() takes the time of the request. New requests are refused, and the wait for running ones ends, at times counted from it. New requests are still refused until balancerMs after the call, within the same end, because the load balancer learns of the shutdown only then; and for 200 ms at least.

--- a/packages/node/lifecycle.test.ts
+++ b/packages/node/lifecycle.test.ts
@@ -68,3 +68,66 @@
 	await clock.advance(21_000);
 	t.ok(isDrained);
 });
+
+t.test('the times of a shutdown count from the request for it, which may have waited to be handled', async t => {
+	const load = {running: 1};
+	const {clock, telemetry, lifecycle} = createLifecycle(load);
+	await clock.advance(100_000);
+	let isDrained = false;
+	void lifecycle.drain({requestedMs: 90_000}).then(() => {
+		isDrained = true;
+	});
+	t.notOk(lifecycle.isReady);
+	await clock.advance(4999);
+	t.ok(lifecycle.isAcceptingRequests);
+	await clock.advance(1);
+	t.notOk(lifecycle.isAcceptingRequests, 'refuses 15 s after the request');
+	await clock.advance(599_999);
+	t.notOk(isDrained);
+	await clock.advance(1);
+	t.ok(isDrained, 'ends 615 s after the request');
+	t.equal(telemetry.getCounter('drain_cut_requests_total'), 1);
+});
+
+t.test('a shutdown that is handled late refuses until the load balancer has withdrawn the instance', async t => {
+	const {clock, lifecycle} = createLifecycle({running: 0});
+	await clock.advance(100_000);
+	let isDrained = false;
+	void lifecycle.drain({requestedMs: 80_000}).then(() => {
+		isDrained = true;
+	});
+	await clock.advance(0);
+	t.notOk(lifecycle.isAcceptingRequests);
+	await clock.advance(14_900);
+	t.notOk(isDrained, 'the load balancer learns of the shutdown when it is handled');
+	await clock.advance(200);
+	t.ok(isDrained);
+});
+
+t.test('a shutdown that is handled after its end still refuses for a moment', async t => {
+	const {clock, lifecycle} = createLifecycle({running: 1});
+	await clock.advance(1_000_000);
+	let isDrained = false;
+	void lifecycle.drain({requestedMs: 100_000}).then(() => {
+		isDrained = true;
+	});
+	await clock.advance(199);
+	t.notOk(lifecycle.isAcceptingRequests);
+	t.notOk(isDrained);
+	await clock.advance(1);
+	t.ok(isDrained);
+});
+
+t.test('a shutdown during the start keeps the instance from becoming ready', async t => {
+	const clock = new ManualClock();
+	const lifecycle = new Lifecycle({
+		clock, telemetry: createTelemetry({level: 'silent'}), countRunning: () => 0, balancerMs: 3000, drainMs: 4000,
+	});
+	await clock.advance(2000);
+	void lifecycle.drain({requestedMs: 500});
+	lifecycle.markReady();
+	t.notOk(lifecycle.isReady);
+	t.equal(lifecycle.phase, 'turning_away');
+	await clock.advance(1500);
+	t.equal(lifecycle.phase, 'refusing');
+});
--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -3,7 +3,8 @@
  * its initial state is complete. When a shutdown begins, it reports itself as not
  * ready, but accepts new requests until the load balancer has had time to stop
  * sending them. It then refuses new requests, waits for the running ones, and
- * runs the shutdown hooks.
+ * runs the shutdown hooks. The times of a shutdown count from the request for it,
+ * as whoever requested it waits from then on before it kills the process.
  */
 import type {Clock} from '#clock';
 import type {Telemetry} from '#telemetry';
@@ -25,6 +26,25 @@
 	drainMs: number;
 }>;
 
+/** Options of {@link Lifecycle.drain}. */
+export type DrainOptions = Readonly<{
+	/** Time on the clock at which the shutdown was requested, in milliseconds; a later time than the call's counts as the call's. Default: the time of the call. */
+	requestedMs?: number;
+}>;
+
+/** Times on the clock at which the phases of a shutdown end, in milliseconds. */
+type ShutdownTimes = Readonly<{
+	/** New requests are refused from then on. */
+	refusingMs: number;
+	/** Until then, new requests are refused even if none runs, as the load balancer may still send some. */
+	withdrawnMs: number;
+	/** Requests that still run are not waited for any longer. */
+	endMs: number;
+}>;
+
+/** Minimum time for which new requests are refused before the connections close, in milliseconds, however late the shutdown begins. */
+const minRefusingMs = 200;
+
 /** Time between checks of whether requests still run, in milliseconds. */
 const pollIntervalMs = 100;
 
@@ -78,19 +98,19 @@
 	 * within the time limits, then for the hooks. Further calls wait for the
 	 * same shutdown.
 	 */
-	async drain(): Promise<void> {
-		this.#drainPromise ??= this.#drain();
+	async drain(options: DrainOptions = {}): Promise<void> {
+		this.#drainPromise ??= this.#drain(options);
 		return this.#drainPromise;
 	}
 
-	async #drain(): Promise<void> {
-		const {clock, telemetry, countRunning, balancerMs, drainMs} = this.#dependencies;
+	async #drain({requestedMs}: DrainOptions): Promise<void> {
+		const {clock, telemetry, countRunning} = this.#dependencies;
+		const {refusingMs, withdrawnMs, endMs} = this.#computeTimes(requestedMs);
 		this.#enter('turning_away');
-		await clock.sleep(balancerMs);
+		await clock.sleep(refusingMs - clock.now());
 		this.#enter('refusing');
-		const deadlineMs = clock.now() + drainMs;
-		while (countRunning() > 0 && clock.now() < deadlineMs) {
-			await clock.sleep(pollIntervalMs);
+		while ((countRunning() > 0 || clock.now() < withdrawnMs) && clock.now() < endMs) {
+			await clock.sleep(Math.min(pollIntervalMs, endMs - clock.now()));
 		}
 
 		if (countRunning() > 0) {
@@ -100,6 +120,14 @@
 		await Promise.all(this.#shutdownHooks.map(async hook => this.#runHook(hook)));
 	}
 
+	/** Computes the times of a shutdown that begins now. */
+	#computeTimes(requestedMs = Infinity): ShutdownTimes {
+		const {clock, balancerMs, drainMs} = this.#dependencies;
+		const nowMs = clock.now();
+		const refusingMs = Math.min(requestedMs, nowMs) + balancerMs;
+		return {refusingMs, withdrawnMs: nowMs + balancerMs, endMs: Math.max(refusingMs + drainMs, nowMs + minRefusingMs)};
+	}
+
 	async #runHook(hook: ShutdownHook): Promise<void> {
 		const timeoutCancellation = new AbortController();
 		const timeout = this.#dependencies.clock.sleep(hookTimeoutMs, timeoutCancellation.signal);
