Stop: a request is waited for from its head until its answer has left

Cause: callers saw connections that ended without an answer around a planned stop. A request was counted as running only from the end of its body to the hand-over of its answer to the socket, so the process ended under bodies that were still arriving and under answers that their callers had not read; a request that was complete after the wait was passed on, and cut.

--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -18,7 +18,7 @@
 export type LifecycleDependencies = Readonly<{
 	clock: Clock;
 	telemetry: Telemetry;
-	/** Counts the requests in progress. */
+	/** Counts the requests in progress: from their head until their answer has been sent. */
 	countRunning: () => number;
 	/** Maximum time until the load balancer sends no more requests to an instance that is not ready, in milliseconds. */
 	balancerMs: number;
