Stop: requests that outlast it are answered before their connections close

Cause: callers whose requests were accepted late in a stop, or took long, saw their connections close without an answer: at the end of the wait everything was cut, also a request that had reached no target and one whose body was still arriving. The shutdown ends all open requests: what has not run is refused (503 stopping), what may have run is answered 502 stopped, a body that is still arriving is refused; only a stream that has begun is aborted. Attempts through peers end in the same way, and requests run for peers are answered to the peer.

--- a/packages/dispatch/retry.ts
+++ b/packages/dispatch/retry.ts
@@ -67,6 +67,10 @@
 	too_long: {
 		outcome: 'failed', reason: 'answer_too_long', place: 'never', isBudgeted: true,
 	},
+	/** This instance stops, and the answer has not come in time. */
+	stopped: {
+		outcome: 'unknown', reason: 'stopped', place: 'never', isBudgeted: false,
+	},
 	/** The request's deadline has passed, or the caller has left. */
 	deadline: {
 		outcome: 'unknown', reason: 'deadline_exceeded', place: 'never', isBudgeted: true,
--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -2,15 +2,15 @@
  * Start and graceful shutdown of an instance. The instance becomes ready once
  * its initial state is complete. When a shutdown begins, it reports itself as not
  * ready, but accepts new requests until the load balancer has had time to stop
- * sending them. It then refuses new requests, waits for the running ones, and
- * runs the shutdown hooks. The times of a shutdown count from the request for it,
+ * sending them. It then refuses new requests, waits for the running ones, ends
+ * those that take too long, and runs the shutdown hooks. The times of a shutdown count from the request for it,
  * as whoever requested it waits from then on before it kills the process.
  */
 import type {Clock} from '#clock';
 import type {Telemetry} from '#telemetry';
 
-/** Phases in the order in which an instance goes through them. In `turning_away`, it is no longer ready but still accepts requests. */
-export type Phase = 'starting' | 'serving' | 'turning_away' | 'refusing';
+/** Phases in the order in which an instance goes through them. In `turning_away`, it is no longer ready but still accepts requests. In `ending`, it ends the requests that still run. */
+export type Phase = 'starting' | 'serving' | 'turning_away' | 'refusing' | 'ending';
 
 /** Hands over leases or soft state before the process ends. */
 export type ShutdownHook = () => Promise<void>;
@@ -24,6 +24,10 @@
 	balancerMs: number;
 	/** Maximum time to wait for running requests, in milliseconds. */
 	drainMs: number;
+	/** Ends the requests that still run after that: each is refused or answered as far as its outcome is known. Default: they are cut. */
+	endRequests?: () => void;
+	/** Maximum time that this may take, in milliseconds. Default: 0. */
+	endMs?: number;
 }>;
 
 /** Options of {@link Lifecycle.drain}. */
@@ -48,6 +52,9 @@
 /** Time between checks of whether requests still run, in milliseconds. */
 const pollIntervalMs = 100;
 
+/** Time between checks of whether requests that are being ended still run, in milliseconds. */
+const endPollIntervalMs = 10;
+
 /** Maximum time that the shutdown waits for one hook, in milliseconds. */
 const hookTimeoutMs = 5000;
 
@@ -73,12 +80,12 @@
 
 	/** Whether the instance accepts new requests. */
 	get isAcceptingRequests(): boolean {
-		return this.#phase !== 'refusing';
+		return this.#phase !== 'refusing' && this.#phase !== 'ending';
 	}
 
 	/** Whether answers carry `connection: close`, so that callers open new connections to other instances. */
 	get shouldCloseConnections(): boolean {
-		return this.#phase === 'turning_away' || this.#phase === 'refusing';
+		return this.#phase !== 'starting' && this.#phase !== 'serving';
 	}
 
 	/** Adds a hook that runs at the end of a shutdown, which waits for it at most {@link hookTimeoutMs}. */
@@ -115,11 +122,27 @@
 
 		if (countRunning() > 0) {
 			telemetry.count('drain_cut_requests_total', {}, countRunning());
+			await this.#endRequests();
 		}
 
 		await Promise.all(this.#shutdownHooks.map(async hook => this.#runHook(hook)));
 	}
 
+	/** Ends the requests that still run, and waits until their callers have been told so. */
+	async #endRequests(): Promise<void> {
+		const {clock, countRunning, endRequests, endMs = 0} = this.#dependencies;
+		if (!endRequests) {
+			return;
+		}
+
+		this.#enter('ending');
+		endRequests();
+		const untilMs = clock.now() + endMs;
+		while (countRunning() > 0 && clock.now() < untilMs) {
+			await clock.sleep(endPollIntervalMs);
+		}
+	}
+
 	/** Computes the times of a shutdown that begins now. */
 	#computeTimes(requestedMs = Infinity): ShutdownTimes {
 		const {clock, balancerMs, drainMs} = this.#dependencies;
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -55,6 +55,8 @@
 	balancerMs: number;
 	/** Maximum time to wait for running requests in a graceful shutdown, in milliseconds. */
 	drainMs: number;
+	/** Maximum time for the requests that outlast it to send their last answers, in milliseconds. */
+	endMs: number;
 	/** Term of the lease on weights orders, in milliseconds; no other instance may send orders within it. */
 	leaseMs: number;
 	/** Maximum time for which requests may still start on older weights after a version is published, in milliseconds. */
@@ -187,7 +189,7 @@
 		isChecker: ({address}) => peers.getRank(`kv store ${address}`) === 0 && targetReach.listUnreachablePools().length === 0,
 	});
 	const relay = new Relay({
-		bus, targetReach, peerPaths, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
+		bus, targetReach, peerPaths, openRequests, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
 		clock, random, telemetry, targets, cachedParts, listKvCacheStores: () => kvCacheStores.listAnswering(), streamOrigins: origins, quarantine,
 		partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
 		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
@@ -205,7 +207,10 @@
 	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay only.
 	const countRunning = () => Math.max(openRequests.size, relay.running + gateway.resolving);
 	const lifecycle = new Lifecycle({
-		clock, telemetry, countRunning, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs,
+		clock, telemetry, countRunning, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs, endMs: bounds.endMs,
+		endRequests() {
+			openRequests.endAll();
+		},
 	});
 	/** Whether this instance ranks first for reading an engine's events among those not known to be cut off from its pool. */
 	const isFirstReader = ({id, pool}: RelayTarget) => {
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -12,6 +12,7 @@
 import type {TargetAnswer, TargetDialect, TargetStatement} from './dialect.ts';
 import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
+import type {OpenRequests} from './open-requests.ts';
 import {computeStreamKey, type StreamOrigins} from './stream-origins.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
 import type {TargetReach} from './target-reach.ts';
@@ -25,6 +26,8 @@
 	dialect: TargetDialect;
 	cachedParts: CachedParts;
 	streamOrigins: StreamOrigins;
+	/** Tells when this instance ends all requests. */
+	openRequests: Pick<OpenRequests, 'isEnding' | 'subscribeEnd'>;
 	getLimitSharing: TargetQuery['getLimitSharing'];
 	probe: ProbeTarget;
 	targetReach: Pick<TargetReach, 'recordFailure'>;
@@ -60,7 +63,7 @@
 }>;
 
 /** Causes of aborts by this instance, by the detail passed to {@link Exchange.abort}. Any other fault has the cause `lost` if the request may have reached the target, else `not_sent`. */
-const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
+const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent'], ['stopped', 'stopped']]);
 
 /** Maximum idle time of a connection that is reused for a request that must not run twice, in milliseconds: a target may close an idle connection while the request is being sent, and the request could not be retried then. */
 const maxIdleForOnceMs = 2000;
@@ -70,7 +73,7 @@
 
 /** Runs one attempt until its exchange has finished. There is no failure if the caller was sent its complete answer. */
 export async function runAttempt(dependencies: AttemptDependencies, attempt: Attempt): Promise<AttemptResult> {
-	const {clock, dialect} = dependencies;
+	const {clock, dialect, openRequests} = dependencies;
 	const {request, choice, delivery, caller, urgency} = attempt;
 	const {state} = choice;
 	const headers = dialect.encodeHead(request, {
@@ -88,6 +91,9 @@
 		clock.setTimer(request.deadlineMs - clock.now(), () => {
 			exchange.abort('deadline');
 		}),
+		openRequests.subscribeEnd(() => {
+			exchange.abort('stopped');
+		}),
 		watchSilence(dependencies, {
 			request, pool: attempt.pool, choice, exchange,
 		}),
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -9,6 +9,7 @@
 import type {RelayCaller} from './caller.ts';
 import type {TargetDialect} from './dialect.ts';
 import {brokenOffDetail, encodeRelayedRequest, PeerExchange} from './peer-exchange.ts';
+import type {OpenRequests} from './open-requests.ts';
 import type {PeerPaths} from './peer-paths.ts';
 import type {StreamOrigins} from './stream-origins.ts';
 import type {Clock} from '#clock';
@@ -21,6 +22,7 @@
 	bus: PeerBus;
 	dialect: TargetDialect;
 	streamOrigins: StreamOrigins;
+	openRequests: Pick<OpenRequests, 'subscribeEnd'>;
 	peerPaths: PeerPaths;
 }>;
 
@@ -56,11 +58,11 @@
 const checkIntervalMs = 200;
 
 /** Causes of aborts by this instance, by the detail of the fault; any other fault has the cause `lost`. */
-const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent']]);
+const abortCauses: ReadonlyMap<string, AttemptCause> = new Map([['deadline', 'deadline'], ['silent', 'silent'], ['stopped', 'stopped']]);
 
 /** Runs one attempt through a peer until it has finished. */
 export async function runPeerAttempt(dependencies: PeerAttemptDependencies, attempt: PeerAttempt): Promise<PeerAttemptResult> {
-	const {clock, bus, peerPaths} = dependencies;
+	const {clock, bus, peerPaths, openRequests} = dependencies;
 	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery} = attempt;
 	const exchange = new PeerExchange(() => clock.now());
 	const relayed = encodeRelayedRequest(request, pool, {
@@ -78,6 +80,9 @@
 		clock.setTimer(request.deadlineMs - clock.now(), () => {
 			exchange.abort('deadline');
 		}),
+		openRequests.subscribeEnd(() => {
+			exchange.abort('stopped');
+		}),
 		clock.subscribe(checkIntervalMs, () => {
 			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs) {
 				exchange.abort('silent');
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -78,9 +78,9 @@
 	 * Why the last attempt failed, or why no target was tried: `none` if no target
 	 * is usable, `origin_gone` if none has the software version that began the
 	 * stream, `full` if all usable targets have no connection free, `limited` if
-	 * their stated limits are reached.
+	 * their stated limits are reached, `stopping` if this instance stops.
 	 */
-	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'limited' | 'overloaded' | 'quarantined' = 'none';
+	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'limited' | 'overloaded' | 'quarantined' | 'stopping' = 'none';
 	/** Only version of the targets' software that may run the request: that of the target which began the stream; `undefined` if any may. */
 	softwareVersion: string | undefined;
 	/** Key of the prompt part for which no further target is tried. */
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -100,6 +100,11 @@
 				return {kind: 'caller_left'};
 			}
 
+			if (this.#dependencies.openRequests.isEnding) {
+				progress.cause = progress.runState === 'not_run' ? 'stopping' : 'stopped';
+				return this.#finishUnanswered(progress, delivery, caller);
+			}
+
 			if (this.#dependencies.clock.now() >= progress.request.deadlineMs) {
 				progress.cause = 'deadline';
 				return this.#finishUnanswered(progress, delivery, caller);
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -6,6 +6,7 @@
 import type {TargetDialect} from '../dialect.ts';
 import {findHeader} from '../exchange.ts';
 import {CachedParts} from '../cached-parts.ts';
+import {OpenRequests} from '../open-requests.ts';
 import {Relay} from '../relay.ts';
 import {StreamOrigins} from '../stream-origins.ts';
 import {PeerPaths} from '../peer-paths.ts';
@@ -157,8 +158,9 @@
 		clock, random: createRandom(4), telemetry, targets, getPool: () => pool, checkReach: async ({id}) => !unreachable.has(id),
 	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
+	const openRequests = new OpenRequests();
 	const relay = new Relay({
-		bus, targetReach, listSharers: () => [], peerPaths: new PeerPaths({
+		bus, targetReach, openRequests, listSharers: () => [], peerPaths: new PeerPaths({
 			bus, clock, random: createRandom(5), zone: 'z',
 		}),
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
@@ -213,7 +215,7 @@
 	};
 
 	return {
-		clock, raw, targets, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		clock, raw, targets, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
 		handleProbe(handler: () => unknown) {
 			onProbe = handler;
 		},
