Relay: the log says over which connection an attempt ran and what its answer names

A refusal that a target writes a second time on a kept connection looks in the log like a true one: an attempt says neither whether its connection had carried an earlier exchange, nor the status of the answer, nor whether the answer named a request. Change: each attempt in `request ended` has `connection` (new or reused), `status` and `isNamed`. Result: types and lint pass; no change of behaviour.

--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -13,6 +13,7 @@
 import {findHeader, type Exchange} from './exchange.ts';
 import type {CachedParts} from './cached-parts.ts';
 import type {OpenRequests} from './open-requests.ts';
+import type {StartedExchange} from './connections.ts';
 import {computeStreamKey, type StreamOrigins} from './stream-origins.ts';
 import {watchSilence, type ProbeTarget} from './_silence.ts';
 import type {TargetReach} from './target-reach.ts';
@@ -56,7 +57,11 @@
 /** Why an attempt failed, if it did, and what its answer stated, if the head arrived. */
 export type AttemptResult = Readonly<{
 	failure?: AttemptFailure | undefined;
+	/** Whether a connection was opened for the attempt; a reused one has carried an earlier exchange. */
+	isNewConnection: boolean;
 	status?: number;
+	/** Whether the answer names a request. */
+	isNamed?: boolean;
 	body?: BodyRecord;
 	/** What the target states about itself; absent if it states nothing. */
 	statement?: TargetStatement | undefined;
@@ -80,7 +85,7 @@
 		target: state.target, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
 		cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.address, keepIn: choice.keeper?.address, urgency: request.prompt && urgency,
 	});
-	const {exchange} = state.connections.start({
+	const {exchange, isNewConnection} = state.connections.start({
 		method: request.method, path: request.path, headers, body: request.body,
 	}, {maxIdleMs: request.route.retryPolicy === 'once' ? maxIdleForOnceMs : Infinity});
 	const work = startWork(dependencies, attempt);
@@ -99,7 +104,7 @@
 		}),
 	];
 	try {
-		const result = await receiveAnswer(dependencies, attempt, exchange, work);
+		const result = await receiveAnswer(dependencies, attempt, {exchange, isNewConnection}, work);
 		// A refusal takes no service time, and would make a busy target look fast.
 		if (!request.prompt && result.failure?.cause !== 'refused' && result.failure?.cause !== 'not_sent') {
 			state.recordServiceTime(clock.now() - work.startedMs);
@@ -115,16 +120,17 @@
 	}
 }
 
-async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, exchange: Exchange, {startedMs, handleAnswerStart}: AttemptWork): Promise<AttemptResult> {
+async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, {exchange, isNewConnection}: StartedExchange, {startedMs, handleAnswerStart}: AttemptWork): Promise<AttemptResult> {
 	const {clock, dialect, getLimitSharing} = dependencies;
 	const {request, pool, choice, delivery} = attempt;
 	const {softwareVersion} = choice.state.target;
 	const read = await exchange.readHead();
 	if (read.kind === 'fault') {
-		return {failure: classifyFault(exchange, read.fault.detail)};
+		return {failure: classifyFault(exchange, read.fault.detail), isNewConnection};
 	}
 
 	const decoded = dialect.decodeHead(read.head);
+	const received = {isNewConnection, status: decoded.status, isNamed: decoded.requestId !== undefined};
 	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
 	choice.state.statements.recordOutcome(decoded.hasNotRun, choice.state.inFlight, () => getLimitSharing(choice.state.target), clock.now());
 	if (decoded.load) {
@@ -139,13 +145,13 @@
 			dependencies.streamOrigins.recordOwn(getStreamKey(request), {pool: pool.name, softwareVersion});
 		});
 		return {
-			failure: fault === undefined ? undefined : classifyFault(exchange, fault), status: decoded.status, statement: getStatement(decoded), body: body.describe(),
+			...received, failure: fault === undefined ? undefined : classifyFault(exchange, fault), statement: getStatement(decoded), body: body.describe(),
 		};
 	}
 
 	if (failure.cause === 'crossed') {
 		body.abort(failure.detail);
-		return {failure};
+		return {...received, failure};
 	}
 
 	const errorBody = await readErrorBody(body);
@@ -155,7 +161,7 @@
 
 	handleRefusal(dependencies, attempt, decoded);
 	return {
-		failure, status: decoded.status, statement: getStatement(decoded), body: body.describe(),
+		...received, failure, statement: getStatement(decoded), body: body.describe(),
 	};
 }
 
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -30,6 +30,12 @@
 	/** Times from the request's arrival to the start and the end of the attempt, in milliseconds. */
 	fromMs: number;
 	toMs: number;
+	/** Whether a connection was opened for the attempt, or one reused that had carried an earlier exchange. */
+	connection: 'new' | 'reused';
+	/** Status of the answer; absent if there was none. */
+	status?: number;
+	/** Whether the answer names a request; absent if there was no answer. */
+	isNamed?: boolean;
 	/** What the target states about itself in its answer; absent if it states nothing. */
 	statement?: TargetStatement;
 	/** Cause of the failure, or `answered`. */
@@ -95,12 +101,13 @@
 	}
 
 	/** Records a finished attempt. */
-	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, body, statement}: AttemptResult): void {
+	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, isNewConnection, status, isNamed, body, statement}: AttemptResult): void {
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
 			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
+			connection: isNewConnection ? 'new' : 'reused', ...(status !== undefined && {status, isNamed}),
 			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(statement && {statement}),
 		});
 		this.peerRefusal = undefined;
