Relay: an answer that names no request is believed only as the first on its connection

The id of an answer was compared only if it had one. On a connection that had carried an exchange before, a refusal without an id that the target wrote a second time was taken for the answer to the next request: its caller was told "not run", or it was sent to a second target while the first one ran it. The same held for errors and signed answers without an id. A copy of a 421 reported a mismatch of the target, and what any copy stated about the target was recorded, also of one that was recognised by the id of the earlier request. Change: on a connection that has carried an exchange, of a caller or of the router itself, an answer without an id ends the attempt as crossed, which never counts as not run, and closes the connection. Nothing that a crossed answer states is recorded, nor its duration. A request without an id, which no answer can name, runs on a new connection. A copy that lies on an idle connection closes it before the request is written, before and after the change. Refusals that name the request, and those without an id on a new connection, are believed as before.

--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -73,6 +73,12 @@
 /** Maximum idle time of a connection that is reused for a request that must not run twice, in milliseconds: a target may close an idle connection while the request is being sent, and the request could not be retried then. */
 const maxIdleForOnceMs = 2000;
 
+/** Idle time of connections that a request without an id may reuse, in milliseconds: none, as an answer can name it on no connection. */
+const noIdleMs = -1;
+
+/** Causes of failures whose duration says nothing about the time that the target takes. */
+const untimedCauses: ReadonlySet<AttemptCause | undefined> = new Set(['refused', 'not_sent', 'crossed']);
+
 /** Maximum size of the body of a refusal or an error answer, in bytes; the exchange is aborted if the body is longer. */
 const maxErrorBodyBytes = 65_536;
 
@@ -87,7 +93,7 @@
 	});
 	const {exchange, isNewConnection} = state.connections.start({
 		method: request.method, path: request.path, headers, body: request.body,
-	}, {maxIdleMs: request.route.retryPolicy === 'once' ? maxIdleForOnceMs : Infinity});
+	}, {maxIdleMs: getMaxIdleMs(request)});
 	const work = startWork(dependencies, attempt);
 	const cancels = [
 		caller.subscribeLeave(() => {
@@ -105,8 +111,8 @@
 	];
 	try {
 		const result = await receiveAnswer(dependencies, attempt, {exchange, isNewConnection}, work);
-		// A refusal takes no service time, and would make a busy target look fast.
-		if (!request.prompt && result.failure?.cause !== 'refused' && result.failure?.cause !== 'not_sent') {
+		// A refusal takes no service time, and would make a busy target look fast; so would an answer to another request.
+		if (!request.prompt && !untimedCauses.has(result.failure?.cause)) {
 			state.recordServiceTime(clock.now() - work.startedMs);
 		}
 
@@ -131,14 +137,19 @@
 
 	const decoded = dialect.decodeHead(read.head);
 	const received = {isNewConnection, status: decoded.status, isNamed: decoded.requestId !== undefined};
+	const body = new AnswerBody(exchange, isEventStream(request, decoded));
+	const failure = checkHead(attempt, decoded, isNewConnection);
+	if (failure?.cause === 'crossed') {
+		body.abort(failure.detail);
+		return {...received, failure};
+	}
+
 	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
 	choice.state.statements.recordOutcome(decoded.hasNotRun, choice.state.inFlight, () => getLimitSharing(choice.state.target), clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
 
-	const body = new AnswerBody(exchange, isEventStream(request, decoded));
-	const failure = checkHead(attempt, decoded);
 	if (!failure) {
 		handleAnswerStart();
 		const fault = await delivery.deliver(decoded, body, () => {
@@ -149,11 +160,6 @@
 		};
 	}
 
-	if (failure.cause === 'crossed') {
-		body.abort(failure.detail);
-		return {...received, failure};
-	}
-
 	const errorBody = await readErrorBody(body);
 	if (failure.cause === 'failed' && errorBody) {
 		delivery.setErrorAnswer(decoded, errorBody);
@@ -201,6 +207,15 @@
 	};
 }
 
+/** Returns the maximum idle time of a connection that the request may reuse, in milliseconds. */
+function getMaxIdleMs({id, route}: RelayRequest): number {
+	if (id === '') {
+		return noIdleMs;
+	}
+
+	return route.retryPolicy === 'once' ? maxIdleForOnceMs : Infinity;
+}
+
 function classifyFault(exchange: Exchange, detail: string): AttemptFailure {
 	return {cause: exchange.hasBeenSent ? abortCauses.get(detail) ?? 'lost' : 'not_sent', detail};
 }
@@ -219,8 +234,16 @@
 	return method !== 'HEAD' && status < 300 && (route.isStream || (findHeader(headers, 'content-type') ?? '').toLowerCase().startsWith('text/event-stream'));
 }
 
-/** Returns why the answer must not be delivered to the caller, or `undefined` if it may be. */
-function checkHead({request: {id, route}, delivery}: Attempt, answer: TargetAnswer): AttemptFailure | undefined {
+/**
+ * Returns why the answer must not be delivered to the caller, or `undefined` if it
+ * may be. An answer that names no request may belong to an earlier exchange of its
+ * connection, whatever it states.
+ */
+function checkHead({request: {id, route}, delivery}: Attempt, answer: TargetAnswer, isNewConnection: boolean): AttemptFailure | undefined {
+	if (answer.requestId === undefined && !isNewConnection) {
+		return {cause: 'crossed', detail: 'the answer names no request on a connection that has carried an earlier one'};
+	}
+
 	if (answer.requestId !== undefined && answer.requestId !== id) {
 		return {cause: 'crossed', detail: `the answer carries the id of another request: ${answer.requestId}`};
 	}
