Relay: a stream that has begun takes only events, of its own kind

An error with another status was never delivered, but its body was read to its end while the caller waited. Change: a continuation must have the status, the media type if it states one, and the encoding of what was sent. After the first event, a block without any field of an event stream ends the attempt as lost; so does, in a continuation, an event without an id if all before had ids, as it has no place in the stream. What came before it is sent, and another target goes on after the last id. An error that cannot continue a stream is aborted at its head. The dialect of the relay's tests also forwards content-encoding.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -9,12 +9,15 @@
 import type {AnswerBody} from './_answer-body.ts';
 import type {TargetAnswer} from './dialect.ts';
 import type {StreamEvent} from './event-splitter.ts';
+import {findHeader, type HeaderLines} from './exchange.ts';
 import type {Clock} from '#clock';
 import type {RelayRequest} from '#core';
 
 /** Maximum size of an answer that is collected whole, in bytes; a longer one is forwarded as it arrives. */
 const maxCollectedBytes = 262_144;
 
+const streamMediaType = 'text/event-stream';
+
 /** Delivery of the answer to one caller. */
 export class AnswerDelivery {
 	/** Time at which the head of the answer was sent to the caller, in milliseconds; `undefined` before that. */
@@ -25,8 +28,11 @@
 	readonly #clock: Clock;
 	readonly #isResumable: boolean;
 	readonly #isStream: boolean;
-	/** Status that the caller was sent. */
-	#sentStatus: number | undefined;
+	/** Head that the caller was sent. */
+	#sentHead: TargetAnswer | undefined;
+	/** Whether the caller was sent an event, and one without an id. */
+	#hasSentEvent = false;
+	#hasSentEventWithoutId = false;
 	#errorAnswer: Readonly<{answer: TargetAnswer; body: Uint8Array}> | undefined;
 
 	constructor({route}: RelayRequest, caller: RelayCaller, clock: Clock) {
@@ -46,9 +52,22 @@
 		return !this.hasStarted || (this.#isResumable && this.lastEventId !== undefined);
 	}
 
-	/** Whether an answer with this status can be delivered: it is the first one, or continues what the caller was sent. */
-	canAccept(status: number): boolean {
-		return !this.hasStarted || status === this.#sentStatus;
+	/** Returns why the answer cannot continue what the caller was sent: it is of another kind. There is no reason if nothing was sent yet. */
+	explainMismatch(answer: TargetAnswer): string | undefined {
+		if (!this.#sentHead) {
+			return undefined;
+		}
+
+		if (answer.status !== this.#sentHead.status) {
+			return `the status ${answer.status} where a started answer should go on`;
+		}
+
+		const mediaType = getMediaType(answer.headers);
+		if (mediaType !== undefined && mediaType !== (getMediaType(this.#sentHead.headers) ?? streamMediaType)) {
+			return `the media type ${mediaType} where a started answer should go on`;
+		}
+
+		return findHeader(answer.headers, 'content-encoding') === findHeader(this.#sentHead.headers, 'content-encoding') ? undefined : 'another encoding where a started answer should go on';
 	}
 
 	/** Stores a target's error answer, which is delivered if no other attempt succeeds. */
@@ -80,6 +99,7 @@
 	}
 
 	async #sendStream(answer: TargetAnswer, body: AnswerBody, handleStreamStart: () => void): Promise<string | undefined> {
+		const isContinuation = this.hasStarted;
 		for (;;) {
 			const read = await body.read();
 			if (read.kind === 'fault') {
@@ -92,7 +112,8 @@
 				return undefined;
 			}
 
-			const bytes = concatEvents(this.#isResumable ? this.#removeSentEvents(read.events) : read.events);
+			const {events, fault} = this.#filterEvents(read.events, isContinuation);
+			const bytes = concatEvents(events);
 			if (bytes.length > 0) {
 				if (this.#isResumable && !this.hasStarted) {
 					handleStreamStart();
@@ -101,20 +122,36 @@
 				this.#sendHead(answer, undefined);
 				await this.#write(bytes);
 			}
+
+			if (fault !== undefined) {
+				body.abort(fault);
+				return fault;
+			}
 		}
 	}
 
-	/** Returns the events without those that the caller was sent already: a resumed stream may repeat events. */
-	#removeSentEvents(events: readonly StreamEvent[]): readonly StreamEvent[] {
+	/** Returns the events that the caller is to be sent, without those that a resumed stream repeats, up to the first that does not belong to the stream. */
+	#filterEvents(events: readonly StreamEvent[], isContinuation: boolean): Readonly<{events: readonly StreamEvent[]; fault?: string}> {
 		const newEvents: StreamEvent[] = [];
 		for (const event of events) {
-			if (event.id === undefined || isLater(event.id, this.lastEventId)) {
-				this.lastEventId = event.id ?? this.lastEventId;
+			const {id, kind} = event;
+			if (kind === 'text' && this.#hasSentEvent) {
+				return {events: newEvents, fault: 'the stream contains text that is no event'};
+			}
+
+			if (kind === 'event' && id === undefined && isContinuation && !this.#hasSentEventWithoutId) {
+				return {events: newEvents, fault: 'the continued stream contains an event without an id'};
+			}
+
+			if (!this.#isResumable || id === undefined || isLater(id, this.lastEventId)) {
+				this.lastEventId = this.#isResumable ? id ?? this.lastEventId : undefined;
+				this.#hasSentEvent ||= kind === 'event';
+				this.#hasSentEventWithoutId ||= kind === 'event' && id === undefined;
 				newEvents.push(event);
 			}
 		}
 
-		return newEvents;
+		return {events: newEvents};
 	}
 
 	async #sendCollected(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
@@ -147,7 +184,7 @@
 	#sendHead(answer: TargetAnswer, bodyBytes: number | undefined): void {
 		if (!this.hasStarted) {
 			this.headSentMs = this.#clock.now();
-			this.#sentStatus = answer.status;
+			this.#sentHead = answer;
 			this.#caller.sendHead(answer.status, answer.headers, bodyBytes);
 		}
 	}
@@ -159,6 +196,11 @@
 	}
 }
 
+/** Returns the media type without its parameters, in lower case; `undefined` if none is stated. */
+function getMediaType(headers: HeaderLines): string | undefined {
+	return findHeader(headers, 'content-type')?.split(';', 1)[0]!.trim().toLowerCase();
+}
+
 function concatEvents(events: readonly StreamEvent[]): Uint8Array {
 	return events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({bytes}) => bytes));
 }
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -160,6 +160,11 @@
 		};
 	}
 
+	if (failure.cause === 'failed' && delivery.hasStarted) {
+		// Its body may never end, and reaches no caller.
+		body.abort(failure.detail);
+	}
+
 	const errorBody = await readErrorBody(body);
 	if (failure.cause === 'failed' && errorBody) {
 		delivery.setErrorAnswer(decoded, errorBody);
@@ -256,8 +261,9 @@
 		return {cause: 'crossed', detail: 'the answer carries no signature of the target'};
 	}
 
-	if (!delivery.canAccept(answer.status)) {
-		return {cause: 'failed', detail: `the target answered with the status ${answer.status} where a started answer should go on`};
+	const mismatch = delivery.explainMismatch(answer);
+	if (mismatch !== undefined) {
+		return {cause: 'failed', detail: `the target answered with ${mismatch}`};
 	}
 
 	if (answer.status >= 500 && route.retryPolicy !== 'once') {
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -113,9 +113,10 @@
 
 	const answer = dialect.decodeHead(read.head);
 	const body = new AnswerBody(exchange, isEventStream(request, answer));
-	if (!delivery.canAccept(answer.status)) {
-		body.abort('the status differs from that of the answer that has started');
-		return {failure: {cause: 'failed', detail: `the peer answered with the status ${answer.status} where a started answer should go on`}, canRetry: false, targets};
+	const mismatch = delivery.explainMismatch(answer);
+	if (mismatch !== undefined) {
+		body.abort('the answer does not continue the one that has started');
+		return {failure: {cause: 'failed', detail: `the peer answered with ${mismatch}`}, canRetry: false, targets};
 	}
 
 	const {softwareVersion} = exchange;
--- a/packages/relay/event-splitter.ts
+++ b/packages/relay/event-splitter.ts
@@ -10,8 +10,16 @@
 	bytes: Uint8Array;
 	/** Value of its `id` field, if it has one. */
 	id: string | undefined;
+	/** `comment` has no field but a retry time, and `text` nothing that belongs to a stream of events. */
+	kind: 'event' | 'comment' | 'text';
 }>;
 
+/** A field that the receiver of an event is given; a byte order mark may come before the first one. */
+const fieldPattern = /(?:^(?:\u00EF\u00BB\u00BF)?|[\r\n])(?:data|event|id)(?=[:\r\n])/v;
+
+/** A comment or a retry time, or nothing but blank lines. */
+const commentPattern = /(?:^(?:\u00EF\u00BB\u00BF)?|[\r\n])(?::|retry(?=[:\r\n]))|^[\r\n]*$/v;
+
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
@@ -31,7 +39,8 @@
 		for (let end = findEventEnd(this.#incomplete); end !== -1; end = findEventEnd(this.#incomplete)) {
 			const event = this.#incomplete.subarray(0, end);
 			this.#incomplete = this.#incomplete.subarray(end);
-			events.push({bytes: event, id: readId(event)});
+			const text = Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1');
+			events.push({bytes: event, id: parseId(text), kind: classifyEvent(text)});
 		}
 
 		return events;
@@ -54,7 +63,14 @@
 	return -1;
 }
 
-function readId(event: Uint8Array): string | undefined {
-	const match = /(?:^|\n)id:\s?(?<id>[^\r\n]*)/v.exec(Buffer.from(event.buffer, event.byteOffset, event.byteLength).toString('latin1'));
-	return match?.groups?.id;
+function parseId(text: string): string | undefined {
+	return /(?:^|\n)id:\s?(?<id>[^\r\n]*)/v.exec(text)?.groups?.id;
+}
+
+function classifyEvent(text: string): StreamEvent['kind'] {
+	if (fieldPattern.test(text)) {
+		return 'event';
+	}
+
+	return commentPattern.test(text) ? 'comment' : 'text';
 }
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -23,7 +23,7 @@
 import {startRawTarget, type RawScript, type RawTarget} from '#standins';
 import {createTelemetry} from '#telemetry';
 
-const forwardedNames: ReadonlySet<string> = new Set(['x-signed', 'content-type']);
+const forwardedNames: ReadonlySet<string> = new Set(['x-signed', 'content-type', 'content-encoding']);
 
 /** A minimal dialect for these tests. */
 const dialect: TargetDialect = {
