Relay: what a peer sends after the head of an answer cannot complete it

A peer's refusal after the head of an answer ended the answer like a regular end; a second head was taken as a part of the first answer, and if both arrived together the second one counted. No instance sends either, by reading: the relay refuses only before the first head. Change: both leave the answer incomplete, and parts after its end are ignored.

--- a/packages/relay/peer-exchange.ts
+++ b/packages/relay/peer-exchange.ts
@@ -50,6 +50,11 @@
 				}
 			},
 			head: ({status, headers, bodyBytes}) => {
+				if (this.#head) {
+					this.abort('the peer sent a second head');
+					return;
+				}
+
 				this.#head = {kind: 'head', head: {status, headers}};
 				this.#framing = bodyBytes === undefined ? 'chunked' : 'length';
 			},
@@ -63,6 +68,11 @@
 				this.#fail(brokenOffDetail);
 			},
 			refusal: part => {
+				if (this.#head) {
+					this.#fail(brokenOffDetail);
+					return;
+				}
+
 				this.#refusal = {...part, reason: isRefusalReason(part.reason) ? part.reason : 'no_target'};
 				this.#finish();
 			},
@@ -123,6 +133,10 @@
 	}
 
 	handlePart(part: ChannelPart): void {
+		if (this.#isFinished) {
+			return;
+		}
+
 		this.lastReceivedMs = this.#getNowMs();
 		(this.#handlers[part.kind] as ((received: typeof part) => void) | undefined)?.(part); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- handlers are stored by the kind of part that they take
 		this.#notify();
