Relay: log why a resumed stream is let through or refused

Change: the line `resumed stream resolved` has the decision, what it rests on and the versions of the route's pools, at most eight; `resumed_streams_total` counts the decisions. The choice of targets is unchanged.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -168,7 +168,7 @@
 		// The caller may have left before its request was read; the end of its connection then lies behind the request.
 		await readArrivedInput();
 		const decision = await resolveOrigin({
-			route, customer: customer?.name, lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId,
+			requestId: head.requestId, route, customer: customer?.name, lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId,
 		});
 		this.#resolving--;
 		if (caller.hasLeft()) {
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -202,7 +202,9 @@
 		}),
 	});
 	const gateway = new Gateway({
-		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({origins, exchange: originExchange, targets}, stream),
+		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({
+			origins, exchange: originExchange, targets, telemetry,
+		}, stream),
 	});
 	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay only.
 	const countRunning = () => Math.max(openRequests.size, relay.running + gateway.resolving);
--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -8,6 +8,7 @@
 	createRandom, prepareHash, type RelayRoute, type RelayTarget,
 } from '#core';
 import {PeerNetworkStandin} from '#standins';
+import {createTelemetry} from '#telemetry';
 
 t.before(prepareHash);
 
@@ -17,7 +18,7 @@
 	timeoutMs: 3000, promisedMs: 500, promisedGapMs: 400, priority: 0, isPublic: true,
 };
 const resumed: ResumedStream = {
-	route, customer: 'ann', lastEventId: '4', resumedRequestId: 'first',
+	requestId: 'again', route, customer: 'ann', lastEventId: '4', resumedRequestId: 'first',
 };
 const getKey = () => computeStreamKey('ann', 'first');
 
@@ -41,7 +42,9 @@
 			origins, clock, random: createRandom(index + 1), bus: network.join({name, zone: 'z', incarnation: name}), hasSeveralVersions: () => targets.hasSeveralVersions(),
 		});
 		void exchange.run(stopping.signal);
-		return {origins, targets, exchange};
+		return {
+			origins, targets, exchange, telemetry: createTelemetry({level: 'silent'}),
+		};
 	});
 	t.teardown(() => {
 		stopping.abort();
--- a/packages/relay/resolve-origin.ts
+++ b/packages/relay/resolve-origin.ts
@@ -5,11 +5,14 @@
 } from './stream-origins.ts';
 import type {TargetSet} from './target-set.ts';
 import type {RelayRoute} from '#core';
+import type {Telemetry} from '#telemetry';
 
-export type OriginDependencies = Readonly<{origins: StreamOrigins; exchange: Pick<OriginExchange, 'request'>; targets: TargetSet}>;
+export type OriginDependencies = Readonly<{origins: StreamOrigins; exchange: Pick<OriginExchange, 'request'>; targets: TargetSet; telemetry: Telemetry}>;
 
 /** What a caller states about the stream that it resumes. */
 export type ResumedStream = Readonly<{
+	/** Id of the request, for the log. */
+	requestId: string;
 	route: RelayRoute;
 	/** Name of the caller's customer. */
 	customer: string | undefined;
@@ -30,22 +33,49 @@
 export type OriginDecision
 	= | Readonly<{kind: 'any'}> | Readonly<{kind: 'origin'; origin: StreamOrigin}> | Readonly<{kind: 'unknown'}> | Readonly<{kind: 'moved'}>;
 
-/** Resolves the origin of a stream; asks the peers only if this instance does not know it and it matters. */
-export async function resolveOrigin({origins, exchange, targets}: OriginDependencies, {route, customer, lastEventId, resumedRequestId}: ResumedStream): Promise<OriginDecision> {
+/** A decision on a stream that its caller resumes, and what it rests on. */
+type Resolution = Readonly<{
+	decision: OriginDecision;
+	/** What the decision rests on: an origin that this instance kept or that a peer stated, the versions of the route's pools, or nothing. */
+	basis: 'kept' | 'peer' | 'pools' | 'none';
+	/** Versions that targets of the route's pools had in the retention time of origins. */
+	softwareVersions: readonly string[];
+}>;
+
+/** Maximum number of software versions in a log line. */
+const maxLoggedVersions = 8;
+
+/** Resolves the origin of a stream, and counts and logs the decision; asks the peers only if this instance does not know the origin and it matters. */
+export async function resolveOrigin(dependencies: OriginDependencies, stream: ResumedStream): Promise<OriginDecision> {
+	const {requestId, route, lastEventId, resumedRequestId} = stream;
 	if (route.retryPolicy !== 'resume' || lastEventId === undefined) {
 		return {kind: 'any'};
 	}
 
+	const {telemetry} = dependencies;
+	const {decision, softwareVersions, ...details} = await resolveResumed(dependencies, stream);
+	telemetry.count('resumed_streams_total', {decision: decision.kind});
+	telemetry.log('resumed stream resolved', {
+		id: requestId, route: route.name, lastEventId, resumes: resumedRequestId, decision: decision.kind, ...(decision.kind === 'origin' && decision.origin), ...details,
+		softwareVersions: softwareVersions.slice(0, maxLoggedVersions),
+	});
+	return decision;
+}
+
+async function resolveResumed({origins, exchange, targets}: OriginDependencies, {route, customer, resumedRequestId}: ResumedStream): Promise<Resolution> {
 	const key = resumedRequestId === undefined ? undefined : computeStreamKey(customer, resumedRequestId);
 	const known = key === undefined ? undefined : origins.get(key);
-	if (!known && route.pools.every(({pool}) => targets.listVersions(pool, originRetentionMs).length <= 1)) {
-		return {kind: 'any'};
+	const versions = route.pools.map(({pool}) => targets.listVersions(pool, originRetentionMs));
+	const softwareVersions = [...new Set(versions.flat())];
+	if (!known && versions.every(({length}) => length <= 1)) {
+		return {decision: {kind: 'any'}, basis: 'pools', softwareVersions};
 	}
 
 	const origin = known ?? (key === undefined ? undefined : await exchange.request(key));
 	if (!origin) {
-		return {kind: 'unknown'};
+		return {decision: {kind: 'unknown'}, basis: 'none', softwareVersions};
 	}
 
-	return route.pools.some(({pool}) => pool === origin.pool) ? {kind: 'origin', origin} : {kind: 'moved'};
+	const decision: OriginDecision = route.pools.some(({pool}) => pool === origin.pool) ? {kind: 'origin', origin} : {kind: 'moved'};
+	return {decision, basis: known ? 'kept' : 'peer', softwareVersions};
 }
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -15,6 +15,7 @@
 	retries_total: {help: 'Attempts after the first one, by reason.', labels: ['reason']},
 	retries_refused_total: {help: 'Failed attempts that were not retried, by reason.', labels: ['reason']},
 	answer_bodies_total: {help: 'Bodies of answers that the relay received, by framing (`connection`: it ends with its connection) and by how they ended.', labels: ['framing', 'end']},
+	resumed_streams_total: {help: 'Streams that callers resumed, by the decision where they may go on; `unknown` and `moved` are refusals.', labels: ['decision']},
 	target_statements_total: {help: 'What targets stated about themselves in answers, by field; `malformed` for values that could not be read.', labels: ['field']},
 	strikes_total: {help: 'Target crashes counted as strikes against requests and prompt parts, by source of the observation.', labels: ['source']},
 	strikes_cleared_total: {help: 'Requests and prompt parts with strikes that were later answered.', labels: []},
