Relay: keep the software versions of each pool in the store across restarts

Cause: only processes knew which software versions the targets of a pool had before. Change: one object in the store, `apricotdoor-software/versions`, holds the versions of each pool in the last 30 s. The first two instances in rank write it, conditionally, when the versions change; each instance reads it once, at its start, and takes what it holds as served until then by its own clock. A writer removes a version after 30 s in which it has listed targets without it. Until an instance has read a complete record, or has seen the targets for 30 s, a resumed stream of unknown origin is asked of the peers first; it is refused while the record is unread, and let through if the record was missing or not complete, as builds before this one write none. After an outage of the store the writers read the record again, since the store may have lost it. No new peer message: peers that may not know the question are asked only while several versions serve, as before.

--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -30,6 +30,8 @@
 	handleConfiguration: (configuration: RelayConfiguration) => void;
 	/** Called when the instance has a configuration and a list of targets; may be called more than once. */
 	handleReady: () => void;
+	/** Called when the store answers again after a call that failed. */
+	handleStoreReturn: () => void;
 }>;
 
 type DecodedTarget = Readonly<{revision: number; target: RelayTarget | undefined}>;
@@ -78,13 +80,14 @@
 
 	/** Keeps the mirrors up to date with the store until `signal` aborts. */
 	async run(store: ObjectStore, random: Random, signal: AbortSignal): Promise<void> {
-		const {clock, telemetry, watchers} = this.#dependencies;
+		const {clock, telemetry, watchers, handleStoreReturn} = this.#dependencies;
 		await Promise.all(this.#listMirrors().map(async mirror => syncMirror({
 			mirror, store, clock, random, telemetry, watchers,
 			handleAvailability: isAvailable => {
 				// The end of an outage determines when retained entries are dropped.
 				if (this.#listing.recordStoreCall(isAvailable)) {
 					this.#updateTargets();
+					handleStoreReturn();
 				}
 			},
 		}, signal)));
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -26,7 +26,7 @@
 } from '#quarantine';
 import {
 	CachedParts, KvCacheStores, OpenRequests, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
-	PublishedWeights, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
+	PublishedWeights, VersionRecord, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
@@ -35,7 +35,7 @@
 /** Decodes and encodes the objects in a platform's store. */
 export type StoredFormats = Readonly<{
 	/** Names of the kinds of objects in the store. */
-	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string}>;
+	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string; software: string}>;
 	decodeConfiguration(stored: StoredObject): Result<RelayConfiguration, string>;
 	/** @returns the target, or `undefined` if the entry does not describe a usable one */
 	decodeTarget(stored: StoredObject): RelayTarget | undefined;
@@ -166,6 +166,9 @@
 	const originExchange = new OriginExchange({
 		origins, bus, clock, random, hasSeveralVersions: () => targets.hasSeveralVersions(),
 	});
+	const versionRecord = new VersionRecord({
+		clock, telemetry, store: store.status, kind: formats.kinds.software, targets, getRank: duty => peers.getRank(duty),
+	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
 	}, {strikeLimit: maxCrashes, retentionMs: strikeRetentionMs});
@@ -203,7 +206,7 @@
 	});
 	const gateway = new Gateway({
 		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({
-			origins, exchange: originExchange, targets, telemetry,
+			origins, exchange: originExchange, targets, versionRecord, telemetry,
 		}, stream),
 	});
 	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay only.
@@ -237,6 +240,9 @@
 		handleReady() {
 			lifecycle.markReady();
 		},
+		handleStoreReturn() {
+			versionRecord.markDoubtful();
+		},
 	});
 	Object.assign(started, {
 		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
@@ -253,6 +259,7 @@
 		runWorkExchange({views: targets, bus, clock}, signal),
 		runPartExchange({cachedParts, bus, clock}, signal),
 		originExchange.run(signal),
+		versionRecord.run(signal),
 		targetReach.run(signal),
 		kvCacheStores.run(signal),
 		runStrikeSync({
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -20,7 +20,7 @@
 function createFormats(decoded: string[]): StoredFormats {
 	return {
 		kinds: {
-			configuration: 'c', targets: 't', weights: 'w', instances: 'i', leases: 'l', quarantine: 'q',
+			configuration: 'c', targets: 't', weights: 'w', instances: 'i', leases: 'l', quarantine: 'q', software: 's',
 		},
 		decodeConfiguration({value}: StoredObject) {
 			const version = Number(value);
@@ -48,6 +48,7 @@
 	const applied: number[] = [];
 	let newest: RelayConfiguration | undefined;
 	let readyCalls = 0;
+	let storeReturns = 0;
 	const mirrors = new StoreMirrors({
 		formats: createFormats(decoded), clock, telemetry: createTelemetry({level: 'silent'}), bus: createNoopBus(), targets, publishedWeights,
 		gateway: {
@@ -74,6 +75,9 @@
 		handleReady() {
 			readyCalls++;
 		},
+		handleStoreReturn() {
+			storeReturns++;
+		},
 	});
 	const stopping = new AbortController();
 	const run = () => {
@@ -93,7 +97,8 @@
 	};
 
 	return {
-		clock, store, targets, publishedWeights, decoded, applied, run, write, countReadyCalls: () => readyCalls, list: () => targets.list().map(({target: {id}}) => id),
+		clock, store, targets, publishedWeights, decoded, applied, run, write, countReadyCalls: () => readyCalls, countStoreReturns: () => storeReturns,
+		list: () => targets.list().map(({target: {id}}) => id),
 	};
 }
 
@@ -154,6 +159,19 @@
 	t.strictSame(list(), ['t/b']);
 });
 
+t.test('the end of an outage of the store is reported', async t => {
+	const {clock, store, run, countStoreReturns} = start(t);
+	run();
+	await clock.advance(5000);
+	t.equal(countStoreReturns(), 0);
+	store.setDown(true);
+	await clock.advance(5000);
+	t.equal(countStoreReturns(), 0);
+	store.setDown(false);
+	await clock.advance(5000);
+	t.equal(countStoreReturns(), 1);
+});
+
 t.test('only newer published versions of weights are recorded', async t => {
 	const {run, write, publishedWeights} = start(t);
 	run();
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -26,7 +26,7 @@
 export {PublishedWeights} from './published-weights.ts';
 export {CachedParts, type CachedPart} from './cached-parts.ts';
 export {
-	computeStreamKey, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
+	computeStreamKey, originRetentionMs, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
 } from './stream-origins.ts';
 export {KvCacheStores, type CheckKvCacheStore} from './kv-cache-stores.ts';
 export {OpenRequests} from './open-requests.ts';
@@ -34,6 +34,7 @@
 export {
 	resolveOrigin, type OriginDecision, type OriginDependencies, type ResumedStream,
 } from './resolve-origin.ts';
+export {VersionRecord, type VersionKnowledge, type VersionRecordDependencies} from './version-record.ts';
 export {runPartExchange, type PartExchangeDependencies} from './part-exchange.ts';
 export {Relay, type RelayDependencies} from './relay.ts';
 export {PeerPaths, type PeerPathsDependencies} from './peer-paths.ts';
--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -43,7 +43,7 @@
 		});
 		void exchange.run(stopping.signal);
 		return {
-			origins, targets, exchange, telemetry: createTelemetry({level: 'silent'}),
+			origins, targets, exchange, telemetry: createTelemetry({level: 'silent'}), versionRecord: {getKnowledge: () => 'complete' as const},
 		};
 	});
 	t.teardown(() => {
@@ -107,7 +107,7 @@
 
 t.test('a stream may go on anywhere only while its pool has had one software version for the retention time', async t => {
 	const {clock, a} = start(t, ['a'], ['v2', 'v2']);
-	const dependencies = {...a, exchange: {request: async () => undefined}};
+	const dependencies = {...a, exchange: {request: async () => undefined, isUnderstood: () => true}};
 	t.strictSame(await resolveOrigin(dependencies, resumed), {kind: 'any'});
 	a.targets.update(createTargets(['v3', 'v3']));
 	t.strictSame(await resolveOrigin(dependencies, resumed), {kind: 'unknown'}, 'v2 has left just now');
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -71,6 +71,12 @@
 		}
 	}
 
+	/** Whether the programs of all linked peers know the messages of this exchange; others would close the link. */
+	isUnderstood(): boolean {
+		const {bus} = this.#dependencies;
+		return bus.listChannelPeers().length === bus.listNeighbours().length;
+	}
+
 	/** Asks the peers for the origin of a stream; returns `undefined` if none answers in time. */
 	async request(key: string): Promise<StreamOrigin | undefined> {
 		const {origins, bus, clock} = this.#dependencies;
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -13,8 +13,10 @@
 	readonly #states = new Map<string, TargetState>();
 	/** Ids of the targets on which each peer last reported work. */
 	readonly #targetIdsByPeer = new Map<string, readonly string[]>();
-	/** Time of the last update before which targets of each software version were listed, by pool. */
+	/** Time of the last update before which targets of each software version were listed, or at which they were recorded, by pool. */
 	readonly #pastVersions = new Map<string, Map<string, number>>();
+	/** Time of the first update with targets. */
+	#observedSinceMs: number | undefined;
 	#byIncarnation: ReadonlyMap<string, TargetState> = new Map();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
@@ -59,6 +61,26 @@
 		return [...versions];
 	}
 
+	/** Lists the versions of {@link listVersions} of all pools that have any. */
+	listRecentVersions(withinMs: number): ReadonlyMap<string, readonly string[]> {
+		const pools = new Set([...this.#pools.keys(), ...this.#pastVersions.keys()]);
+		return new Map([...pools].map(pool => [pool, this.listVersions(pool, withinMs)] as const).filter(([, versions]) => versions.length > 0));
+	}
+
+	/** Records software versions that targets of a pool had until now, though this instance has not seen them listed. */
+	recordVersions(pool: string, versions: readonly string[]): void {
+		const past = this.#pastVersions.get(pool) ?? new Map<string, number>();
+		this.#pastVersions.set(pool, past);
+		for (const version of versions) {
+			past.set(version, this.#clock.now());
+		}
+	}
+
+	/** Whether targets have been listed for this time, in milliseconds. */
+	hasObserved(durationMs: number): boolean {
+		return this.#observedSinceMs !== undefined && this.#clock.now() - this.#observedSinceMs >= durationMs;
+	}
+
 	/** Whether targets of one pool are listed with several software versions. */
 	hasSeveralVersions(): boolean {
 		return [...this.#pools.values()].some(([first, ...others]) => others.some(({target}) => target.softwareVersion !== first!.target.softwareVersion));
@@ -66,7 +88,11 @@
 
 	/** Replaces the list. Connections to targets that are no longer listed are closed if they are idle; those with an exchange close at their idle timeout after it. */
 	update(targets: readonly RelayTarget[]): void {
-		this.#recordVersions();
+		this.#recordListedVersions();
+		if (targets.length > 0) {
+			this.#observedSinceMs ??= this.#clock.now();
+		}
+
 		const listed = new Set<string>();
 		for (const target of removeReplaced(targets)) {
 			listed.add(target.id);
@@ -138,12 +164,9 @@
 	}
 
 	/** Records the versions of the targets that are listed until now. */
-	#recordVersions(): void {
-		const nowMs = this.#clock.now();
+	#recordListedVersions(): void {
 		for (const {target: {pool, softwareVersion}} of this.#states.values()) {
-			const versions = this.#pastVersions.get(pool) ?? new Map<string, number>();
-			this.#pastVersions.set(pool, versions);
-			versions.set(softwareVersion, nowMs);
+			this.recordVersions(pool, [softwareVersion]);
 		}
 	}
 
