Relay: announce streams that begin while a version that has left still counts

Cause: a resumed stream of unknown origin is refused for 30 s after one of two software versions has left, but streams that began in that time were not announced to the peers. When the instance that began one was killed, no other knew its origin and the stream was refused though its version served. Change: `TargetSet.hasSeveralVersions` looks at the same time as the decision on resumed streams. The versions of the listed targets are computed once for each list.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -164,7 +164,7 @@
 	const cachedParts = new CachedParts();
 	const origins = new StreamOrigins(clock);
 	const originExchange = new OriginExchange({
-		origins, bus, clock, random, hasSeveralVersions: () => targets.hasSeveralVersions(),
+		origins, bus, clock, random, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
 	});
 	const versionRecord = new VersionRecord({
 		clock, telemetry, store: store.status, kind: formats.kinds.software, targets, getRank: duty => peers.getRank(duty),
--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -39,7 +39,7 @@
 		const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
 		targets.update(createTargets(versions));
 		const exchange = new OriginExchange({
-			origins, clock, random: createRandom(index + 1), bus: network.join({name, zone: 'z', incarnation: name}), hasSeveralVersions: () => targets.hasSeveralVersions(),
+			origins, clock, random: createRandom(index + 1), bus: network.join({name, zone: 'z', incarnation: name}), hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
 		});
 		void exchange.run(stopping.signal);
 		return {
@@ -66,6 +66,20 @@
 	t.equal(network.deliveredCounts.get('origins'), 1, 'an origin is announced once');
 });
 
+// Guards against streams of unknown origin while a version that has left still counts: their callers were refused.
+t.test('origins are announced until the retention time after several software versions served', async t => {
+	const {clock, network, a, b} = start(t, ['a', 'b'], ['v1', 'v2']);
+	a.targets.update(createTargets(['v2', 'v2']));
+	await clock.advance(originRetentionMs - 1000);
+	a.origins.recordOwn(getKey(), origin);
+	await clock.advance(100);
+	t.strictSame(b.origins.get(getKey()), origin);
+	await clock.advance(2000);
+	a.origins.recordOwn(computeStreamKey('ann', 'second'), origin);
+	await clock.advance(500);
+	t.equal(network.deliveredCounts.get('origins'), 1);
+});
+
 t.test('an unknown origin is requested from the peers, and mostly one of them answers', async t => {
 	const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 	const {clock, network, a, instances} = start(t, names, ['v2', 'v2']);
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -1,11 +1,11 @@
 /**
  * Exchanges the origins of streams with the peers. Only while targets of several
- * software versions serve, an instance announces the streams that began at it, so
- * that the origins outlive the instance. An instance that does not know an origin
- * asks all peers for it; one that knows it answers all of them, unless another
- * peer was faster.
+ * software versions serve, and for the retention time of origins after that, an
+ * instance announces the streams that began at it, so that the origins outlive the
+ * instance. An instance that does not know an origin asks all peers for it; one that
+ * knows it answers all of them, unless another peer was faster.
  */
-import type {StreamOrigin, StreamOrigins} from './stream-origins.ts';
+import {originRetentionMs, type StreamOrigin, type StreamOrigins} from './stream-origins.ts';
 import type {Cancel, Clock} from '#clock';
 import type {Random} from '#core';
 import {maxFullMeshPeers} from '#membership';
@@ -16,8 +16,8 @@
 	bus: PeerBus;
 	clock: Clock;
 	random: Random;
-	/** Whether targets of several software versions serve a pool, or did so lately. */
-	hasSeveralVersions: () => boolean;
+	/** Whether targets of a pool had several software versions in the last `withinMs` milliseconds. */
+	hasSeveralVersions: (withinMs: number) => boolean;
 }>;
 
 /** Interval between announcements while each reaches all peers, in milliseconds; streams that began since the last one are forgotten if the instance is killed. */
@@ -58,7 +58,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {origins, bus, clock, hasSeveralVersions} = this.#dependencies;
 		while (!signal.aborted) {
-			const records = hasSeveralVersions() ? origins.takeUnannounced(maxOriginsPerMessage) : [];
+			const records = hasSeveralVersions(originRetentionMs) ? origins.takeUnannounced(maxOriginsPerMessage) : [];
 			if (records.length > 0) {
 				bus.sendToSample({kind: 'origins', origins: records.map(({key, origin}) => ({key, ...origin}))});
 			}
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -13,6 +13,8 @@
 	readonly #states = new Map<string, TargetState>();
 	/** Ids of the targets on which each peer last reported work. */
 	readonly #targetIdsByPeer = new Map<string, readonly string[]>();
+	/** Software versions of the listed targets, by pool. */
+	#listedVersions: ReadonlyMap<string, ReadonlySet<string>> = new Map();
 	/** Time of the last update before which targets of each software version were listed, or at which they were recorded, by pool. */
 	readonly #pastVersions = new Map<string, Map<string, number>>();
 	/** Time of the first update with targets. */
@@ -50,7 +52,7 @@
 
 	/** Lists the software versions of a pool's targets, including those that were listed within the last `withinMs` milliseconds. */
 	listVersions(pool: string, withinMs: number): readonly string[] {
-		const versions = new Set(this.listPool(pool).map(({target}) => target.softwareVersion));
+		const versions = new Set(this.#listedVersions.get(pool));
 		const sinceMs = this.#clock.now() - withinMs;
 		for (const [version, listedMs] of this.#pastVersions.get(pool) ?? []) {
 			if (listedMs >= sinceMs) {
@@ -81,9 +83,9 @@
 		return this.#observedSinceMs !== undefined && this.#clock.now() - this.#observedSinceMs >= durationMs;
 	}
 
-	/** Whether targets of one pool are listed with several software versions. */
-	hasSeveralVersions(): boolean {
-		return [...this.#pools.values()].some(([first, ...others]) => others.some(({target}) => target.softwareVersion !== first!.target.softwareVersion));
+	/** Whether {@link listVersions} returns several software versions for a pool. */
+	hasSeveralVersions(withinMs: number): boolean {
+		return [...this.listRecentVersions(withinMs).values()].some(({length}) => length > 1);
 	}
 
 	/** Replaces the list. Connections to targets that are no longer listed are closed if they are idle; those with an exchange close at their idle timeout after it. */
@@ -114,6 +116,7 @@
 
 		this.#byIncarnation = new Map(this.list().map(state => [state.target.incarnation, state]));
 		this.#pools = groupByPool(this.#states.values());
+		this.#listedVersions = new Map([...this.#pools].map(([pool, states]) => [pool, new Set(states.map(({target}) => target.softwareVersion))]));
 	}
 
 	/** Lists the work that this instance has in progress on each target, and what the peers should know of the targets' statements. */
