HTTP: a closing server waits for answers that are not sent yet, and for no silent connection

Cause: close() called the close method of Node's HTTP server. That one destroys connections whose answer was ended but not flushed (to it they are idle), and it ends the checks for time-outs, so that a connection on which nothing or part of a head was sent kept the process from ending. Change: the server keeps the responses that are not closed and counts them (countOpenRequests). close() stops listening only, waits for these responses, and then closes what is left. destroy() may follow close().

--- a/packages/http/server.ts
+++ b/packages/http/server.ts
@@ -1,6 +1,7 @@
 /** Starts and stops an HTTP server on a numeric address. */
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {Server as TcpServer} from 'node:net';
 
 /** Handles requests, such as an express application; its return value is ignored. */
 export type HttpListener = (req: IncomingMessage, res: ServerResponse) => unknown;
@@ -9,9 +10,11 @@
 export type HttpServer = Readonly<{
 	/** `host:port` that it is bound to. */
 	address: string;
-	/** Stops accepting connections, and resolves when the running requests have finished. */
+	/** Counts the requests whose head was read and whose response is not closed yet: its caller has neither read all of it nor left. */
+	countOpenRequests(): number;
+	/** Stops accepting connections, waits for the open requests, and then closes the connections. */
 	close(): Promise<void>;
-	/** Stops accepting connections, and closes the open ones at once. */
+	/** Stops accepting connections, and closes the open ones at once; also while {@link HttpServer.close} waits. */
 	destroy(): Promise<void>;
 }>;
 
@@ -41,11 +44,21 @@
  */
 export async function startHttpServer(listener: HttpListener, address: string): Promise<HttpServer> {
 	const [host, port] = address.split(':');
+	const openResponses = new Set<ServerResponse>();
+	let closed: Promise<unknown> | undefined;
 	const server = createServer({
 		headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs,
 		connectionsCheckingInterval: timeoutCheckIntervalMs, maxHeaderSize: maxHeaderBytes,
 		keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs, noDelay: true,
 	}, (req, res) => {
+		openResponses.add(res);
+		res.once('close', () => {
+			openResponses.delete(res);
+		});
+		if (closed) {
+			res.shouldKeepAlive = false;
+		}
+
 		listener(req, res);
 	});
 	server.listen(Number(port), host);
@@ -55,20 +68,39 @@
 		throw new Error(`the server bound to ${address} has no TCP port`);
 	}
 
-	const close = async () => {
-		const closed = once(server, 'close');
+	const stopListening = () => {
+		closed ??= once(server, 'close');
+		// The method of the HTTP server would also destroy connections whose answers are ended but not sent yet.
+		TcpServer.prototype.close.call(server);
+	};
+
+	const closeConnections = async () => {
+		// A connection without a whole request would otherwise stay open until its time-out.
+		server.closeAllConnections();
 		server.close();
-		server.closeIdleConnections();
 		await closed;
 	};
 
 	return {
 		address: `${bound.address}:${bound.port}`,
-		close,
+		countOpenRequests: () => openResponses.size,
+		async close() {
+			stopListening();
+			for (const res of openResponses) {
+				await waitForClose(res);
+			}
+
+			await closeConnections();
+		},
 		async destroy() {
-			const closed = close();
-			server.closeAllConnections();
-			await closed;
+			stopListening();
+			await closeConnections();
 		},
 	};
 }
+
+async function waitForClose(res: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		res.once('close', resolve);
+	});
+}
