Stop: wait for all that was accepted, and answer what outlasts the wait

Cause: the drain counted a request from the end of its body to the end of its events. It did not wait for bodies that were arriving, for answers that their callers had not read, and for calls of at most once that went on without their caller; those were aborted 5 s later and their outcome became unknown. What outlasted the drain lost its connection without a word. Change: the drain counts open requests of the server, and calls without a caller until their outcome is recorded. At its limit, requests that wait or run end with the refusal stopping, which says whether they ran; bodies that are still arriving are refused as not run; the refusals have 1 s to be read. Requests of operators have 10 s at the stop.

--- a/packages/admission/_pool-limiter.ts
+++ b/packages/admission/_pool-limiter.ts
@@ -73,6 +73,13 @@
 		this.admitWaiting();
 	}
 
+	/** Refuses all queued requests. */
+	refuseWaiting(refusal: Refusal): void {
+		while (this.#queue.size > 0) {
+			this.#queue.removeNext()!.finish(fail(refusal));
+		}
+	}
+
 	/** Admits queued requests while slots are free. Call it when the capacity may have risen. */
 	admitWaiting(): void {
 		while (this.#queue.size > 0 && this.#running < this.#getCapacity()) {
--- a/packages/admission/admission.ts
+++ b/packages/admission/admission.ts
@@ -126,6 +126,13 @@
 		});
 	}
 
+	/** Refuses all requests that wait for their pool. */
+	refuseWaiting(refusal: Refusal): void {
+		for (const limiter of this.#limiters.values()) {
+			limiter.refuseWaiting(refusal);
+		}
+	}
+
 	/** Stops the timers and the exchange with peers. */
 	close(): void {
 		this.#shares.close();
--- a/packages/claims/_acquire-claim.ts
+++ b/packages/claims/_acquire-claim.ts
@@ -34,11 +34,11 @@
 		if (!change.ok) {
 			isUncertain ||= change.error.kind === 'unknown';
 			const waitMs = change.error.retryAfterMs ?? backoff.computeNextDelayMs();
-			if (context.stopSignal.aborted || clock.now() + waitMs >= acquireDeadlineMs) {
+			if (context.waitSignal.aborted || clock.now() + waitMs >= acquireDeadlineMs) {
 				return refuseClaim(change.error, isUncertain);
 			}
 
-			await clock.sleep(waitMs, context.stopSignal);
+			await clock.sleep(waitMs, context.waitSignal);
 			continue;
 		}
 
--- a/packages/claims/_job.ts
+++ b/packages/claims/_job.ts
@@ -27,6 +27,8 @@
 	acquireTimeoutMs: number;
 	/** Aborts when the instance no longer waits for its jobs. */
 	stopSignal: AbortSignal;
+	/** Aborts when requests that have not run yet no longer wait for the platform or for the run of another instance. */
+	waitSignal: AbortSignal;
 }>;
 
 /** A claim that this instance holds; `result` is a label of `claims_total`. */
--- a/packages/claims/_live-answer.ts
+++ b/packages/claims/_live-answer.ts
@@ -6,12 +6,18 @@
 	readonly #events: AnswerEvent[] = [];
 	readonly #wakers = new Set<() => void>();
 	#isClosed = false;
+	#readers = 0;
 
 	/** Events received so far. */
 	get events(): readonly AnswerEvent[] {
 		return this.#events;
 	}
 
+	/** Whether a caller reads the answer now. */
+	get hasReader(): boolean {
+		return this.#readers > 0;
+	}
+
 	push(event: AnswerEvent): void {
 		this.#events.push(event);
 		this.#wake();
@@ -25,17 +31,22 @@
 	/** Yields all events from the first one until the answer is closed or `signal` aborts. */
 	async * read(signal: AbortSignal): AsyncGenerator<AnswerEvent> {
 		let index = 0;
-		while (!signal.aborted) {
-			if (index < this.#events.length) {
-				yield this.#events[index++]!;
-				continue;
-			}
+		this.#readers++;
+		try {
+			while (!signal.aborted) {
+				if (index < this.#events.length) {
+					yield this.#events[index++]!;
+					continue;
+				}
 
-			if (this.#isClosed) {
-				return;
-			}
+				if (this.#isClosed) {
+					return;
+				}
 
-			await this.#waitForEvent(signal);
+				await this.#waitForEvent(signal);
+			}
+		} finally {
+			this.#readers--;
 		}
 	}
 
--- a/packages/claims/_resolve-conflict.ts
+++ b/packages/claims/_resolve-conflict.ts
@@ -46,11 +46,11 @@
 		}
 
 		const waitMs = backoff.computeNextDelayMs();
-		if (context.stopSignal.aborted || context.clock.now() + waitMs >= job.request.deadlineMs) {
+		if (context.waitSignal.aborted || context.clock.now() + waitMs >= job.request.deadlineMs) {
 			return createAnswerWithoutRun('running', [{kind: 'refused', refusal: createRefusal('claim_in_progress', {retryAfterMs})}]);
 		}
 
-		await context.clock.sleep(waitMs, context.stopSignal);
+		await context.clock.sleep(waitMs, context.waitSignal);
 		current = await pollRecord(context, record!, current);
 	}
 }
--- a/packages/claims/claims.ts
+++ b/packages/claims/claims.ts
@@ -57,6 +57,7 @@
 	readonly #jobs = new Map<string, ClaimJob>();
 	readonly #tasks = new Set<Promise<void>>();
 	readonly #stopping = new AbortController();
+	readonly #waiting = new AbortController();
 
 	constructor(dependencies: ClaimsDependencies, options: ClaimsOptions = {}) {
 		this.#options = options;
@@ -66,6 +67,7 @@
 			retentionMs: options.retentionMs ?? dayMs,
 			acquireTimeoutMs: options.acquireTimeoutMs ?? 1500,
 			stopSignal: this.#stopping.signal,
+			waitSignal: AbortSignal.any([this.#stopping.signal, this.#waiting.signal]),
 		};
 	}
 
@@ -74,6 +76,16 @@
 		return this.#jobs.size;
 	}
 
+	/** Counts the jobs that go on without a caller, until their outcome is recorded. */
+	countDetached(): number {
+		return [...this.#jobs.values()].filter(job => !job.answer.hasReader).length;
+	}
+
+	/** Refuses the requests that wait for their claim, or for the run of another instance. */
+	refuseWaiting(): void {
+		this.#waiting.abort();
+	}
+
 	/**
 	 * Runs a request and yields its answer. Calls `execute` directly for a
 	 * repeatable request or one without an idempotency key. Any other request
--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -42,6 +42,8 @@
 	readonly #maxAnswerBytes: number;
 	readonly #budget: RetryBudget;
 	readonly #guard: CrashGuard;
+	readonly #running = new Set<AbortController>();
+	#isStopping = false;
 
 	constructor(dependencies: DispatcherDependencies, options: DispatcherOptions = {}) {
 		this.#dependencies = dependencies;
@@ -50,6 +52,14 @@
 		this.#guard = new CrashGuard(dependencies);
 	}
 
+	/** Aborts the running requests. Each ends with the refusal `stopping`, which states whether it ran. */
+	abortRunning(): void {
+		this.#isStopping = true;
+		for (const controller of this.#running) {
+			controller.abort();
+		}
+	}
+
 	/**
 	 * Runs a request.
 	 *
@@ -64,6 +74,7 @@
 		}
 
 		const deadline = new AbortController();
+		this.#running.add(deadline);
 		const cancel = clock.setTimer(remainingMs, () => {
 			deadline.abort();
 		});
@@ -73,6 +84,7 @@
 				yield {kind: 'refused', refusal};
 			}
 		} finally {
+			this.#running.delete(deadline);
 			cancel();
 		}
 	}
@@ -141,8 +153,8 @@
 			return createRefusal(progress.ran === 'not_run' ? 'crashes_targets' : 'quarantined', {ran: progress.ran, retryAfterMs: progress.partRetryAfterMs});
 		}
 
-		const reason = signal.aborted ? 'deadline_exceeded' : progress.reason;
-		return createRefusal(reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? defaultRetryAfterMs});
+		const abortReason = this.#isStopping ? 'stopping' : 'deadline_exceeded';
+		return createRefusal(signal.aborted ? abortReason : progress.reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? defaultRetryAfterMs});
 	}
 
 	#choosePlacement({request, createChain, excluded}: Progress): Placement | undefined {
--- a/packages/entry/app.ts
+++ b/packages/entry/app.ts
@@ -24,6 +24,8 @@
 	/** Maximum size of a request's body, in bytes. */
 	maxBodyBytes: number;
 	clock: Clock;
+	/** Aborts when the instance waits no longer for bodies that are still arriving; their requests are refused. Default: never. */
+	stopSignal?: AbortSignal;
 }>;
 
 /** Options of {@link createEntryApp}. */
@@ -32,6 +34,9 @@
 	stallTimeoutMs?: number;
 }>;
 
+/** Time after which a caller may retry a request whose body a stopping instance did not wait for, in milliseconds. */
+const stoppingRetryMs = 100;
+
 /** Creates the application without binding it to an address. */
 export function createEntryApp(dependencies: EntryDependencies, options: EntryOptions = {}): Express {
 	const writeOptions = {clock: dependencies.clock, stallTimeoutMs: options.stallTimeoutMs ?? 30_000};
@@ -42,7 +47,27 @@
 		sendRefusal(res, refusal);
 	};
 
-	app.post('/v1/chat/completions', express.json({limit: dependencies.maxBodyBytes}), async (req, res) => {
+	const arriving = new Set<Response>();
+	dependencies.stopSignal?.addEventListener('abort', () => {
+		for (const res of arriving) {
+			sendCountedRefusal(res, createRefusal('stopping', {retryAfterMs: stoppingRetryMs}));
+		}
+	}, {once: true});
+	app.use((_req, res, next) => {
+		arriving.add(res);
+		res.once('close', () => {
+			arriving.delete(res);
+		});
+		next();
+	});
+	const finishArrival = (_req: Request, res: Response, next: NextFunction) => {
+		arriving.delete(res);
+		if (!res.headersSent) {
+			next();
+		}
+	};
+
+	app.post('/v1/chat/completions', express.json({limit: dependencies.maxBodyBytes}), finishArrival, async (req, res) => {
 		const body = parseChatBody(req.body);
 		const request = body.ok ? createCallerRequest(req, body.value.route, body.value.work) : body;
 		if (!body.ok || !request.ok) {
@@ -54,7 +79,7 @@
 		const events = dependencies.handleRequest(request.value, createCloseSignal(res));
 		await (stream ? sendChatStream(res, route, events, writeOptions) : sendChatJson(res, route, events));
 	});
-	app.use('/services/:route', express.raw({type: () => true, limit: dependencies.maxBodyBytes}), async (req, res) => {
+	app.use('/services/:route', express.raw({type: () => true, limit: dependencies.maxBodyBytes}), finishArrival, async (req, res) => {
 		const body = Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0);
 		const work = {
 			kind: 'call', method: req.method, path: req.url, contentType: req.get('content-type'), body,
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -1,7 +1,7 @@
 /** The instance that a process runs: a router with its HTTP servers for callers and operators. */
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
-import {createRouter, type Router} from './router.ts';
+import {createRouter, stoppingRetryMs, type Router} from './router.ts';
 import {defaultStop, type Settings} from './settings.ts';
 import {provideSnapshots, restoreState} from './warm-start.ts';
 import {createAdminApp} from '#admin';
@@ -34,8 +34,11 @@
 /** Number of instances that watch the configuration on the platform; the others receive it from peers. */
 const watcherCount = 8;
 
-/** Time after which a caller may retry a request that a stopping instance refused, in milliseconds. */
-const stoppingRetryMs = 100;
+/** Maximum time for refusals to reach the callers of requests that outlast the drain, in milliseconds. */
+const refusalTimeoutMs = 1000;
+
+/** Maximum time to wait for requests of operators, such as a publication, in milliseconds. */
+const operatorTimeoutMs = 10_000;
 
 /** Starts an instance from its settings. The instance listens at once and becomes ready when its initial state is complete. */
 export async function startInstance(settings: Settings): Promise<Instance> {
@@ -59,8 +62,10 @@
 		platformOptions: {rates: settings.platformRates, expectedInstances: settings.expectedInstances},
 		isWatcher: () => peers.isAmongFirst('configuration', watcherCount), reportPollMs: settings.reportPollMs,
 	});
+	let countOpenRequests = () => 0;
 	const lifecycle: Lifecycle = new Lifecycle({
-		clock, telemetry, countRunning: router.countRunning, ...(settings.stop ?? defaultStop),
+		clock, telemetry, ...(settings.stop ?? defaultStop),
+		countRunning: () => Math.max(countOpenRequests(), router.countRunning()) + router.countDetached(),
 	});
 	const warmStart = {
 		clock, random, telemetry, bus: peers.bus, configuration: router.configuration, views: router.views, quarantine: router.quarantine,
@@ -68,12 +73,14 @@
 	};
 	provideSnapshots(warmStart);
 	const starting = new AbortController();
+	const aborting = new AbortController();
 	void restoreState(warmStart, settings.peers !== undefined, starting.signal).then(() => {
 		lifecycle.markReady();
 	});
 	const {callerServer, operatorServer} = await startServers(settings, {
-		clock, telemetry, platform, router, lifecycle, peers,
+		clock, telemetry, platform, router, lifecycle, peers, abortSignal: aborting.signal,
 	});
+	countOpenRequests = callerServer.countOpenRequests;
 	const {address} = callerServer;
 	const {address: adminAddress} = operatorServer;
 	telemetry.log('instance started', {address, adminAddress});
@@ -86,9 +93,17 @@
 		},
 		async stop() {
 			starting.abort();
-			// Requests that still run after a drain have exceeded its time limit.
-			const shouldAbort = lifecycle.phase === 'refusing' && router.countRunning() > 0;
-			await Promise.all([shouldAbort ? callerServer.destroy() : callerServer.close(), operatorServer.close()]);
+			const closedOperatorServer = closeWithin(clock, operatorServer, operatorTimeoutMs);
+			if (lifecycle.phase === 'refusing') {
+				// Requests that are still open after a drain have exceeded its time limit.
+				aborting.abort();
+				router.abortRunning();
+				await closeWithin(clock, callerServer, refusalTimeoutMs);
+			} else {
+				await callerServer.close();
+			}
+
+			await closedOperatorServer;
 			await router.stop();
 			await peers.stop();
 			telemetry.log('instance stopped');
@@ -96,16 +111,28 @@
 	};
 }
 
-type ServerDependencies = Readonly<{clock: Clock; telemetry: Telemetry; platform: ObjectStore; router: Router; lifecycle: Lifecycle; peers: Peers}>;
+/** Closes a server; requests that are open after `timeoutMs` are cut. */
+async function closeWithin(clock: Clock, server: HttpServer, timeoutMs: number): Promise<void> {
+	const timeout = new AbortController();
+	await Promise.race([server.close(), clock.sleep(timeoutMs, timeout.signal)]);
+	timeout.abort();
+	await server.destroy();
+}
+
+type ServerDependencies = Readonly<{
+	clock: Clock; telemetry: Telemetry; platform: ObjectStore; router: Router; lifecycle: Lifecycle; peers: Peers;
+	/** Aborts when the instance waits no longer for the requests of callers. */
+	abortSignal: AbortSignal;
+}>;
 
 async function startServers(settings: Settings, dependencies: ServerDependencies): Promise<Readonly<{callerServer: HttpServer; operatorServer: HttpServer}>> {
-	const {clock, telemetry, platform, router, lifecycle, peers} = dependencies;
+	const {clock, telemetry, platform, router, lifecycle, peers, abortSignal} = dependencies;
 	const countRefusal = ({reason, ran}: Refusal) => {
 		telemetry.count('refusals_total', {reason, ran});
 	};
 
 	const entry = createEntryApp({
-		handleRequest: gateRequests(lifecycle, router.handle, countRefusal), maxBodyBytes: settings.maxBodyBytes, countRefusal, clock,
+		handleRequest: gateRequests(lifecycle, router.handle, countRefusal), maxBodyBytes: settings.maxBodyBytes, countRefusal, clock, stopSignal: abortSignal,
 	});
 	const admin = createAdminApp({
 		name: settings.name, zone: settings.zone, telemetry, configuration: router.configuration, countRunning: router.countRunning,
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -62,12 +62,19 @@
 	explain(request: ExplainRequest): Result<Explanation, RefusalReason>;
 	/** Counts the requests in progress. */
 	countRunning(): number;
+	/** Counts the calls that go on without a caller, until their outcome is recorded. */
+	countDetached(): number;
+	/** Ends the requests in progress with the refusal `stopping`, which states whether they ran. */
+	abortRunning(): void;
 	/** Applies the platform's list of instances. */
 	applyInstanceList(entries: readonly InstanceEntry[]): void;
 	/** Stops all background tasks. */
 	stop(): Promise<void>;
 }>;
 
+/** Time after which a caller may retry a request that a stopping instance refused, in milliseconds. */
+export const stoppingRetryMs = 100;
+
 type RouteMatch = Readonly<{customer: Customer; route: Route; configuration: Configuration}>;
 
 /** Creates a router and starts its background tasks. */
@@ -185,6 +192,12 @@
 		configuration, views, quarantine, handle,
 		explain: request => explainPlacement(configuration.current, placer, request),
 		countRunning: () => running,
+		countDetached: () => claims.countDetached(),
+		abortRunning() {
+			admission.refuseWaiting(createRefusal('stopping', {retryAfterMs: stoppingRetryMs}));
+			claims.refuseWaiting();
+			dispatcher.abortRunning();
+		},
 		applyInstanceList(entries) {
 			drainingNotifier.applyInstanceList(entries);
 			admission.updateInstances(entries.filter(entry => entry.kind === 'router').map(entry => entry.name));
