Lifecycle: requests are refused in time even if timers are late

Cause: refusing began with a timer, which fires late when the event loop is busy; requests that were read meanwhile were accepted. Change: the time decides whether a request is accepted, not the phase. Result: the new test of lifecycle.test fails without the change.

--- a/packages/node/lifecycle.test.ts
+++ b/packages/node/lifecycle.test.ts
@@ -103,6 +103,23 @@
 	t.ok(isDrained);
 });
 
+t.test('requests are refused in time even if timers are late', async t => {
+	const clock = new ManualClock();
+	const lifecycle = new Lifecycle({
+		clock: {
+			now: () => clock.now(), getWallTimeMs: () => clock.getWallTimeMs(), setTimer: (delayMs, handler) => clock.setTimer(delayMs + 2000, handler),
+			subscribe: (intervalMs, handler) => clock.subscribe(intervalMs, handler), sleep: async delayMs => clock.sleep(delayMs + 2000),
+		},
+		telemetry: createTelemetry({level: 'silent'}), countRunning: () => 0, balancerMs: 3000, drainMs: 4000,
+	});
+	lifecycle.markReady();
+	void lifecycle.drain();
+	await clock.advance(2999);
+	t.ok(lifecycle.isAcceptingRequests);
+	await clock.advance(1);
+	t.notOk(lifecycle.isAcceptingRequests);
+});
+
 t.test('a shutdown that is handled after its end still refuses for a moment', async t => {
 	const {clock, lifecycle} = createLifecycle({running: 1});
 	await clock.advance(1_000_000);
--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -63,6 +63,8 @@
 	readonly #dependencies: LifecycleDependencies;
 	readonly #shutdownHooks: ShutdownHook[] = [];
 	#phase: Phase = 'starting';
+	/** Time from which new requests are refused. */
+	#refusingMs = Number.POSITIVE_INFINITY;
 	#drainPromise: Promise<void> | undefined;
 
 	constructor(dependencies: LifecycleDependencies) {
@@ -78,9 +80,9 @@
 		return this.#phase === 'serving';
 	}
 
-	/** Whether the instance accepts new requests. */
+	/** Whether the instance accepts new requests. The time decides and not the phase, which changes late if the event loop is busy. */
 	get isAcceptingRequests(): boolean {
-		return this.#phase !== 'refusing' && this.#phase !== 'ending';
+		return this.#dependencies.clock.now() < this.#refusingMs;
 	}
 
 	/** Whether answers carry `connection: close`, so that callers open new connections to other instances. */
@@ -113,6 +115,7 @@
 	async #drain({requestedMs}: DrainOptions): Promise<void> {
 		const {clock, telemetry, countRunning} = this.#dependencies;
 		const {refusingMs, withdrawnMs, endMs} = this.#computeTimes(requestedMs);
+		this.#refusingMs = refusingMs;
 		this.#enter('turning_away');
 		if (clock.now() < refusingMs) {
 			await clock.sleep(refusingMs - clock.now());
