Lifecycle: a shutdown waits until the event loop is on time

Cause: the shutdown ended when no request was counted as running, though with a busy event loop requests waited in the sockets that had not been read yet; their connections were reset. Change: the shutdown also waits, within the same end, while the timer of its last check was more than 100 ms late. Result: the new test of lifecycle.test fails without the change; a second one shows that the end stays bounded.

--- a/packages/node/lifecycle.test.ts
+++ b/packages/node/lifecycle.test.ts
@@ -103,16 +103,24 @@
 	t.ok(isDrained);
 });
 
-t.test('requests are refused in time even if timers are late', async t => {
+/** Creates a lifecycle whose timers fire late by a time that the test sets, as on a busy event loop. */
+function createLateLifecycle() {
 	const clock = new ManualClock();
+	const delay = {ms: 0};
 	const lifecycle = new Lifecycle({
 		clock: {
-			now: () => clock.now(), getWallTimeMs: () => clock.getWallTimeMs(), setTimer: (delayMs, handler) => clock.setTimer(delayMs + 2000, handler),
-			subscribe: (intervalMs, handler) => clock.subscribe(intervalMs, handler), sleep: async delayMs => clock.sleep(delayMs + 2000),
+			now: () => clock.now(), getWallTimeMs: () => clock.getWallTimeMs(), setTimer: (delayMs, handler) => clock.setTimer(delayMs + delay.ms, handler),
+			subscribe: (intervalMs, handler) => clock.subscribe(intervalMs, handler), sleep: async delayMs => clock.sleep(delayMs + delay.ms),
 		},
 		telemetry: createTelemetry({level: 'silent'}), countRunning: () => 0, balancerMs: 3000, drainMs: 4000,
 	});
 	lifecycle.markReady();
+	return {clock, lifecycle, delay};
+}
+
+t.test('requests are refused in time even if timers are late', async t => {
+	const {clock, lifecycle, delay} = createLateLifecycle();
+	delay.ms = 2000;
 	void lifecycle.drain();
 	await clock.advance(2999);
 	t.ok(lifecycle.isAcceptingRequests);
@@ -120,6 +128,31 @@
 	t.notOk(lifecycle.isAcceptingRequests);
 });
 
+t.test('a shutdown waits until the event loop is on time, as requests may wait to be read', async t => {
+	const {clock, lifecycle, delay} = createLateLifecycle();
+	delay.ms = 600;
+	let isDrained = false;
+	void lifecycle.drain().then(() => {
+		isDrained = true;
+	});
+	await clock.advance(5500);
+	t.notOk(isDrained);
+	delay.ms = 50;
+	await clock.advance(1000);
+	t.ok(isDrained);
+});
+
+t.test('a shutdown ends in time even if the event loop never is', async t => {
+	const {clock, lifecycle, delay} = createLateLifecycle();
+	delay.ms = 600;
+	let isDrained = false;
+	void lifecycle.drain().then(() => {
+		isDrained = true;
+	});
+	await clock.advance(7700);
+	t.ok(isDrained);
+});
+
 t.test('a shutdown that is handled after its end still refuses for a moment', async t => {
 	const {clock, lifecycle} = createLifecycle({running: 1});
 	await clock.advance(1_000_000);
--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -55,6 +55,9 @@
 /** Time between checks of whether requests that are being ended still run, in milliseconds. */
 const endPollIntervalMs = 10;
 
+/** Delay of a timer above which requests may still wait to be read, as the event loop is behind, in milliseconds; more than the inaccuracy of the system clock's timers. */
+const maxLatenessMs = 100;
+
 /** Maximum time that the shutdown waits for one hook, in milliseconds. */
 const hookTimeoutMs = 5000;
 
@@ -122,8 +125,11 @@
 		}
 
 		this.#enter('refusing');
-		while ((countRunning() > 0 || clock.now() < withdrawnMs) && clock.now() < endMs) {
-			await clock.sleep(Math.min(pollIntervalMs, endMs - clock.now()));
+		let latenessMs = clock.now() - refusingMs;
+		while ((countRunning() > 0 || latenessMs > maxLatenessMs || clock.now() < withdrawnMs) && clock.now() < endMs) {
+			const dueMs = Math.min(clock.now() + pollIntervalMs, endMs);
+			await clock.sleep(dueMs - clock.now());
+			latenessMs = clock.now() - dueMs;
 		}
 
 		if (countRunning() > 0) {
