Serve: handle signals from the beginning to the end

Cause: the listeners of SIGTERM and SIGINT were set after the start and were removed by the first signal. A signal during the start, when callers are already served, and a second SIGTERM during the drain ended the process by the default action. Change: the listeners are set before the settings are read and stay until the instance has stopped; the first signal counts. Result: serve.test.ts on an emitter in place of the process: both tests red before (signals not handled), green now. No run with a process of its own.

--- a/packages/cli/serve.ts
+++ b/packages/cli/serve.ts
@@ -1,18 +1,46 @@
 /** `apricotdoor serve`: runs one instance until SIGTERM or SIGINT. */
-import {once} from 'node:events';
+import type {EventEmitter} from 'node:events';
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {exitCodes, type ExitCode} from './exit-codes.ts';
 import {formatFileError} from './_fragments.ts';
 import type {CommandIo} from './io.ts';
-import {getErrorMessage} from '#core';
+import {getErrorMessage, waitForAbort} from '#core';
 import {parseSettings, startInstance} from '#node';
 
 /** Options of `apricotdoor serve`. */
 export type ServeOptions = Readonly<{settings: string}>;
 
-/** Runs an instance until SIGTERM or SIGINT, then drains and stops it. */
-export async function runServe(io: CommandIo, options: ServeOptions): Promise<ExitCode> {
+const stopSignals = ['SIGTERM', 'SIGINT'] as const;
+
+/**
+ * Runs an instance until SIGTERM or SIGINT, then drains and stops it. A signal
+ * during the start takes effect once the instance has started; further signals
+ * change nothing.
+ *
+ * @param signals emits the signals. Default: the process
+ */
+export async function runServe(io: CommandIo, options: ServeOptions, signals: EventEmitter = process): Promise<ExitCode> {
+	const stopRequest = new AbortController();
+	const handleSignal = () => {
+		stopRequest.abort();
+	};
+
+	// The listeners stay to the end: without one, a signal ends the process at once.
+	for (const signal of stopSignals) {
+		signals.on(signal, handleSignal);
+	}
+
+	try {
+		return await runInstance(io, options, stopRequest.signal);
+	} finally {
+		for (const signal of stopSignals) {
+			signals.off(signal, handleSignal);
+		}
+	}
+}
+
+async function runInstance(io: CommandIo, options: ServeOptions, stopSignal: AbortSignal): Promise<ExitCode> {
 	let text: string;
 	try {
 		text = await readFile(options.settings, 'utf8');
@@ -38,7 +66,7 @@
 		return exitCodes.failed;
 	}
 
-	await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+	await waitForAbort(stopSignal);
 	await instance.drain();
 	await instance.stop();
 	return exitCodes.ok;
