Targets: a refusal is believed if it names the attempt, or none on a new connection

The refusals of engines (429, 503, an error event before the head) and of plain services were not compared with the attempt at all, so the copy of an earlier one told "not run" for a call that runs, even if it named another attempt. Calls that must not be repeated were not concerned unless the refusal came on their new connection. Change: a refusal that names another attempt, or none on a connection that may have carried an earlier exchange, ends the attempt as unknown. An error event may state its attempt. The stand-ins state it in refusals. Two tests whose stand-in refused without the header on a shared connection now let it state the header, and expect the same as before; the case without it is in the new tests.

--- a/packages/standins/engine-server.ts
+++ b/packages/standins/engine-server.ts
@@ -77,7 +77,7 @@
 async function streamChat(engine: EngineStandin, call: TargetCall, res: Response): Promise<void> {
 	for await (const frame of engine.run(call, createCloseSignal(res))) {
 		if (frame.kind === 'fault' && frame.outcome !== 'failed') {
-			sendFault(res, frame.outcome === 'refused');
+			sendFault(res, call.attemptId, frame.outcome === 'refused');
 			return;
 		}
 
@@ -92,9 +92,9 @@
 }
 
 /** Reports a request that did not run with status 503, and otherwise closes the connection without a further response. */
-function sendFault(res: Response, isRefused: boolean): void {
+function sendFault(res: Response, attemptId: string, isRefused: boolean): void {
 	if (isRefused && !res.headersSent) {
-		res.status(503).json({detail: 'not run'});
+		res.status(503).set('x-attempt-id', attemptId).json({detail: 'not run'});
 		return;
 	}
 
--- a/packages/standins/service-server.ts
+++ b/packages/standins/service-server.ts
@@ -35,13 +35,13 @@
 			importKeys: [],
 		};
 		for await (const frame of service.run(call, createCloseSignal(res))) {
-			sendFrame(res, frame);
+			sendFrame(res, call.attemptId, frame);
 		}
 	});
 	return startHttpServer(app, `127.0.0.1:${port}`);
 }
 
-function sendFrame(res: Response, frame: TargetFrame): void {
+function sendFrame(res: Response, attemptId: string, frame: TargetFrame): void {
 	switch (frame.kind) {
 		case 'head': {
 			res.writeHead(frame.status, {
@@ -61,7 +61,7 @@
 		}
 
 		case 'fault': {
-			sendFault(res, frame.outcome === 'refused');
+			sendFault(res, attemptId, frame.outcome === 'refused');
 			break;
 		}
 
@@ -73,9 +73,9 @@
 }
 
 /** Reports a call that did not run with status 503 and a header, and otherwise closes the connection without a response. */
-function sendFault(res: Response, isRefused: boolean): void {
+function sendFault(res: Response, attemptId: string, isRefused: boolean): void {
 	if (isRefused) {
-		res.status(503).set('x-not-run', '1').end();
+		res.status(503).set({'x-not-run': '1', 'x-attempt-id': attemptId}).end();
 		return;
 	}
 
--- a/packages/targets/_http-link.ts
+++ b/packages/targets/_http-link.ts
@@ -42,6 +42,12 @@
 	return {outcome: isNotSent ? 'notSent' : 'unknown', detail: code === '' ? detail : `${code}: ${detail}`};
 }
 
+/** Finds the value of a header, the first one if it is repeated. `name` must be in lower case. */
+export function findHeaderValue(headers: IncomingHttpHeaders, name: string): string | undefined {
+	const value = headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
 /**
  * Reads a `Retry-After` header that is given in seconds (RFC 9110, section 10.2.3).
  *
@@ -57,6 +63,32 @@
 	return {kind: 'fault', ...classifyError(error)};
 }
 
+/** A refusal, and what shows which attempt it belongs to. */
+type TargetRefusal = Readonly<{
+	/** Id of the attempt. */
+	attemptId: string;
+	/** Id that the answer states, if it states one. */
+	statedId: string | undefined;
+	/** Whether the connection has carried no earlier exchange. */
+	isNewConnection: boolean;
+	detail: string;
+	retryAfterMs: number | undefined;
+}>;
+
+/**
+ * Creates the frame that closes an attempt which the target refuses to run. A
+ * refusal that names another attempt, or none on a connection that may have
+ * carried an earlier exchange, may be a copy of an earlier one and proves nothing.
+ */
+export function createRefusalFrame({attemptId, statedId, isNewConnection, detail, retryAfterMs}: TargetRefusal): TargetFrame {
+	const isOfAttempt = statedId === undefined ? isNewConnection : statedId === attemptId;
+	return isOfAttempt
+		? {
+			kind: 'fault', outcome: 'refused', detail, retryAfterMs,
+		}
+		: {kind: 'fault', outcome: 'unknown', detail: `${detail}, but does not name this attempt`};
+}
+
 type JsonRequest = Readonly<{
 	method: 'GET' | 'POST';
 	path: string;
--- a/packages/targets/engine-link.test.ts
+++ b/packages/targets/engine-link.test.ts
@@ -15,11 +15,11 @@
 	},
 };
 
-async function run(listener: HttpListener): Promise<readonly TargetFrame[]> {
+async function run(listener: HttpListener, options: Partial<TargetCall> = {}): Promise<readonly TargetFrame[]> {
 	const server = await startHttpServer(listener, '127.0.0.1:0');
 	const link = createHttpConnector().open(pool, {name: 'e1', address: server.address, zone: 'z'});
 	const frames: TargetFrame[] = [];
-	for await (const frame of link.run(call, new AbortController().signal)) {
+	for await (const frame of link.run({...call, ...options}, new AbortController().signal)) {
 		frames.push(frame);
 	}
 
@@ -56,7 +56,25 @@
 
 t.test('reads the retry time of an engine that refuses', async t => {
 	const frames = await run((_req, res) => {
-		res.writeHead(503, {'retry-after': '2'}).end();
+		res.writeHead(503, {'retry-after': '2', 'x-attempt-id': 'a1'}).end();
 	});
 	t.match(frames, [{kind: 'fault', outcome: 'refused', retryAfterMs: 2000}]);
 });
+
+// Guards against "not run" for a request that runs, as an earlier refusal is taken for its own.
+t.test('a refusal is believed if it names the attempt, or none on a new connection', async t => {
+	for (const [statedId, shouldUseNewConnection, expected] of [
+		['a1', false, 'refused'], ['a1', true, 'refused'], ['a0', false, 'unknown'], ['a0', true, 'unknown'], [undefined, false, 'unknown'], [undefined, true, 'refused'],
+	] as const) {
+		const refuse: HttpListener = (_req, res) => {
+			res.writeHead(503, statedId === undefined ? {} : {'x-attempt-id': statedId}).end();
+		};
+
+		const label = `${statedId} ${shouldUseNewConnection}`;
+		t.equal(summarizeFrames(await run(refuse, {shouldUseNewConnection})), expected, label);
+		const event = JSON.stringify({
+			type: 'error', ran: false, detail: 'no', attempt: statedId,
+		});
+		t.equal(summarizeFrames(await run(streamEvents(`data: ${event}\n\n`), {shouldUseNewConnection})), expected, `event ${label}`);
+	}
+});
--- a/packages/targets/engine-link.ts
+++ b/packages/targets/engine-link.ts
@@ -3,7 +3,7 @@
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import * as z from 'zod';
 import {
-	createHttpLink, cacheEventBatchSchema, createFaultFrame, requestJson, readRetryAfterMs, orderReceiptSchema, loadReportSchema, type HttpLink,
+	createHttpLink, cacheEventBatchSchema, createFaultFrame, createRefusalFrame, findHeaderValue, requestJson, readRetryAfterMs, orderReceiptSchema, loadReportSchema, type HttpLink,
 } from './_http-link.ts';
 import type {HttpConnectorOptions} from './http-connector.ts';
 import type {
@@ -26,7 +26,7 @@
 	}),
 	z.object({type: z.literal('end'), attempt: z.string(), finish: z.string()}),
 	z.object({
-		type: z.literal('error'), ran: z.boolean(), detail: z.string(), retryAfterMs: z.number().optional(),
+		type: z.literal('error'), attempt: z.string().optional(), ran: z.boolean(), detail: z.string(), retryAfterMs: z.number().optional(),
 	}),
 ]);
 
@@ -80,14 +80,19 @@
 		});
 		if (response.statusCode !== 200) {
 			await response.body.dump();
-			yield {
-				kind: 'fault', outcome: refusalStatuses.has(response.statusCode) ? 'refused' : 'failed', detail: `engine answered with status ${response.statusCode}`,
-				retryAfterMs: readRetryAfterMs(response.headers),
-			};
+			const detail = `engine answered with status ${response.statusCode}`;
+			const retryAfterMs = readRetryAfterMs(response.headers);
+			yield refusalStatuses.has(response.statusCode)
+				? createRefusalFrame({
+					attemptId: call.attemptId, statedId: findHeaderValue(response.headers, 'x-attempt-id'), isNewConnection: call.shouldUseNewConnection, detail, retryAfterMs,
+				})
+				: {
+					kind: 'fault', outcome: 'failed', detail, retryAfterMs,
+				};
 			return;
 		}
 
-		yield * readFrames(response.body);
+		yield * readFrames(response.body, call);
 	} catch (error) {
 		yield createFaultFrame(error);
 	} finally {
@@ -95,7 +100,7 @@
 	}
 }
 
-async function * readFrames(body: AsyncIterable<Uint8Array>): AsyncGenerator<TargetFrame> {
+async function * readFrames(body: AsyncIterable<Uint8Array>, call: TargetCall): AsyncGenerator<TargetFrame> {
 	const pending: EventSourceMessage[] = [];
 	let hasExceededBuffer = false;
 	const parser = createParser({
@@ -111,7 +116,7 @@
 	for await (const chunk of body) {
 		parser.feed(decoder.decode(chunk, {stream: true}));
 		for (const event of pending.splice(0)) {
-			const frame = parseFrame(event.data);
+			const frame = parseFrame(event.data, call);
 			yield frame;
 			if (frame.kind === 'end' || frame.kind === 'fault') {
 				return;
@@ -127,7 +132,7 @@
 	yield {kind: 'fault', outcome: 'unknown', detail: 'the engine closed the stream before its end event'};
 }
 
-function parseFrame(data: string): TargetFrame {
+function parseFrame(data: string, call: TargetCall): TargetFrame {
 	let json: unknown;
 	try {
 		json = JSON.parse(data);
@@ -140,11 +145,11 @@
 		return {kind: 'fault', outcome: 'unknown', detail: `the engine sent a malformed event: ${parsed.error.issues[0]?.message ?? ''}`};
 	}
 
-	const decode: (frame: never) => TargetFrame = frameDecoders[parsed.data.type];
-	return decode(parsed.data as never); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the table is keyed by the frame's own type
+	const decode: (frame: never, call: TargetCall) => TargetFrame = frameDecoders[parsed.data.type];
+	return decode(parsed.data as never, call); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the table is keyed by the frame's own type
 }
 
-type FrameDecoders = Readonly<{[Type in WireFrame['type']]: (frame: Extract<WireFrame, {type: Type}>) => TargetFrame}>;
+type FrameDecoders = Readonly<{[Type in WireFrame['type']]: (frame: Extract<WireFrame, {type: Type}>, call: TargetCall) => TargetFrame}>;
 
 const frameDecoders: FrameDecoders = {
 	head: ({attempt, incarnation, weights, promptTokens, cachedTokens}) =>
@@ -162,7 +167,11 @@
 	usage: ({attempt, promptTokens, completionTokens, cachedTokens}) =>
 		({kind: 'usage', attemptId: attempt, usage: {promptTokens, completionTokens, cachedTokens}}),
 	end: ({attempt, finish}) => ({kind: 'end', attemptId: attempt, finish}),
-	error: ({ran, detail, retryAfterMs}) => ({
-		kind: 'fault', outcome: ran ? 'failed' : 'refused', detail, retryAfterMs,
-	}),
+	error: ({attempt: statedId, ran, detail, retryAfterMs}, {attemptId, shouldUseNewConnection: isNewConnection}) => ran
+		? {
+			kind: 'fault', outcome: 'failed', detail, retryAfterMs,
+		}
+		: createRefusalFrame({
+			attemptId, statedId, isNewConnection, detail, retryAfterMs,
+		}),
 };
--- a/packages/targets/service-link.test.ts
+++ b/packages/targets/service-link.test.ts
@@ -114,10 +114,21 @@
 });
 
 t.test('recognizes a refusal only by its header', async t => {
-	const {link, run} = await startServer(createResponder('503 Busy\r\nx-not-run: 1\r\nretry-after: 2\r\ncontent-length: 0'));
+	const {link, run} = await startServer(createResponder('503 Busy\r\nx-not-run: 1\r\nx-attempt-id: a1\r\nretry-after: 2\r\ncontent-length: 0'));
 	t.equal(await run(), 'refused');
 	await link.close();
 	const other = await startServer(createResponder('503 Busy\r\ncontent-length: 0'));
 	t.equal(await other.run(), 'head end');
 	await other.link.close();
 });
+
+// Guards against "not run" for a call that runs, as an earlier refusal is taken for its own.
+t.test('a refusal is believed if it names the attempt, or none on a new connection', async t => {
+	for (const [line, shouldUseNewConnection, expected] of [
+		['x-attempt-id: a0\r\n', false, 'unknown'], ['x-attempt-id: a0\r\n', true, 'unknown'], ['', false, 'unknown'], ['', true, 'refused'],
+	] as const) {
+		const {link, run} = await startServer(createResponder(`503 Busy\r\nx-not-run: 1\r\n${line}content-length: 0`));
+		t.equal(await run('POST', shouldUseNewConnection), expected, `${line} ${shouldUseNewConnection}`);
+		await link.close();
+	}
+});
--- a/packages/targets/service-link.ts
+++ b/packages/targets/service-link.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import {
-	createHttpLink, createFaultFrame, requestJson, readRetryAfterMs, loadReportSchema, type HttpLink,
+	createHttpLink, createFaultFrame, createRefusalFrame, findHeaderValue, requestJson, readRetryAfterMs, loadReportSchema, type HttpLink,
 } from './_http-link.ts';
 import type {HttpConnectorOptions} from './http-connector.ts';
 import {
@@ -41,7 +41,7 @@
 			body: work.body.length > 0 ? work.body : null,
 			signal,
 		});
-		yield * readAnswer(call.attemptId, work.method, response);
+		yield * readAnswer(call, work.method, response);
 	} catch (error) {
 		yield createFaultFrame(error);
 	} finally {
@@ -49,19 +49,20 @@
 	}
 }
 
-async function * readAnswer(attemptId: string, method: string, response: Dispatcher.ResponseData): AsyncGenerator<TargetFrame> {
+async function * readAnswer({attemptId, shouldUseNewConnection}: TargetCall, method: string, response: Dispatcher.ResponseData): AsyncGenerator<TargetFrame> {
 	const {headers, statusCode: status} = response;
-	if (readHeader(headers, 'x-not-run') === '1') {
+	if (findHeaderValue(headers, 'x-not-run') === '1') {
 		await response.body.dump();
-		yield {
-			kind: 'fault', outcome: 'refused', detail: `service answered with status ${status} and did not run the request`, retryAfterMs: readRetryAfterMs(headers),
-		};
+		yield createRefusalFrame({
+			attemptId, statedId: findHeaderValue(headers, 'x-attempt-id'), isNewConnection: shouldUseNewConnection,
+			detail: `service answered with status ${status} and did not run the request`, retryAfterMs: readRetryAfterMs(headers),
+		});
 		return;
 	}
 
 	yield {
-		kind: 'head', attemptId: readHeader(headers, 'x-attempt-id') ?? attemptId, status, contentType: readHeader(headers, 'content-type'),
-		incarnation: readHeader(headers, 'x-incarnation') ?? '', promptTokens: 0, cachedTokens: 0,
+		kind: 'head', attemptId: findHeaderValue(headers, 'x-attempt-id') ?? attemptId, status, contentType: findHeaderValue(headers, 'content-type'),
+		incarnation: findHeaderValue(headers, 'x-incarnation') ?? '', promptTokens: 0, cachedTokens: 0,
 	};
 	let offset = 0;
 	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
@@ -86,15 +87,10 @@
 		return undefined;
 	}
 
-	const length = readHeader(headers, 'content-length');
+	const length = findHeaderValue(headers, 'content-length');
 	if (length !== undefined) {
 		return Number(length) === receivedBytes ? undefined : `the answer closed after ${receivedBytes} of ${length} bytes`;
 	}
 
-	return readHeader(headers, 'transfer-encoding') === undefined ? 'the answer states neither its length nor a chunked body' : undefined;
-}
-
-function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
-	const value = headers[name];
-	return Array.isArray(value) ? value[0] : value;
+	return findHeaderValue(headers, 'transfer-encoding') === undefined ? 'the answer states neither its length nor a chunked body' : undefined;
 }
