Relay: ask for origins while one version serves only where all peers know the question

Change: while one version is listed, peers are asked only if all of them are linked directly and state the extension `channels`; else a stream is refused or goes on as if no peer had answered. Result: the new test in origin-exchange.test fails without the change (14 instances) and passes with it; stream-restarts.test passes.

--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -94,6 +94,18 @@
 	t.ok(answers <= 2, `${answers} answers`);
 });
 
+// Guards against links that older programs close on messages that they do not know, also where only a peer of a peer is older.
+t.test('messages are understood if all peers are linked and state the extension', async t => {
+	const names = Array.from({length: 14}, (_item, index) => `n${index}`);
+	t.ok(start(t, names.slice(0, 4), ['v2']).a.exchange.isUnderstood());
+	t.notOk(start(t, names, ['v2']).a.exchange.isUnderstood());
+	const clock = new ManualClock();
+	const bus = {...new PeerNetworkStandin(clock).join({name: 'a', zone: 'z', incarnation: 'a'}), listNeighbours: () => [{name: 'b', zone: 'z', incarnation: 'b'}]};
+	t.notOk(new OriginExchange({
+		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false,
+	}).isUnderstood(), 'a neighbour that states no extension');
+});
+
 t.test('a request that no peer can answer ends after a bounded time', async t => {
 	const {clock, a} = start(t, ['a', 'b'], ['v2', 'v3']);
 	let found: unknown = 'waiting';
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -71,10 +71,10 @@
 		}
 	}
 
-	/** Whether the programs of all linked peers know the messages of this exchange; others would close the link. */
+	/** Whether the programs of all peers are known to understand the messages of this exchange; others would close the link. It is not known while messages reach some peers only through others. */
 	isUnderstood(): boolean {
 		const {bus} = this.#dependencies;
-		return bus.listChannelPeers().length === bus.listNeighbours().length;
+		return bus.listPeers().length <= maxFullMeshPeers && bus.listChannelPeers().length === bus.listNeighbours().length;
 	}
 
 	/** Asks the peers for the origin of a stream; returns `undefined` if none answers in time. */
