Refusals: keep the connection until the request has arrived

Cause: a refusal that was sent before the body was read ended the response at once. Where the connection closes (the caller asks for it, or the instance is stopping), it was closed with unread bytes and therefore reset, and the caller could lose the refusal. Change: finishResponse sends the refusal at once and ends the response when the request has arrived; the server's time-out of requests bounds the wait. Callers' and operators' refusals use it. Bodies over the limit are read to their end before they are refused, so they were sound.

--- a/packages/admin/_send-admin-refusal.ts
+++ b/packages/admin/_send-admin-refusal.ts
@@ -1,6 +1,7 @@
 /** Sends refusals of the administration API as JSON. */
 import type {Response} from 'express';
 import {adminRefusalRules, type AdminRefusal} from './refusals.ts';
+import {finishResponse} from '#http';
 import type {Telemetry} from '#telemetry';
 
 /** Counts a refusal and sends it as the response. */
@@ -8,5 +9,6 @@
 	const {reason, detail, extra} = refusal;
 	const {status, message} = adminRefusalRules[reason];
 	telemetry.count('admin_refusals_total', {reason});
-	res.status(status).json({error: {code: reason, message: detail ? `${message} ${detail}` : message, ...extra}});
+	res.status(status).set('content-type', 'application/json; charset=utf-8');
+	finishResponse(res, JSON.stringify({error: {code: reason, message: detail ? `${message} ${detail}` : message, ...extra}}));
 }
--- a/packages/entry/_refusal.ts
+++ b/packages/entry/_refusal.ts
@@ -1,6 +1,7 @@
 /** Refusals as JSON. */
 import type {Response} from 'express';
 import type {Refusal} from '#core';
+import {finishResponse} from '#http';
 
 /** Creates the JSON body of a refusal. */
 export function encodeRefusal(refusal: Refusal): unknown {
@@ -22,5 +23,6 @@
 		res.set('retry-after', String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1000))));
 	}
 
-	res.status(refusal.status).json(encodeRefusal(refusal));
+	res.status(refusal.status).set('content-type', 'application/json; charset=utf-8');
+	finishResponse(res, JSON.stringify(encodeRefusal(refusal)));
 }
--- a/packages/entry/app.test.ts
+++ b/packages/entry/app.test.ts
@@ -1,9 +1,10 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import t from 'tap';
 import {request} from 'undici';
 import {createEntryApp, type RequestHandler} from './app.ts';
-import {ManualClock} from '#clock';
+import {createSystemClock, ManualClock} from '#clock';
 import {createRefusal, type AnswerEvent, type Refusal} from '#core';
 import {startHttpServer} from '#http';
 
@@ -67,6 +68,32 @@
 	await longKeyAnswer.body.dump();
 });
 
+// Guards against refusals before the body is read that are lost because the connection is reset, as in a stop, whose answers close it.
+t.test('a refusal reaches a caller that is still sending its body', async t => {
+	const {server} = await startApp(createEventHandler(headEvent, endEvent));
+	const clock = createSystemClock();
+	for (const path of ['/nowhere', '/v1/chat/completions']) {
+		const socket = connect(Number(server.address.split(':')[1]), '127.0.0.1');
+		socket.on('error', () => {
+			// A reset is what the test guards against.
+		});
+		socket.pause();
+		socket.write(`POST ${path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-type: text/plain\r\ncontent-length: 900000\r\n\r\n`);
+		for (let chunk = 0; chunk < 90; chunk++) {
+			socket.write('x'.repeat(10_000));
+			await clock.sleep(1);
+		}
+
+		let text = '';
+		socket.on('data', chunk => {
+			text += chunk.toString();
+		});
+		socket.resume();
+		await Promise.race([once(socket, 'close'), clock.sleep(2000)]);
+		t.match(text, /^HTTP\/1\.1 40\d [\s\S]*not_run/v, path);
+	}
+});
+
 t.test('ends a complete stream with [DONE]', async t => {
 	const {send} = await startApp(createEventHandler(headEvent, dataEvent, endEvent));
 	const answer = await send({...chatBody, stream: true});
--- a/packages/http/mod.ts
+++ b/packages/http/mod.ts
@@ -1,3 +1,4 @@
 /** Listening HTTP servers, shared by the router and the stand-ins. */
 export {startHttpServer, type HttpServer} from './server.ts';
+export {finishResponse} from './finish-response.ts';
 export {createCloseSignal} from './close-signal.ts';
