Tests: the balancer's time in instance.test outlasts a busy machine

Cause: 'a graceful shutdown aborts no running request' failed once beside load (status 503 at line 87, a run of the whole suite on at load 15 to 27): the test sends a request that must still be accepted within 300 ms of the beginning of the shutdown, on the system clock. Change: the time is 2 s. All checks stay as they are.

--- a/packages/node/instance.test.ts
+++ b/packages/node/instance.test.ts
@@ -28,7 +28,7 @@
 async function startTestInstance(name: string, platformOrigin: string, seeds: readonly string[]): Promise<Instance> {
 	const settings = parseSettings(JSON.stringify({
 		name, zone: 'esbjerg', listen: '127.0.0.1:0', adminListen: '127.0.0.1:0', platformOrigin, logLevel: 'silent',
-		stop: {balancerMs: 300, drainMs: 60_000}, peers: {listen: '127.0.0.1:0', secret: 'a secret of sixteen', seeds},
+		stop: {balancerMs: 2000, drainMs: 60_000}, peers: {listen: '127.0.0.1:0', secret: 'a secret of sixteen', seeds},
 	}));
 	if (!settings.ok) {
 		throw new Error(JSON.stringify(settings.error));
