--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -73,7 +73,7 @@
 /** Maximum idle time of a connection that is reused for a request that must not run twice, in milliseconds: a target may close an idle connection while the request is being sent, and the request could not be retried then. */
 const maxIdleForOnceMs = 2000;
 
-/** Idle time of connections that a request without an id may reuse, in milliseconds: none, as an answer can name it on no connection. */
+/** Idle time of connections that a request without an id may reuse, in milliseconds: none, as no answer can name it. */
 const noIdleMs = -1;
 
 /** Causes of failures whose duration says nothing about the time that the target takes. */
--- a/packages/relay/continued-streams.test.ts
+++ b/packages/relay/continued-streams.test.ts
@@ -122,3 +122,11 @@
 	const resumed = await runRequest(t, streamRoute, breakOff(framings.chunked), sendText(comments));
 	t.strictSame([resumed.caller.records, resumed.caller.text], [['200 s3', 'end'], `${firstEvent}: comment\n\n${secondEvent}`]);
 });
+
+// Guards against sound streams that are cut, as they mix events with and without ids.
+t.test('a continuation may have events without ids if the stream had such before', async t => {
+	const ping = 'event: ping\ndata: 1\n\n';
+	const begun = sendTextAndClose(`${formatHead(framings.chunked, undefined)}${formatChunk(firstEvent)}${formatChunk(ping)}`);
+	const {caller} = await runRequest(t, streamRoute, begun, sendText(`${formatHead(framings.chunked, undefined)}${formatChunk(ping)}${formatChunk(secondEvent)}0\r\n\r\n`));
+	t.strictSame([caller.records, caller.text], [['200 s3', 'end'], `${firstEvent}${ping}${ping}${secondEvent}`]);
+});
