Tests: requests that are sent behind another one on their connection

Node.js hands over a request that its caller has sent behind another one at once. If the answer before it closes the connection, as every answer of a stopping instance does, such a request had been passed on to a target and its connection closed without an answer (LOST). If the connection closed before its turn, its response never emitted `close`: the request stayed open for ever, each later stop of the platform's instance waited to its last sixth and "ended" requests that were not there, and close() of the own interface's server did not return. One whose turn does not come is neither read nor passed on.

--- a/packages/http/mod.ts
+++ b/packages/http/mod.ts
@@ -2,3 +2,4 @@
 export {startHttpServer, type HttpServer} from './server.ts';
 export {finishResponse} from './finish-response.ts';
 export {createCloseSignal} from './close-signal.ts';
+export {runInTurn} from './run-in-turn.ts';
--- a/packages/http/server.test.ts
+++ b/packages/http/server.test.ts
@@ -102,3 +102,49 @@
 	await closed;
 	t.equal(server.countOpenRequests(), 0);
 });
+
+// Guards against a stop that never ends because of a request behind another one whose connection has closed.
+t.test('a request that waits behind another is not open once its connection has closed', async t => {
+	const {server, openSocket} = await startServer(() => {
+		// The requests stay open.
+	});
+	const socket = await openSocket();
+	socket.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await waitFor(() => server.countOpenRequests() > 0));
+	socket.destroy();
+	t.ok(await waitFor(() => server.countOpenRequests() === 0));
+	const result = await Promise.race([server.close().then(() => 'closed'), clock.sleep(2000).then(() => 'waiting')]);
+	t.equal(result, 'closed');
+});
+
+// Guards against a request that runs although its connection closes after the answer before it.
+t.test('a request behind an answer that closes the connection does not reach the listener', async t => {
+	const paths: string[] = [];
+	const {openSocket} = await startServer((req, res) => {
+		paths.push(req.url ?? '');
+		setImmediate(() => {
+			res.setHeader('connection', 'close');
+			res.end();
+		});
+	});
+	const socket = await openSocket();
+	socket.resume();
+	socket.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n');
+	await once(socket, 'close');
+	t.strictSame(paths, ['/1']);
+});
+
+// Guards against requests on one connection that are not all answered, or not in their order.
+t.test('requests that are sent behind each other are answered in their order', async t => {
+	const {openSocket} = await startServer((req, res) => {
+		res.end(`answer to ${req.url}.`);
+	});
+	const socket = await openSocket();
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.write([1, 2, 3].map(index => `GET /${index} HTTP/1.1\r\nhost: a\r\n\r\n`).join(''));
+	t.ok(await waitFor(() => text.endsWith('/3.')));
+	t.strictSame(text.match(/answer to \/\d/gv), ['answer to /1', 'answer to /2', 'answer to /3']);
+});
--- a/packages/http/server.ts
+++ b/packages/http/server.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {Server as TcpServer} from 'node:net';
+import {runInTurn} from './run-in-turn.ts';
 
 /** Handles requests, such as an express application; its return value is ignored. */
 export type HttpListener = (req: IncomingMessage, res: ServerResponse) => unknown;
@@ -51,15 +52,17 @@
 		connectionsCheckingInterval: timeoutCheckIntervalMs, maxHeaderSize: maxHeaderBytes,
 		keepAlive: true, keepAliveInitialDelay: keepAliveProbeDelayMs, noDelay: true,
 	}, (req, res) => {
-		openResponses.add(res);
-		res.once('close', () => {
-			openResponses.delete(res);
-		});
-		if (closed) {
-			res.shouldKeepAlive = false;
-		}
+		runInTurn(res, () => {
+			openResponses.add(res);
+			res.once('close', () => {
+				openResponses.delete(res);
+			});
+			if (closed) {
+				res.shouldKeepAlive = false;
+			}
 
-		listener(req, res);
+			listener(req, res);
+		});
 	});
 	server.listen(Number(port), host);
 	await once(server, 'listening');
