Tests: requests that wait for a probe or a check when all requests are ended

The end of all requests reached attempts and bodies, but not a request that waited for the probe of its target after a lost exchange (250 ms, then up to two checks of 250 ms) or for a check of its pool. The end lasts a twenty-fourth of the stop time (333 ms of 8 s, 83 ms of 2 s), so that the connection of such a request could close without an answer, also though it had not run. Change: these waits end with all requests; the probe goes on by itself. The relay of the tests can hold checks.

--- a/packages/relay/open-requests.test.ts
+++ b/packages/relay/open-requests.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {
-	formatEvent, onceRoute, silent, startRelay, streamHead, streamRoute, safeRoute,
+	formatEvent, onceRoute, reset, silent, startRelay, streamHead, streamRoute, safeRoute,
 } from './testing/relay.ts';
 import {OpenRequests} from './open-requests.ts';
 
@@ -43,3 +43,39 @@
 	await setup.waitUntil(isDone, 50);
 	t.equal(caller.records.at(-1), 'aborted');
 });
+
+/** Time in which all requests are to be ended, in milliseconds; that of a stop of 8 s is 333. */
+const endMs = 330;
+
+// Guards against a request that ends without an answer because it still waits for a probe of its target when all requests have been ended.
+t.test('a request whose target is being probed when all requests are ended is answered', async t => {
+	const setup = await startRelay(t, reset, silent);
+	let finishProbe: () => void = () => undefined;
+	let isProbing = false;
+	setup.handleProbe(async () => new Promise<void>(resolve => {
+		isProbing = true;
+		finishProbe = resolve;
+	}));
+	const {caller, isDone} = setup.startRequest(onceRoute);
+	await setup.waitUntil(() => isProbing);
+	setup.openRequests.endAll();
+	await setup.waitUntil(isDone, endMs / 2);
+	t.strictSame(caller.records, ['refused 502 target_lost unknown']);
+	finishProbe();
+});
+
+// Guards against a request that ends without an answer because it still waits for a check of its links when all requests have been ended.
+t.test('a request that waits for a check of its pool when all requests are ended is refused as not run', async t => {
+	const setup = await startRelay(t, silent, silent);
+	let finishCheck: (isReached: boolean) => void = () => undefined;
+	setup.handleCheck(async () => new Promise<boolean>(resolve => {
+		finishCheck = resolve;
+	}));
+	await setup.raw[0]!.close();
+	const {caller, isDone} = setup.startRequest(onceRoute);
+	await setup.waitUntil(() => setup.targets.get('t0')!.suspectUntilMs > setup.clock.now());
+	setup.openRequests.endAll();
+	await setup.waitUntil(isDone, endMs / 2);
+	t.strictSame(caller.records, ['refused 503 stopping not_run']);
+	finishCheck(true);
+});
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -92,7 +92,7 @@
 		for (;;) {
 			if (progress.cause === 'not_sent') {
 				// Whether the target or this instance's links failed decides where the next attempt goes.
-				await this.#dependencies.targetReach.waitForCheck(progress.pool.name);
+				await this.#waitUntilEnd(this.#dependencies.targetReach.waitForCheck(progress.pool.name));
 			}
 
 			// No attempt starts for a caller that no longer waits, whatever the request has waited for.
@@ -161,8 +161,7 @@
 			}
 		}
 
-		await this.#guard.recordResult(progress, choice, result);
-		release();
+		await this.#waitUntilEnd(this.#guard.recordResult(progress, choice, result).finally(release));
 		if (!failure) {
 			return {kind: 'answered'};
 		}
@@ -170,6 +169,21 @@
 		return this.#canRetry(progress, failure.cause, delivery) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 	}
 
+	/** Waits for a check or a probe, at most until all requests are ended: there is little time left to answer then. */
+	async #waitUntilEnd(activity: Promise<void>): Promise<void> {
+		const {openRequests} = this.#dependencies;
+		await new Promise<void>(resolve => {
+			const cancel = openRequests.subscribeEnd(resolve);
+			void activity.finally(() => {
+				cancel();
+				resolve();
+			});
+			if (openRequests.isEnding) {
+				resolve();
+			}
+		});
+	}
+
 	/** Runs one attempt through a peer. Returns the outcome of the request, or `undefined` if another attempt follows. */
 	async #runAtPeer(peer: Peer, progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): Promise<RelayOutcome | undefined> {
 		const {clock, telemetry, peerPaths} = this.#dependencies;
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -144,6 +144,8 @@
 	const alive = new Set(raw.map((_target, index) => `t${index}`));
 	/** Called during each probe of a target. */
 	let onProbe: () => unknown = () => undefined;
+	/** Checks whether this instance reaches a target. */
+	let checkReach = async (id: string) => !unreachable.has(id);
 	const quarantine = new Quarantine({
 		clock, random: createRandom(1), telemetry, bus: createNoopBus(),
 	}, {strikeLimit: 3});
@@ -155,7 +157,7 @@
 	});
 	const bus = createNoopBus();
 	const targetReach = new TargetReach({
-		clock, random: createRandom(4), telemetry, targets, getPool: () => pool, checkReach: async ({id}) => !unreachable.has(id),
+		clock, random: createRandom(4), telemetry, targets, getPool: () => pool, checkReach: async ({id}) => checkReach(id),
 	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const openRequests = new OpenRequests();
@@ -219,6 +221,9 @@
 		handleProbe(handler: () => unknown) {
 			onProbe = handler;
 		},
+		handleCheck(handler: (id: string) => Promise<boolean>) {
+			checkReach = handler;
+		},
 	};
 }
 
