Router: a test that running chats outlive their route, pool and customer

Cause: not known to be tested. Change: a test that removes all three from the configuration and crashes the engine. Result: green without a change of code.

--- a/packages/node/router.test.ts
+++ b/packages/node/router.test.ts
@@ -51,7 +51,7 @@
 	});
 	await clock.advanceUntil(() => router.configuration.current !== undefined, 1000);
 	return {
-		clock, router, targets, telemetry,
+		clock, platform, router, targets, telemetry,
 	};
 }
 
@@ -96,6 +96,24 @@
 	t.equal(targets.e1.attemptedRequestIds.length + targets.e2.attemptedRequestIds.length, 2);
 });
 
+// Guards against streams that are cut, or not continued, because their route left the configuration.
+t.test('a running chat goes on when its route, pool and customer leave the configuration', async t => {
+	const {clock, platform, router, targets} = await start();
+	const answer = collectEvents(router.handle(chatRequest, new AbortController().signal));
+	await clock.advance(150);
+	const publishing = publishFragments(platform, [{file: 'stock.json', text: JSON.stringify({service: 'stock'})}]);
+	await clock.advance(100);
+	const published = await publishing;
+	t.ok(published.ok);
+	await clock.advanceUntil(() => router.configuration.current?.routes.size === 0, 1000);
+	const busy = targets.e1.attemptedRequestIds.length > 0 ? targets.e1 : targets.e2;
+	busy.crash();
+	await clock.advance(5000);
+	const events = await answer;
+	t.equal(events.at(-1)?.kind, 'end');
+	t.same(getBytes(events), Buffer.concat(createAnswerSlices(chatRequest.work)));
+});
+
 t.test('does not repeat a call that is not repeatable after its answer was lost', async t => {
 	const {clock, router, targets} = await start();
 	targets.s1.loseResponses(1);
