Entry: requests that end by an error of the program are counted and logged

Cause: an error while an answer was made closed the connection and left no trace; one with a status below 500 after the head was counted as a refusal that its caller never got. Change: requests_unanswered_total and a log line for such requests; no refusal is counted once the head was sent. Result: app.test.ts: the error was not reported before; no text of it reached the stream before or after.

--- a/packages/entry/app.test.ts
+++ b/packages/entry/app.test.ts
@@ -18,10 +18,13 @@
 
 async function startApp(handleRequest: RequestHandler) {
 	const refusals: Refusal[] = [];
+	const errors: unknown[] = [];
 	const clock = new ManualClock();
 	const app = createEntryApp({
 		handleRequest, clock, maxBodyBytes: 1_000_000, countRefusal(refusal) {
 			refusals.push(refusal);
+		}, handleError(error) {
+			errors.push(error);
 		},
 	});
 	const server = await startHttpServer(app, '127.0.0.1:0');
@@ -30,7 +33,7 @@
 		method: 'POST', headers: {'content-type': 'application/json', ...headers}, body: typeof body === 'string' ? body : JSON.stringify(body),
 	});
 	return {
-		clock, server, refusals, send,
+		clock, server, refusals, errors, send,
 	};
 }
 
@@ -143,6 +146,25 @@
 	}
 });
 
+// Guards against the text of an error inside a stream, and against requests without an answer that leave no trace.
+t.test('an error inside a stream breaks it off and is reported', async t => {
+	const {send, errors} = await startApp(async function * () {
+		yield headEvent;
+		yield dataEvent;
+		await createSystemClock().sleep(50);
+		throw Object.assign(new Error('secret detail'), {status: 400});
+	});
+	const answer = await send({...chatBody, stream: true});
+	let text = '';
+	await t.rejects(async () => {
+		for await (const chunk of answer.body) {
+			text += String(chunk);
+		}
+	});
+	t.notMatch(text, /secret|DONE/v);
+	t.match(errors, [{message: 'secret detail'}]);
+});
+
 t.test('buffers a limited amount of data for a caller that does not read, and disconnects it', async t => {
 	let pulledChunks = 0;
 	const abortController = new AbortController();
--- a/packages/entry/app.ts
+++ b/packages/entry/app.ts
@@ -21,6 +21,8 @@
 	handleRequest: RequestHandler;
 	/** Counts a refusal of a request that did not reach `handleRequest`. */
 	countRefusal: (refusal: Refusal) => void;
+	/** Receives the error of a request whose connection is closed without a refusal. Default: it is dropped. */
+	handleError?: (error: unknown) => void;
 	/** Maximum size of a request's body, in bytes. */
 	maxBodyBytes: number;
 	clock: Clock;
@@ -96,10 +98,11 @@
 		sendRefusal(res, createRefusal('route_unknown', {detail: `There is no ${req.method} ${req.path}.`}));
 	});
 	app.use((error: unknown, _req: Request, res: Response, _next: NextFunction) => {
-		const refusal = classifyError(error);
+		const refusal = res.headersSent ? undefined : classifyError(error);
 		if (refusal) {
 			sendCountedRefusal(res, refusal);
 		} else {
+			dependencies.handleError?.(error);
 			res.destroy();
 		}
 	});
--- a/packages/node/instance.ts
+++ b/packages/node/instance.ts
@@ -6,7 +6,9 @@
 import {provideSnapshots, restoreState} from './warm-start.ts';
 import {createAdminApp} from '#admin';
 import {createSystemClock, type Clock} from '#clock';
-import {createSystemRandom, createRefusal, type Refusal} from '#core';
+import {
+	createSystemRandom, createRefusal, getErrorMessage, type Refusal,
+} from '#core';
 import {createEntryApp} from '#entry';
 import {startHttpServer, type HttpServer} from '#http';
 import {createHttpObjectStore, type ObjectStore} from '#object-store';
@@ -133,6 +135,10 @@
 
 	const entry = createEntryApp({
 		handleRequest: gateRequests(lifecycle, router.handle, countRefusal), maxBodyBytes: settings.maxBodyBytes, countRefusal, clock, stopSignal: abortSignal,
+		handleError(error) {
+			telemetry.count('requests_unanswered_total', {cause: 'error'});
+			telemetry.log('request ended without an answer', {error: getErrorMessage(error)});
+		},
 	});
 	const admin = createAdminApp({
 		name: settings.name, zone: settings.zone, telemetry, configuration: router.configuration, countRunning: router.countRunning,
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -12,6 +12,7 @@
 	requests_total: {help: 'Requests received, by route and customer.', labels: ['route', 'customer']},
 	answers_total: {help: 'Requests answered in full, by route and customer.', labels: ['route', 'customer']},
 	refusals_total: {help: 'Refused or failed requests, by reason and run state.', labels: ['reason', 'ran']},
+	requests_unanswered_total: {help: 'Requests of callers whose connection was closed without a complete answer or a refusal although the caller was there, by cause.', labels: ['cause']},
 	retries_total: {help: 'Attempts after the first one, by reason.', labels: ['reason']},
 	retries_refused_total: {help: 'Failed attempts that were not retried, by reason.', labels: ['reason']},
 	answer_bodies_total: {help: 'Bodies of answers that the relay received, by framing (`connection`: it ends with its connection) and by how they ended.', labels: ['framing', 'end']},
