Tests: a stop of the own interface does not answer 503 to what may have run

Requests that outlast a drain of the own interface were refused as `stopping` with status 503 and Retry-After also if they had run or may have run; only the body said so. The relay answers 502 `stopped` in this case. Change: `stopping` if the request has not run, else `stopped` (502). The test of expected 503 for these; it now expects 502 at the beginning of the answer, and the same run states.

--- a/packages/dispatch/dispatcher.ts
+++ b/packages/dispatch/dispatcher.ts
@@ -52,7 +52,7 @@
 		this.#guard = new CrashGuard(dependencies);
 	}
 
-	/** Aborts the running requests. Each ends with the refusal `stopping`, which states whether it ran. */
+	/** Aborts the running requests. Each ends with the refusal `stopping` if it has not run, else with `stopped`. */
 	abortRunning(): void {
 		this.#isStopping = true;
 		for (const controller of this.#running) {
@@ -153,7 +153,9 @@
 			return createRefusal(progress.ran === 'not_run' ? 'crashes_targets' : 'quarantined', {ran: progress.ran, retryAfterMs: progress.partRetryAfterMs});
 		}
 
-		const abortReason = this.#isStopping ? 'stopping' : 'deadline_exceeded';
+		// The status of `stopping` promises that the request has not run.
+		const stopReason = progress.ran === 'not_run' ? 'stopping' : 'stopped';
+		const abortReason = this.#isStopping ? stopReason : 'deadline_exceeded';
 		return createRefusal(signal.aborted ? abortReason : progress.reason, {ran: progress.ran, retryAfterMs: progress.retryAfterMs ?? defaultRetryAfterMs});
 	}
 
--- a/packages/node/planned-stop.test.ts
+++ b/packages/node/planned-stop.test.ts
@@ -139,7 +139,7 @@
 	await instance.stop();
 });
 
-// Guards against requests without an answer at the end of a drain.
+// Guards against requests without an answer at the end of a drain, and against the status 503 for requests that may have run.
 t.test('requests that outlast the drain are told what is known about them', async t => {
 	const {instance, open} = await startFixture({drainMs: 300, callMs: 60_000});
 	const [arriving, collected, streamed, moved] = [open(), open(), open(), open()];
@@ -155,9 +155,9 @@
 	await instance.stop();
 	t.ok(await waitFor(() => [arriving, collected, streamed, moved].every(caller => caller.isClosed)));
 	t.match(arriving.text, /503[\s\S]*"stopping"[\s\S]*"not_run"/v);
-	t.match(collected.text, /503[\s\S]*"stopping"[\s\S]*"ran":"ran"/v);
-	t.match(moved.text, /503[\s\S]*"stopping"[\s\S]*"unknown"/v);
-	t.match(streamed.text, /200[\s\S]*"stopping"/v);
+	t.match(collected.text, /^HTTP\/1.1 502[\s\S]*"stopped"[\s\S]*"ran":"ran"/v);
+	t.match(moved.text, /^HTTP\/1.1 502[\s\S]*"stopped"[\s\S]*"unknown"/v);
+	t.match(streamed.text, /200[\s\S]*"stopped"/v);
 	t.notMatch(streamed.text, /DONE|\n0\r\n\r\n/v);
 	t.equal(instance.telemetry.getCounter('drain_cut_requests_total'), 4);
 });
--- a/packages/node/router.ts
+++ b/packages/node/router.ts
@@ -64,7 +64,7 @@
 	countRunning(): number;
 	/** Counts the calls that go on without a caller, until their outcome is recorded. */
 	countDetached(): number;
-	/** Ends the requests in progress with the refusal `stopping`, which states whether they ran. */
+	/** Ends the requests in progress with the refusal `stopping` if they have not run, else with `stopped`. */
 	abortRunning(): void;
 	/** Applies the platform's list of instances. */
 	applyInstanceList(entries: readonly InstanceEntry[]): void;
