Tests: an order of the own interface opens a connection

An order to an engine used any idle connection of its pool, and nothing in its answer is compared with it: the copy of an earlier receipt, or of a refusal, was taken for its answer (lease given up, or the order sent again). Change: orders open a connection.

--- a/packages/targets/_http-link.ts
+++ b/packages/targets/_http-link.ts
@@ -94,12 +94,16 @@
 	path: string;
 	body?: unknown;
 	signal: AbortSignal;
+	/** Whether the request opens a connection, so that its answer can be to no earlier request. Default: no. */
+	shouldUseNewConnection?: boolean;
 }>;
 
 /** Sends a request and checks its JSON answer against a schema. An answer with a status other than 200 counts as a refusal. */
 export async function requestJson<Value>(link: HttpLink, schema: z.ZodType<Value>, request: JsonRequest): Promise<Result<Value, TargetFailure>> {
+	const newConnection = request.shouldUseNewConnection ? link.openNewConnection() : undefined;
 	try {
-		const response = await link.pool.request({
+		const response = await (newConnection ?? link.pool).request({
+			origin: link.origin,
 			method: request.method,
 			path: request.path,
 			headers: {'content-type': 'application/json'},
@@ -115,6 +119,8 @@
 		return parsed.success ? succeed(parsed.data) : fail({outcome: 'failed', detail: parsed.error.message});
 	} catch (error) {
 		return fail(classifyError(error));
+	} finally {
+		await newConnection?.destroy();
 	}
 }
 
--- a/packages/targets/engine-link.test.ts
+++ b/packages/targets/engine-link.test.ts
@@ -78,3 +78,24 @@
 		t.equal(summarizeFrames(await run(streamEvents(`data: ${event}\n\n`), {shouldUseNewConnection})), expected, `event ${label}`);
 	}
 });
+
+// Guards against the copy of an earlier answer that is taken for the answer to an order.
+t.test('an order opens a connection', async t => {
+	const ports = new Set<number | undefined>();
+	const server = await startHttpServer((req, res) => {
+		ports.add(req.socket.remotePort);
+		res.end(JSON.stringify({accepted: true, fencing: 1, lastOrderId: 'o1'}));
+	}, '127.0.0.1:0');
+	const link = createHttpConnector().open(pool, {name: 'e1', address: server.address, zone: 'z'});
+	const {signal} = new AbortController();
+	for (let sent = 0; sent < 3; sent++) {
+		const receipt = await link.sendOrder({
+			kind: 'load', model: 'm', value: 'v1', fencing: 1, orderId: 'o1',
+		}, signal);
+		t.ok(receipt.ok);
+	}
+
+	t.equal(ports.size, 3);
+	await link.close();
+	await server.destroy();
+});
--- a/packages/targets/engine-link.ts
+++ b/packages/targets/engine-link.ts
@@ -40,7 +40,7 @@
 		readReport: async signal => requestJson(link, loadReportSchema, {method: 'GET', path: '/report', signal}),
 		readCacheEvents: async (after, signal) => requestJson(link, cacheEventBatchSchema, {method: 'GET', path: `/events?after=${after}`, signal}),
 		sendOrder: async (order, signal) => requestJson(link, orderReceiptSchema, {
-			method: 'POST', path: '/orders', body: order, signal,
+			method: 'POST', path: '/orders', body: order, signal, shouldUseNewConnection: true,
 		}),
 		close: async () => link.pool.close(),
 	};
