Tests: a stream that its caller resumes contains only later events

What may continue a stream was checked only if this request had sent a part of it. Change: the event that the caller has counts like one that was sent to it: earlier events are left out, and text ends the attempt.

--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -28,6 +28,8 @@
 	readonly #clock: Clock;
 	readonly #isResumable: boolean;
 	readonly #isStream: boolean;
+	/** Id of the last event that the caller has from an earlier request, if it resumes a stream. */
+	readonly #resumedEventId: string | undefined;
 	/** Head that the caller was sent. */
 	#sentHead: TargetAnswer | undefined;
 	/** Whether the caller was sent an event, and one without an id. */
@@ -35,11 +37,12 @@
 	#hasSentEventWithoutId = false;
 	#errorAnswer: Readonly<{answer: TargetAnswer; body: Uint8Array}> | undefined;
 
-	constructor({route}: RelayRequest, caller: RelayCaller, clock: Clock) {
+	constructor({route, lastEventId}: RelayRequest, caller: RelayCaller, clock: Clock) {
 		this.#caller = caller;
 		this.#clock = clock;
 		this.#isStream = route.isStream;
 		this.#isResumable = route.isStream && route.retryPolicy === 'resume';
+		this.#resumedEventId = this.#isResumable ? lastEventId : undefined;
 	}
 
 	/** Whether a part of the answer, at least its head, was sent to the caller. */
@@ -135,7 +138,7 @@
 		const newEvents: StreamEvent[] = [];
 		for (const event of events) {
 			const {id, kind} = event;
-			if (kind === 'text' && this.#hasSentEvent) {
+			if (kind === 'text' && (this.#hasSentEvent || this.#resumedEventId !== undefined)) {
 				return {events: newEvents, fault: 'the stream contains text that is no event'};
 			}
 
@@ -143,7 +146,7 @@
 				return {events: newEvents, fault: 'the continued stream contains an event without an id'};
 			}
 
-			if (!this.#isResumable || id === undefined || isLater(id, this.lastEventId)) {
+			if (!this.#isResumable || id === undefined || isLater(id, this.lastEventId ?? this.#resumedEventId)) {
 				this.lastEventId = this.#isResumable ? id ?? this.lastEventId : undefined;
 				this.#hasSentEvent ||= kind === 'event';
 				this.#hasSentEventWithoutId ||= kind === 'event' && id === undefined;
--- a/packages/relay/continued-streams.test.ts
+++ b/packages/relay/continued-streams.test.ts
@@ -1,7 +1,7 @@
 /** Streams that break off after they have begun, and what the next target answers. */
 import t from 'tap';
 import {
-	formatChunk, formatEvent, runRequest, sendText, sendTextAndClose, streamRoute,
+	formatChunk, formatEvent, runRequest, sendText, sendTextAndClose, startRelay, streamRoute,
 } from './testing/relay.ts';
 import type {RawScript} from '#standins';
 
@@ -130,3 +130,19 @@
 	const {caller} = await runRequest(t, streamRoute, begun, sendText(`${formatHead(framings.chunked, undefined)}${formatChunk(ping)}${formatChunk(secondEvent)}0\r\n\r\n`));
 	t.strictSame([caller.records, caller.text], [['200 s3', 'end'], `${firstEvent}${ping}${ping}${secondEvent}`]);
 });
+
+// Guards against text of an error, and events that its caller has, in a stream that the caller itself takes up again.
+t.test('a stream that its caller resumes contains only events after the last one that the caller has', async t => {
+	const {headers, formatPart, end} = framings.chunked;
+	const begin = formatHead({headers, formatPart, end}, undefined);
+	const goOn = sendText(`${begin}${formatPart(secondEvent)}${end}`);
+	for (const [name, first] of [
+		['text', `${begin}${formatPart('internal error\n\n')}${end}`], ['an event that the caller has', `${begin}${formatPart(firstEvent)}${formatPart(secondEvent)}${end}`],
+	] as const) {
+		const {startRequest, waitUntil} = await startRelay(t, sendText(first), goOn);
+		const {caller, isDone} = startRequest(streamRoute, 0, 'a', {lastEventId: '1'});
+		await waitUntil(isDone);
+		t.equal(caller.text, secondEvent, name);
+		t.equal(caller.records.at(-1), 'end', name);
+	}
+});
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -183,7 +183,7 @@
 	});
 
 	/** Starts a request whose first attempt goes to the target with index `first`. */
-	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST'}: Readonly<{prompt?: Prompt; method?: 'POST' | 'HEAD'}> = {}) => {
+	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST', lastEventId}: Readonly<{prompt?: Prompt; method?: 'POST' | 'HEAD'; lastEventId?: string}> = {}) => {
 		const caller = new RecordingCaller();
 		for (const [index, state] of targets.list().entries()) {
 			state.serviceMs = index === first ? 1 : 30;
@@ -191,7 +191,7 @@
 
 		const request: RelayRequest = {
 			id, method, path: '/x', headers: ['x-own', '1'], body: method === 'POST' ? Buffer.from('body') : undefined, route, customer: undefined, prompt,
-			cacheScope: undefined, lastEventId: undefined, resumedRequestId: undefined, softwareVersion: undefined, configurationVersion: 1,
+			cacheScope: undefined, lastEventId, resumedRequestId: undefined, softwareVersion: undefined, configurationVersion: 1,
 			arrivedMs: clock.now(), deadlineMs: clock.now() + route.timeoutMs,
 		};
 		let isDone = false;
