Relay: a stop waits for requests of peers that the relay does not count

Cause: a request of a peer was counted as running only some turns of the event loop after it was taken, and no longer once its answer waited for the peer's credit (an error answer of more than 16 KiB). A stop that ended then closed the link under it. Change: the server for peers counts these requests, and the lifecycle waits for them.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -27,7 +27,7 @@
 import {
 	CachedParts, KvCacheStores, OpenRequests, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
 	PublishedWeights, VersionRecord, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
-	type ProbeTarget, type ReadPartCacheEvents, type TargetDialect,
+	type ProbeTarget, type ReadPartCacheEvents, type RelayedWork, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
 import type {Telemetry} from '#telemetry';
@@ -130,7 +130,9 @@
 const maxSignalListeners = 32;
 
 /** Components whose state the heartbeats carry. They are created after the peer protocol has started. */
-type StartedComponents = {relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths};
+type StartedComponents = {
+	relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths; relayedWork?: RelayedWork;
+};
 
 /** Creates a relay instance and starts its background tasks. */
 export async function startRelayInstance(dependencies: RelayInstanceDependencies): Promise<RelayInstance> {
@@ -209,8 +211,8 @@
 			origins, exchange: originExchange, targets, versionRecord, telemetry,
 		}, stream),
 	});
-	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay only.
-	const countRunning = () => Math.max(openRequests.size, relay.running + gateway.resolving);
+	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay, or wait for it.
+	const countRunning = () => Math.max(openRequests.size, relay.running + gateway.resolving) + (started.relayedWork?.countPending() ?? 0);
 	const lifecycle = new Lifecycle({
 		clock, telemetry, countRunning, balancerMs: bounds.balancerMs, drainMs: bounds.drainMs, endMs: bounds.endMs,
 		endRequests() {
@@ -247,7 +249,7 @@
 	Object.assign(started, {
 		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
 	});
-	serveRelayedRequests({
+	started.relayedWork = serveRelayedRequests({
 		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
 	});
 	const stopping = new AbortController();
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -38,6 +38,6 @@
 export {runPartExchange, type PartExchangeDependencies} from './part-exchange.ts';
 export {Relay, type RelayDependencies} from './relay.ts';
 export {PeerPaths, type PeerPathsDependencies} from './peer-paths.ts';
-export {serveRelayedRequests, type PeerRelayDependencies} from './peer-relay-server.ts';
+export {serveRelayedRequests, type PeerRelayDependencies, type RelayedWork} from './peer-relay-server.ts';
 export {TargetReach, type CheckReach, type TargetReachDependencies} from './target-reach.ts';
 export type {TargetMismatch} from './_attempt.ts';
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -33,10 +33,25 @@
 /** Maximum number of bytes of an answer that are sent without credit. */
 const windowBytes = 16_384;
 
+/** Work for peers that the relay does not count. */
+export type RelayedWork = Readonly<{
+	/** Counts the requests that have been taken and are not in the relay: not yet, or not any more though parts of their answers wait for credit. */
+	countPending(): number;
+}>;
+
 /** Runs the requests that peers send on channels. */
-export function serveRelayedRequests(dependencies: PeerRelayDependencies): void {
+export function serveRelayedRequests(dependencies: PeerRelayDependencies): RelayedWork {
 	const {bus, isReady} = dependencies;
 	let running = 0;
+	let inRelay = 0;
+	const relay: PeerRelayDependencies['relay'] = {
+		async run(...request) {
+			inRelay++;
+			await dependencies.relay.run(...request).finally(() => {
+				inRelay--;
+			});
+		},
+	};
 	bus.setChannelHandler(channel => {
 		const caller = new PeerCaller(channel, request => {
 			if (running >= maxRunning || !isReady()) {
@@ -45,12 +60,13 @@
 			}
 
 			running++;
-			void runRequest(dependencies, caller, request).finally(() => {
+			void runRequest({...dependencies, relay}, caller, request).finally(() => {
 				running--;
 			});
 		});
 		return caller;
 	});
+	return {countPending: () => running - inRelay};
 }
 
 async function runRequest({clock, telemetry, relay}: PeerRelayDependencies, caller: PeerCaller, {pool, remainingMs, ...request}: RelayedRequest): Promise<void> {
@@ -62,6 +78,7 @@
 		...request, body: request.body, customer: request.customer, prompt: request.prompt, cacheScope: request.cacheScope, lastEventId: request.lastEventId,
 		resumedRequestId: request.resumedRequestId, softwareVersion: request.softwareVersion, arrivedMs: nowMs, deadlineMs: nowMs + remainingMs, relayedBy: caller.peerName,
 	}, pool, caller);
+	await caller.waitForDrain();
 }
 
 /** The caller of a request that a peer has sent. */
