Platform: a stop reads the requests on connections that wait to be accepted

Cause: the event loop accepts one connection in each iteration. In the last phase of a stop every answer closes its connection, so callers open new ones; with iterations of 100 ms they waited for seconds to be accepted while the timers were on time, and were reset when the listener closed, 0.5 to 3 s after their requests had been sent.

--- a/packages/node/lifecycle.test.ts
+++ b/packages/node/lifecycle.test.ts
@@ -153,6 +153,19 @@
 	t.ok(isDrained);
 });
 
+t.test('a shutdown waits within its time limits until callers\' requests have been read', async t => {
+	for (const isReadMs of [17_000, Infinity]) {
+		const {clock, lifecycle} = createLifecycle({running: 0});
+		lifecycle.addInputCheck(async () => clock.now() >= isReadMs);
+		let drainedMs = 0;
+		void lifecycle.drain().then(() => {
+			drainedMs = clock.now();
+		});
+		await clock.advance(700_000);
+		t.equal(drainedMs, Math.min(isReadMs, 615_000));
+	}
+});
+
 t.test('a shutdown that is handled after its end still refuses for a moment', async t => {
 	const {clock, lifecycle} = createLifecycle({running: 1});
 	await clock.advance(1_000_000);
--- a/packages/node/lifecycle.ts
+++ b/packages/node/lifecycle.ts
@@ -15,6 +15,9 @@
 /** Hands over leases or soft state before the process ends. */
 export type ShutdownHook = () => Promise<void>;
 
+/** Returns whether all requests that callers have sent so far have been read, for one of the instance's servers. */
+export type InputCheck = () => Promise<boolean>;
+
 export type LifecycleDependencies = Readonly<{
 	clock: Clock;
 	telemetry: Telemetry;
@@ -65,6 +68,7 @@
 export class Lifecycle {
 	readonly #dependencies: LifecycleDependencies;
 	readonly #shutdownHooks: ShutdownHook[] = [];
+	readonly #inputChecks: InputCheck[] = [];
 	#phase: Phase = 'starting';
 	/** Time from which new requests are refused. */
 	#refusingMs = Number.POSITIVE_INFINITY;
@@ -98,6 +102,11 @@
 		this.#shutdownHooks.push(hook);
 	}
 
+	/** Adds a check for which a shutdown waits within its time limits, so that requests that wait to be read are refused before their connections close. */
+	addInputCheck(check: InputCheck): void {
+		this.#inputChecks.push(check);
+	}
+
 	/** Makes the instance ready. Has no effect once a shutdown has begun. */
 	markReady(): void {
 		if (this.#phase === 'starting') {
@@ -126,7 +135,7 @@
 
 		this.#enter('refusing');
 		let latenessMs = clock.now() - refusingMs;
-		while ((countRunning() > 0 || latenessMs > maxLatenessMs || clock.now() < withdrawnMs) && clock.now() < endMs) {
+		while (clock.now() < endMs && (countRunning() > 0 || latenessMs > maxLatenessMs || clock.now() < withdrawnMs || !(await this.#hasReadInput()))) {
 			const dueMs = Math.min(clock.now() + pollIntervalMs, endMs);
 			await clock.sleep(dueMs - clock.now());
 			latenessMs = clock.now() - dueMs;
@@ -155,6 +164,11 @@
 		}
 	}
 
+	async #hasReadInput(): Promise<boolean> {
+		const results = await Promise.all(this.#inputChecks.map(async check => check()));
+		return results.every(Boolean);
+	}
+
 	/** Computes the times of a shutdown that begins now. */
 	#computeTimes(requestedMs = Infinity): ShutdownTimes {
 		const {clock, balancerMs, drainMs} = this.#dependencies;
--- a/packages/node/mod.ts
+++ b/packages/node/mod.ts
@@ -8,7 +8,7 @@
 } from './relay-instance.ts';
 export {startInstance, type Instance} from './instance.ts';
 export {
-	Lifecycle, type DrainOptions, type ShutdownHook, type LifecycleDependencies, type Phase,
+	Lifecycle, type DrainOptions, type InputCheck, type ShutdownHook, type LifecycleDependencies, type Phase,
 } from './lifecycle.ts';
 export {
 	provideSnapshots, restoreState, type WarmStartDependencies,
