Review: runners that restart under their id are given up for good (case 5)

Cause: peers tell each other that a target is leaving under its id, not its incarnation, so that a statement of the earlier process is merged into the state of the new one, where it holds for ever. Change: a script in which two runners restart under their ids while one instance is frozen, then the last other one of their software version leaves; the shared stand-ins lose what only an earlier form of the script needed.

--- a/review/lib/router.mjs
+++ b/review/lib/router.mjs
@@ -154,6 +154,17 @@
 		}
 	}
 
+	/** Freezes the process until {@link Router.thaw}. */
+	freeze() {
+		this.#child.kill('SIGSTOP');
+		this.#trial.record('router freezes', {router: this.name});
+	}
+
+	thaw() {
+		this.#child.kill('SIGCONT');
+		this.#trial.record('router wakes', {router: this.name});
+	}
+
 	/** Asks as the platform does whether the instance is ready. */
 	async isReady() {
 		return new Promise(resolve => {
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -37,22 +37,14 @@
 			res.destroy();
 		});
 	});
-	/** Takes connections and resets those of a process that is cut off from the runners. */
-	#listener = createTcpServer({pauseOnConnect: true}, socket => {
+	/** Takes connections, so that all can be closed at once. */
+	#listener = createTcpServer(socket => {
 		socket.on('error', () => undefined);
-		const owner = this.trial.links.findOwner(socket);
-		if (this.trial.links.isCut(owner)) {
-			socket.resetAndDestroy();
-			return;
-		}
-
 		this.#connections.add(socket);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 		});
-		socket.owner = owner;
 		this.#server.emit('connection', socket);
-		socket.resume();
 	});
 	#connections = new Set();
 
@@ -94,16 +86,7 @@
 		}, heartbeatMs);
 	}
 
-	/** Resets the connections of a process. */
-	resetConnections(owner) {
-		for (const socket of this.#connections) {
-			if (socket.owner === owner) {
-				socket.resetAndDestroy();
-			}
-		}
-	}
-
-	/** Reports that this runner is about to leave. */
+	/** Reports in its entry that this runner is about to leave. */
 	drain() {
 		this.#state = 'draining';
 		this.#register();
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -19,8 +19,6 @@
 	calls = new Map();
 	/** Whether the store answers; if not, it resets connections. */
 	isUp = true;
-	/** Returns whether the caller at this socket is cut off from the store. */
-	isCut = () => false;
 	/** Time after which a watch that is waiting is cut off, in milliseconds; infinite if none is. */
 	watchLimitMs = Infinity;
 	/** Called for each write of the system: what was sent and with which status it was answered. */
@@ -35,7 +33,6 @@
 	#compactedRevision = 0;
 	#copies = [];
 	#waiting = new Set();
-	#sockets = new Set();
 	#server = createServer((req, res) => {
 		this.#handle(req, res).catch(() => {
 			res.destroy();
@@ -43,12 +40,6 @@
 	});
 
 	async listen(host, port) {
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
-		});
 		await new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(port, host, resolve);
@@ -61,15 +52,6 @@
 		this.#server.closeAllConnections();
 	}
 
-	/** Resets the connections that are cut off now. */
-	resetCut() {
-		for (const socket of this.#sockets) {
-			if (this.isCut(socket)) {
-				socket.resetAndDestroy();
-			}
-		}
-	}
-
 	get revision() {
 		return this.#revision;
 	}
@@ -146,7 +128,7 @@
 
 	async #handle(req, res) {
 		const text = await readText(req);
-		if (!this.isUp || this.isCut(req.socket)) {
+		if (!this.isUp) {
 			req.socket.resetAndDestroy();
 			return;
 		}
@@ -156,7 +138,7 @@
 		const label = `${req.method} ${kind}`;
 		this.calls.set(label, (this.calls.get(label) ?? 0) + 1);
 		const answer = req.method === 'GET' ? await this.#read(kind, name, url.searchParams) : this.#write(req.method, {kind, name, part}, text === '' ? {} : JSON.parse(text), url.searchParams);
-		if (!this.isUp || answer.isCutOff || this.isCut(req.socket)) {
+		if (!this.isUp || answer.isCutOff) {
 			req.socket.resetAndDestroy();
 			return;
 		}
--- a/review/lib/trial.mjs
+++ b/review/lib/trial.mjs
@@ -23,11 +23,6 @@
 export class Trial {
 	/** Whether the disruption takes place; `TROUBLE=0` leaves it out. */
 	hasTrouble = process.env.TROUBLE !== '0';
-	/** Links between instances and runners; whole unless a case cuts them. */
-	links = {
-		findOwner: () => undefined,
-		isCut: () => false,
-	};
 	/** Temporary folder of the run. */
 	folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	#startedMs = performance.now();
