Review: the copy of a drill is as old as the case needs (cases 2 and 3)

Cause: a fixed age of the copy does not reach back to the lease where loads are slow. Change: the copy is half a second older than the naming of the weights, and 10 s at most; otherwise the case says that it could not run.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -9,8 +9,9 @@
 /** Time for which the store is away, in milliseconds. */
 const awayMs = 500;
 
-/** Age of the copy, in milliseconds. */
-const copyAgeMs = 5000;
+/** Time by which the copy is older than the named weights, and the maximum age of the copy, in milliseconds. */
+const copyMarginMs = 500;
+const maxCopyAgeMs = 10_000;
 
 /** Time after the drill until the operator names the next version, in milliseconds: longer than ContactMs, LeaseMs and the planned stop. */
 const calmMs = 9000;
@@ -33,6 +34,7 @@
 
 	const waitForVersion = async version => trial.until(() => engines.every(engine => engine.version === version), `all engines have version ${version}`, 15_000);
 	await trial.wait(8000);
+	const namedMs = trial.nowMs;
 	publish(2);
 	await waitForVersion(2);
 	trial.record('all engines have loaded version 2');
@@ -41,6 +43,11 @@
 		store.takeAway();
 		trial.record('the store is away');
 		await trial.wait(awayMs);
+		const copyAgeMs = trial.nowMs - namedMs + copyMarginMs;
+		if (copyAgeMs > maxCopyAgeMs) {
+			throw new NotRunError('the engines have loaded too slowly');
+		}
+
 		const revision = store.restore(copyAgeMs);
 		trial.record('the store is back from a copy', {copyAgeMs, revision});
 		for (const [key, spec] of written) {
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -4,13 +4,14 @@
 import {createConfiguration} from '../lib/configuration.mjs';
 import {startDeployment, startTraffic} from '../lib/deployment.mjs';
 import {createId, send} from '../lib/requester.mjs';
-import {runTrial} from '../lib/trial.mjs';
+import {NotRunError, runTrial} from '../lib/trial.mjs';
 
 const model = 'm0';
 const awayMs = 500;
 
-/** Age of the copy, in milliseconds. */
-const copyAgeMs = 6000;
+/** Time by which the copy is older than the first of these weights, and the maximum age of the copy, in milliseconds. */
+const copyMarginMs = 500;
+const maxCopyAgeMs = 10_000;
 
 /** Time after the drill until the operator changes the configuration, in milliseconds: twice ContactMs. */
 const calmMs = 6000;
@@ -41,6 +42,7 @@
 	};
 
 	await trial.wait(9000);
+	const namedMs = trial.nowMs;
 	await roll(2);
 	await roll(3);
 	write('config', 'main', createConfiguration(2, before));
@@ -49,6 +51,11 @@
 		store.takeAway();
 		trial.record('the store is away', {revision: store.revision});
 		await trial.wait(awayMs);
+		const copyAgeMs = trial.nowMs - namedMs + copyMarginMs;
+		if (copyAgeMs > maxCopyAgeMs) {
+			throw new NotRunError('the engines have loaded too slowly');
+		}
+
 		const revision = store.restore(copyAgeMs);
 		trial.record('the store is back from a copy', {copyAgeMs, revision});
 		for (const [key, spec] of written) {
