--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -25,7 +25,7 @@
 await runTrial(path.dirname(fileURLToPath(import.meta.url)), async trial => {
 	const {store, ledgers, engines, routers} = await startDeployment(trial, {ledgerOptions: {workMs: 86}});
 	const agents = routers.map(() => createAgent());
-	const traffic = startTraffic(trial, 80, async index => {
+	const traffic = startTraffic(trial, 160, async index => {
 		const router = index % routers.length;
 		const to = routers[router].front;
 		return index % 4 > 0
