--- a/review/lib/trial.mjs
+++ b/review/lib/trial.mjs
@@ -8,6 +8,10 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+
+/** Root of the repository; paths in the record are relative to it. */
+const rootFolder = fileURLToPath(new URL('../..', import.meta.url));
 
 export const exitCodes = {held: 0, broken: 1, notRun: 2};
 
@@ -74,7 +78,7 @@
 	}
 
 	write(file) {
-		writeFileSync(file, `${this.#lines.join('\n')}\n`);
+		writeFileSync(file, `${this.#lines.join('\n')}\n`.replaceAll(rootFolder, ''));
 	}
 }
 
