--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,14 +1,15 @@
 /** An entry of another writer, in which a field has no value, lies among those of the runners. */
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {startDeployment, startTraffic} from '../lib/deployment.mjs';
+import {Balancer} from '../lib/balancer.mjs';
+import {recordRuns, startDeployment, startTraffic} from '../lib/deployment.mjs';
 import {
 	createAgent, createId, gaveUp, send,
 } from '../lib/requester.mjs';
 import {runTrial} from '../lib/trial.mjs';
 
 const calmMs = 5000;
-const watchedMs = 15_000;
+const watchedMs = 40_000;
 
 /** The rule's limits: processes that end by themselves so often, on so many machines. */
 const maxOwnEnds = 2;
@@ -24,19 +25,21 @@
 
 await runTrial(path.dirname(fileURLToPath(import.meta.url)), async trial => {
 	const {store, ledgers, engines, routers} = await startDeployment(trial, {ledgerOptions: {workMs: 86}});
-	const agents = routers.map(() => createAgent());
-	const traffic = startTraffic(trial, 160, async index => {
-		const router = index % routers.length;
-		const to = routers[router].front;
-		return index % 4 > 0
-			? send(to, {
-				id: createId('move'), method: 'POST', path: '/move/1', body: 'meter 7', agent: agents[router],
-			})
-			: send(to, {
-				id: createId('seal'), method: 'POST', path: '/seal/1', body: 'prompt', agent: agents[router], deadlineMs: 3000, headers: {
+	const balancer = new Balancer(trial, routers);
+	const agents = new Map(routers.map(router => [router, createAgent()]));
+	const traffic = startTraffic(trial, 80, async index => {
+		const router = balancer.choose(index % routers.length);
+		const agent = agents.get(router);
+		const answer = await send(router.front, index % 4 > 0
+			? {
+				id: createId('move'), method: 'POST', path: '/move/1', body: 'meter 7', agent,
+			}
+			: {
+				id: createId('seal'), method: 'POST', path: '/seal/1', body: 'prompt', agent, deadlineMs: 3000, headers: {
 					'x-apricotdoor-model': 'm0', 'x-apricotdoor-token-usage': '2368,5', 'x-apricotdoor-prompt-prefix': `5c1e07a2:568,${createId('e4')}:1800`,
 				},
 			});
+		return {router: router.name, ...answer};
 	});
 	await trial.wait(calmMs);
 	const troubleMs = trial.nowMs;
@@ -47,6 +50,7 @@
 
 	await trial.wait(watchedMs);
 	await traffic.stop();
+	recordRuns(trial, [...ledgers, ...engines]);
 	const ran = new Set([...ledgers, ...engines].flatMap(({runs}) => runs.map(({id}) => id)));
 	for (const phase of ['before', 'after']) {
 		const sent = traffic.answers.filter(({sentMs}) => (sentMs < troubleMs) === (phase === 'before'));
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,7 +2,7 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {createConfiguration} from '../lib/configuration.mjs';
-import {startDeployment, startTraffic} from '../lib/deployment.mjs';
+import {recordRuns, startDeployment, startTraffic} from '../lib/deployment.mjs';
 import {createId, send} from '../lib/requester.mjs';
 import {NotRunError, runTrial} from '../lib/trial.mjs';
 
@@ -81,6 +81,7 @@
 	await trial.wait(watchedMs);
 	await traffic.stop();
 	trial.record('calls of the store since the change', Object.fromEntries(store.calls));
+	recordRuns(trial, [...ledgers, ...newLedgers]);
 	const services = new Map([...ledgers.flatMap(({runs}) => runs.map(({id}) => [id, 'ledger'])), ...newLedgers.flatMap(({runs}) => runs.map(({id}) => [id, 'ledger-new']))]);
 	const late = traffic.answers.filter(({sentMs}) => sentMs > confirmedMs + configMs).map(answer => ({...answer, service: services.get(answer.id)}));
 	for (const {id, router, sentMs, status, service} of late) {
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,7 +1,7 @@
 /** Two runners of one software version are restarted under the ids that they had, while one machine is frozen; then the third leaves. */
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {startDeployment, startTraffic} from '../lib/deployment.mjs';
+import {recordRuns, startDeployment, startTraffic} from '../lib/deployment.mjs';
 import {createId, send} from '../lib/requester.mjs';
 import {runTrial} from '../lib/trial.mjs';
 
@@ -49,7 +49,7 @@
 		const event = findLastEvent(answer.text);
 		streams.push({sentMs, router, begins: event > 0});
 		if (answer.isComplete || event === 0) {
-			return answer;
+			return {router: router.name, ...answer};
 		}
 
 		// As the pages say, the caller takes the stream up at another machine.
@@ -61,7 +61,7 @@
 		};
 		takeUps.push(takeUp);
 		trial.record('a stream is taken up again', {...takeUp, router: other.name});
-		return second;
+		return {router: other.name, takesUp: id, ...second};
 	});
 	await trial.wait(calmMs);
 	const [first, second, last] = engines;
@@ -83,6 +83,7 @@
 	trial.record('a runner has left for good', {runner: last.id});
 	await trial.wait(10_000);
 	await traffic.stop();
+	recordRuns(trial, [...engines, ...newEngines]);
 	for (const engine of [...engines, ...newEngines]) {
 		trial.record('runs', {runner: engine.id, runs: engine.runs.length, sinceItsRestart: engine.runs.filter(({atMs}) => atMs > servingFromMs).length});
 	}
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,3 @@
 for file in lib/*.mjs [1-5]/*.mjs; do
 	node --check "$file"
 done
-test -f ../target/apricotdoor.cjs || { echo 'build the deploy file first: target/apricotdoor.cjs is missing' >&2; exit 2; }
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -43,6 +43,17 @@
 	};
 }
 
+/** Records what the runners have run. */
+export function recordRuns(trial, runners) {
+	for (const {id: runner, runs} of runners) {
+		for (const {id, atMs, path, tenant} of runs) {
+			trial.record('run', {
+				runner, id, atMs, path, tenant,
+			});
+		}
+	}
+}
+
 /**
  * Sends requests at a fixed rate until it is stopped.
  *
@@ -73,6 +84,11 @@
 			stopping.abort();
 			await task;
 			await Promise.all(pending);
+			for (const {id, sentMs, router, status, error, ms} of answers) {
+				trial.record('request', {
+					id, sentMs, router, status: status ?? error, ms,
+				});
+			}
 		},
 	};
 }
--- a/review/lib/router.mjs
+++ b/review/lib/router.mjs
@@ -104,6 +104,7 @@
 			},
 		});
 		this.#child = child;
+		this.#trial.addProcess(child);
 		this.#isStopping = false;
 		let errors = '';
 		child.stderr.on('data', chunk => {
--- a/review/lib/trial.mjs
+++ b/review/lib/trial.mjs
@@ -32,6 +32,7 @@
 	#startedMs = performance.now();
 	#lines = [];
 	#cleanups = [];
+	#children = new Set();
 
 	/** Time since the start, in milliseconds. */
 	get nowMs() {
@@ -43,6 +44,17 @@
 		this.#lines.push(`${String(this.nowMs).padStart(6)} ms  ${event}  ${JSON.stringify(details)}`);
 	}
 
+	/** Adds a process that is ended with this one, however this one ends. */
+	addProcess(child) {
+		this.#children.add(child);
+	}
+
+	endProcesses() {
+		for (const child of this.#children) {
+			child.kill('SIGKILL');
+		}
+	}
+
 	/** Adds a function that is called at the end, the last one first. */
 	addCleanup(cleanup) {
 		this.#cleanups.push(cleanup);
@@ -92,6 +104,26 @@
 	trial.record(trial.hasTrouble ? 'run with the disruption' : 'run without the disruption');
 	let code = exitCodes.notRun;
 	const timeout = new AbortController();
+	/** Ends the run where it is: an error of a stand-in or a signal is no verdict on the rule. */
+	const giveUp = reason => {
+		trial.record('the case could not run', {error: reason});
+		trial.endProcesses();
+		trial.write(path.join(caseFolder, 'record.txt'));
+		process.exit(exitCodes.notRun); // eslint-disable-line unicorn/no-process-exit -- nothing may run on
+	};
+
+	process.on('uncaughtException', error => {
+		giveUp(error.stack);
+	});
+	for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+		process.on(signal, () => {
+			giveUp(`the script received ${signal}`);
+		});
+	}
+
+	process.on('exit', () => {
+		trial.endProcesses();
+	});
 	try {
 		const breaks = await Promise.race([
 			run(trial),
