--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -21,6 +21,8 @@
 	loadAgeMs: number | undefined;
 	/** Version of the weights that the target was expected to serve. */
 	weights: number | undefined;
+	/** Time for which these weights were taken to be stale, in milliseconds; `undefined` if they were not. */
+	staleMs: number | undefined;
 	/** Version of the target's software. */
 	software: string;
 	/** Prompt tokens that the target was expected to read, as they were not cached. */
@@ -105,7 +107,8 @@
 		const {target} = choice.state;
 		this.attempts.push({
 			target: target.id, costMs: Math.round(choice.costMs), queueMs: Math.round(choice.queueMs), loadAgeMs: computeLoadAgeMs(choice, startMs),
-			weights: choice.weights, software: target.softwareVersion, unreadTokens: choice.unreadTokens, source: choice.source?.id,
+			weights: choice.weights, staleMs: choice.stalenessMs === undefined ? undefined : Math.round(choice.stalenessMs), software: target.softwareVersion,
+			unreadTokens: choice.unreadTokens, source: choice.source?.id,
 			fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			connection: isNewConnection ? 'new' : 'reused', ...(status !== undefined && {status, isNamed}),
 			end: failure?.cause ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}), ...(statement && {statement}),
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -69,6 +69,8 @@
 	unreadTokens: number;
 	/** Version of the weights that the target is believed to serve; absent if it is not known. */
 	weights: number | undefined;
+	/** Time for which these weights have been stale, in milliseconds; absent if they are not. */
+	stalenessMs?: number | undefined;
 	/** Scope within which cached parts may be shared, for these weights. */
 	cacheScope: string | undefined;
 	/** Target or store from which parts of the prompt can be fetched. */
@@ -238,6 +240,7 @@
 
 	return state => {
 		const weights = getWeights(query, state);
+		const stalenessMs = getStalenessMs(query, weights);
 		const layout = getPartLayout(weights);
 		const cachedCount = countCachedParts(query, layout, state);
 		const found = cachedCount < layout.parts.length ? findCachedSource(layout, state, cachedCount) : undefined;
@@ -255,9 +258,9 @@
 			+ (requests * concurrentRequestMs)
 			+ (cachedCount === layout.parts.length || isHome ? 0 : duplicateCacheMs)
 			+ computeZoneCostMs(query.zone, state)
-			+ ((getStalenessMs(query, weights) ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
+			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
 		return {
-			state, queueMs, waitMs, costMs, unreadTokens, weights, cacheScope: formatCacheScope(query, weights), source: found?.source,
+			state, queueMs, waitMs, costMs, unreadTokens, weights, stalenessMs, cacheScope: formatCacheScope(query, weights), source: found?.source,
 			keeper: found && found.source.id === layout.store?.address ? layout.store : undefined, partKeys: layout.keys,
 		};
 	};
