Relay: an instance knows when weights were published, not only when it learned of them

Change: heartbeats state the ages of the versions of the last 30 s (a new optional field, which older builds ignore); the oldest stated or observed age holds. A version that was there at the start counts as older than any bound from 2 s after the start, one that is learned within 5 s of a suspension as old as the suspension, until a peer states its age. Intermediate versions that only peers saw are added.

--- a/packages/clock/manual-clock.ts
+++ b/packages/clock/manual-clock.ts
@@ -74,6 +74,16 @@
 		await nextTurn();
 	}
 
+	/**
+	 * Moves time forward without firing timers, as for a process that is suspended.
+	 * Those that are due fire late, in the next {@link ManualClock.advance}.
+	 *
+	 * @param ms length of the suspension, in milliseconds
+	 */
+	suspend(ms: number): void {
+		this.#nowMs += ms;
+	}
+
 	/**
 	 * Advances time and fires each timer at its due time.
 	 *
@@ -88,7 +98,7 @@
 				continue;
 			}
 
-			this.#nowMs = timer.dueMs;
+			this.#nowMs = Math.max(this.#nowMs, timer.dueMs);
 			timer.handler();
 			await this.runPendingCallbacks();
 		}
--- a/packages/clock/mod.ts
+++ b/packages/clock/mod.ts
@@ -6,3 +6,4 @@
 export type {Clock, Cancel, RepeatingTimerOptions} from './clock.ts';
 export {createSystemClock} from './system-clock.ts';
 export {ManualClock} from './manual-clock.ts';
+export {SuspensionMonitor, type Suspension} from './suspension-monitor.ts';
--- a/packages/mirror/kind-mirror.ts
+++ b/packages/mirror/kind-mirror.ts
@@ -7,8 +7,12 @@
 import Emittery from 'emittery';
 import type {StoredObject, WatchBatch} from '#object-store';
 
-/** Keys of the objects that were added, changed or deleted. */
-export type MirrorChange = Readonly<{keys: readonly string[]}>;
+export type MirrorChange = Readonly<{
+	/** Keys of the objects that were added, changed or deleted. */
+	keys: readonly string[];
+	/** Whether this is the first list, so that the time of the changes is not known. */
+	isFirstList: boolean;
+}>;
 
 type Tombstone = Readonly<{key: string; revision: number}>;
 
@@ -69,10 +73,11 @@
 			this.#lastChangeRevision = revision;
 		}
 
+		const isFirstList = this.#revision === 0;
 		this.#tombstones = [];
 		this.#minDiffRevision = revision;
 		this.#revision = revision;
-		this.#emit([...changedKeys, ...deletedKeys]);
+		this.#emit([...changedKeys, ...deletedKeys], isFirstList);
 	}
 
 	/**
@@ -106,8 +111,9 @@
 			this.#minDiffRevision = evicted.at(-1)!.revision;
 		}
 
+		const isFirstList = this.#revision === 0;
 		this.#revision = batch.revision;
-		this.#emit(changedKeys);
+		this.#emit(changedKeys, isFirstList);
 		return true;
 	}
 
@@ -140,9 +146,9 @@
 		return true;
 	}
 
-	#emit(keys: readonly string[]): void {
+	#emit(keys: readonly string[], isFirstList: boolean): void {
 		if (keys.length > 0) {
-			void this.events.emit('changed', {keys});
+			void this.events.emit('changed', {keys, isFirstList});
 		}
 	}
 }
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -63,8 +63,8 @@
 		this.#targets.events.on('changed', () => {
 			this.#decodeTargets();
 		});
-		this.#weights.events.on('changed', () => {
-			this.#recordWeights();
+		this.#weights.events.on('changed', ({isFirstList}) => {
+			this.#recordWeights(!isFirstList);
 		});
 	}
 
@@ -73,9 +73,20 @@
 		return this.#mirrorRelay.getRevisions();
 	}
 
-	/** Compares the revisions in a peer's heartbeat with those of the mirrors. */
+	/** Compares the revisions in a peer's heartbeat with those of the mirrors, and merges the ages of published weights. */
 	handleHeartbeat(peer: Peer, status: PeerStatus): void {
+		const {telemetry, publishedWeights, rollout} = this.#dependencies;
 		this.#mirrorRelay.handleHeartbeat(peer, status);
+		const newer = (status.publishedWeights ?? []).filter(statement => publishedWeights.merge(statement));
+		for (const {model, version, ageMs} of newer) {
+			telemetry.log('new version of weights published', {
+				model, version, ageMs: Math.round(ageMs), statedBy: peer.name,
+			});
+		}
+
+		if (newer.length > 0) {
+			rollout.wake();
+		}
 	}
 
 	/** Keeps the mirrors up to date with the store until `signal` aborts. */
@@ -137,12 +148,13 @@
 		}
 	}
 
-	#recordWeights(): void {
+	#recordWeights(wereListed: boolean): void {
 		const {formats, telemetry, publishedWeights, rollout} = this.#dependencies;
 		for (const stored of this.#weights.list()) {
 			const weights = formats.decodeWeights(stored);
-			if (weights && publishedWeights.record(weights.model, weights.version)) {
-				telemetry.log('new version of weights published', weights);
+			if (weights && publishedWeights.record(weights.model, weights.version, wereListed)) {
+				// The age is `null` if it is taken to be above any bound.
+				telemetry.log('new version of weights published', {...weights, ageMs: publishedWeights.get(weights.model)?.at(-1)?.ageMs, wasListedFirst: !wereListed});
 			}
 		}
 
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -11,7 +11,7 @@
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
 import type {Settings} from './settings.ts';
-import type {Clock} from '#clock';
+import {SuspensionMonitor, type Clock} from '#clock';
 import type {
 	Random, RelayConfiguration, RelayTarget, Result,
 } from '#core';
@@ -27,7 +27,7 @@
 import {
 	CachedParts, KvCacheStores, OpenRequests, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
 	PublishedWeights, VersionRecord, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
-	type ProbeTarget, type ReadPartCacheEvents, type RelayedWork, type TargetDialect,
+	type ProbeTarget, type ReadPartCacheEvents, type RelayedWork, type TargetDialect, type WeightsStatement,
 } from '#relay';
 import type {EngineControl} from '#rollout';
 import type {Telemetry} from '#telemetry';
@@ -141,6 +141,8 @@
 	} = dependencies;
 	const started: StartedComponents = {};
 	const countLiveInstances = () => started.peers?.listInstances().length ?? 1;
+	const suspensions = new SuspensionMonitor(clock);
+	const publishedWeights = new PublishedWeights({clock, suspensions});
 	const sharingInstances = new InstanceCount(clock, countLiveInstances, expectedInstances);
 	const countSharingInstances = () => sharingInstances.getCount();
 	const store = createObjectStoreClient({
@@ -149,7 +151,7 @@
 	const peers = await startPeers({
 		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
 		getStatus: () => ({
-			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []),
+			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []), ...formatPublishedWeights(publishedWeights.listStatements()),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
 			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {},
 		}),
@@ -162,7 +164,6 @@
 	const openRequests = new OpenRequests();
 	const targets = new TargetSet(clock, dependencies.connections);
 	const calls = dependencies.createCalls(targets);
-	const publishedWeights = new PublishedWeights(clock);
 	const cachedParts = new CachedParts();
 	const origins = new StreamOrigins(clock);
 	const originExchange = new OriginExchange({
@@ -286,6 +287,7 @@
 		},
 		async stop() {
 			stopping.abort();
+			suspensions.close();
 			quarantine.close();
 			partStrikes.close();
 			await peers.stop();
@@ -310,6 +312,11 @@
 	return pools.length > 0 ? {unreachablePools: [...pools]} : {};
 }
 
+/** Returns the field of a heartbeat's status that states the ages of published weights; none if none were published lately. */
+function formatPublishedWeights(statements: readonly WeightsStatement[]): Readonly<{publishedWeights?: WeightsStatement[]}> {
+	return statements.length > 0 ? {publishedWeights: [...statements]} : {};
+}
+
 type Registration = Readonly<{store: ObjectStore; key: string; value: string; clock: Clock}>;
 
 /** Writes the entry of this instance, and retries until the store accepts it. */
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -2,7 +2,7 @@
 import {StoreMirrors} from './_store-mirrors.ts';
 import {StoreWatchers} from './_store-watchers.ts';
 import type {StoredFormats} from './relay-instance.ts';
-import {ManualClock} from '#clock';
+import {ManualClock, SuspensionMonitor} from '#clock';
 import {
 	createRandom, fail, succeed, type RelayConfiguration, type RelayTarget,
 } from '#core';
@@ -43,7 +43,7 @@
 	const clock = new ManualClock();
 	const store = new PlatformStandin(clock, {latencyMs: 2});
 	const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
-	const publishedWeights = new PublishedWeights(clock);
+	const publishedWeights = new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)});
 	const decoded: string[] = [];
 	const applied: number[] = [];
 	let newest: RelayConfiguration | undefined;
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -4,7 +4,7 @@
 import {PublishedWeights} from './published-weights.ts';
 import {CachedParts} from './cached-parts.ts';
 import {TargetState} from './target-state.ts';
-import {ManualClock} from '#clock';
+import {ManualClock, SuspensionMonitor} from '#clock';
 import {
 	createRandom, prepareHash, type EngineTraits, type Prompt, type RelayTarget,
 } from '#core';
@@ -97,18 +97,18 @@
 
 t.test('a later published version does not reset the staleness of older weights', async t => {
 	const clock = new ManualClock();
-	const published = new PublishedWeights(clock);
+	const published = new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)});
 	const prompt = createPrompt([['a', 100], ['own', 100]]);
 	const targets = [createState(0, {weights: new Map([['m', 3]])}), createState(1, {weights: new Map([['m', 4]])})];
 	const query = () => createQuery(targets, {prompt, publishedVersions: published.get('m')});
-	published.record('m', 4);
+	published.record('m', 4, true);
 	await clock.advance(7000);
-	published.record('m', 5);
+	published.record('m', 5, true);
 	targets[1]!.pendingTokens.add(0, 20_000);
 	t.equal(choose(query()).state.target.id, 'e1', 'version 3 has been stale for 7 s, version 4 becomes stale now');
 	await clock.advance(7000);
 	t.equal(chooseRelayTarget(query()), 'old_weights');
-	t.notOk(published.record('m', 4), 'versions only rise');
+	t.notOk(published.record('m', 4, true), 'versions only rise');
 });
 
 t.test('during a long roll-out, stale weights are not used if the wait would exceed their time limit', async t => {
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -23,7 +23,7 @@
 export {
 	chooseRelayTarget, type PublishedVersion, type PublishedVersions, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
-export {PublishedWeights} from './published-weights.ts';
+export {PublishedWeights, type WeightsStatement} from './published-weights.ts';
 export {CachedParts, type CachedPart} from './cached-parts.ts';
 export {
 	computeStreamKey, originRetentionMs, StreamOrigins, type StreamOrigin, type StreamOriginRecord,
--- a/packages/relay/published-weights.ts
+++ b/packages/relay/published-weights.ts
@@ -1,55 +1,140 @@
-/** Stores the published versions of each model's weights, and when this instance learned of them. */
+/**
+ * The published versions of each model's weights, with the time of their
+ * publication as this instance knows it. It knows the time of those that it learns
+ * while it runs. A version that was there when it started, or that it learns right
+ * after it was suspended, may be older than its knowledge of it: until a peer states
+ * the age, the oldest possible one is assumed.
+ */
 import type {PublishedVersions} from './choose-target.ts';
-import type {Clock} from '#clock';
+import type {Clock, SuspensionMonitor} from '#clock';
 
-/** A version, and the time at which this instance learned of it, or is assumed to have been published before the start of this process, in milliseconds. */
-type StoredVersion = Readonly<{version: number; learnedMs: number}>;
+/**
+ * How the time of a publication is known:
+ *
+ * - `observed`: this instance learned of the version at that time
+ * - `stated`: a peer has stated the age
+ * - `assumed`: the version may have been published at any time in which this instance was suspended
+ * - `unknown`: it was published before this instance started
+ */
+type AgeBasis = 'observed' | 'stated' | 'assumed' | 'unknown';
+
+type KnownVersion = Readonly<{version: number; publishedMs: number; basis: AgeBasis}>;
+
+/** The age of a published version, as instances tell it each other. */
+export type WeightsStatement = Readonly<{
+	model: string;
+	version: number;
+	/** Time since its publication, in milliseconds. */
+	ageMs: number;
+}>;
+
+export type PublishedWeightsDependencies = Readonly<{
+	clock: Clock;
+	suspensions: Pick<SuspensionMonitor, 'getLast'>;
+}>;
 
 /** Maximum number of versions stored per model; the oldest are removed, as engines are hardly ever that many versions behind. */
 const maxVersions = 16;
 
-/** Time after the start of this process within which versions may have been published before it, in milliseconds: it reads them from the store or from peers. */
-const startMs = 5000;
+/** Age that versions which were there before are taken to have at the start, in milliseconds: by then, most engines have been updated. */
+const ageAtStartMs = 3000;
+
+/** Time after the start from which on they are taken to be older than any bound, in milliseconds. It is shorter than the time for which the platform accepts older weights from an instance that has started, by a wait at an engine. */
+const maxUnknownMs = 2000;
+
+/** Time after a suspension within which a version that is learned may have been published in it, in milliseconds: the watch may have to be opened again. */
+const resumedMs = 5000;
+
+/** Age from which on a version is not stated any more, in milliseconds: every instance then takes it for older than any bound. */
+const maxStatedAgeMs = 30_000;
 
-/** Age of such a version, in milliseconds: by then, most engines have been updated. */
-const assumedAgeMs = 3000;
+/** Maximum number of statements in one message. */
+const maxStatements = 32;
 
 /** Published versions by model; a model's versions only rise. */
 export class PublishedWeights {
-	readonly #clock: Clock;
+	readonly #dependencies: PublishedWeightsDependencies;
 	readonly #createdMs: number;
-	readonly #versions = new Map<string, readonly StoredVersion[]>();
+	readonly #versions = new Map<string, readonly KnownVersion[]>();
 
-	constructor(clock: Clock) {
-		this.#clock = clock;
-		this.#createdMs = clock.now();
+	constructor(dependencies: PublishedWeightsDependencies) {
+		this.#dependencies = dependencies;
+		this.#createdMs = dependencies.clock.now();
 	}
 
 	/**
 	 * Records that a version was published.
 	 *
+	 * @param wasListed whether the versions had been listed before, so that this one was not there then
 	 * @returns whether it is newer than the versions known before
 	 */
-	record(model: string, version: number): boolean {
-		const known = this.#versions.get(model) ?? [];
-		if (version <= (known.at(-1)?.version ?? 0)) {
+	record(model: string, version: number, wasListed: boolean): boolean {
+		const newest = this.#versions.get(model)?.at(-1)?.version ?? 0;
+		if (version <= newest) {
 			return false;
 		}
 
-		const nowMs = this.#clock.now();
-		const learnedMs = nowMs - this.#createdMs < startMs ? nowMs - assumedAgeMs : nowMs;
-		this.#versions.set(model, [...known.slice(1 - maxVersions), {version, learnedMs}]);
+		this.#add(model, {version, ...this.#datePublication(wasListed)});
 		return true;
 	}
 
+	/**
+	 * Merges the age of a version that a peer states. Of several statements, the oldest holds.
+	 *
+	 * @returns whether the version is newer than those known before
+	 */
+	merge({model, version, ageMs}: WeightsStatement): boolean {
+		const versions = this.#versions.get(model) ?? [];
+		const known = versions.find(other => other.version === version);
+		const statedMs = this.#dependencies.clock.now() - ageMs;
+		const isDated = known?.basis === 'observed' || known?.basis === 'stated';
+		const isNewest = version > (versions.at(-1)?.version ?? 0);
+		if (!isDated || statedMs < known.publishedMs) {
+			this.#add(model, {version, publishedMs: statedMs, basis: 'stated'});
+		}
+
+		return isNewest;
+	}
+
+	/** Lists what the peers should know: the versions of the last time whose age is known, the newest first. */
+	listStatements(): readonly WeightsStatement[] {
+		const nowMs = this.#dependencies.clock.now();
+		return [...this.#versions].flatMap(([model, versions]) => versions.filter(({basis}) => basis === 'observed' || basis === 'stated')
+			.map(({version, publishedMs}) => ({model, version, ageMs: Math.max(0, nowMs - publishedMs)})))
+			.filter(({ageMs}) => ageMs <= maxStatedAgeMs)
+			.toSorted((a, b) => a.ageMs - b.ageMs)
+			.slice(0, maxStatements);
+	}
+
 	/** Returns the versions of a model with their ages, the oldest first. */
 	get(model: string): PublishedVersions | undefined {
-		const nowMs = this.#clock.now();
-		return this.#versions.get(model)?.map(({version, learnedMs}) => ({version, ageMs: nowMs - learnedMs}));
+		return this.#versions.get(model)?.map(({version, publishedMs, basis}) => ({version, ageMs: this.#computeAgeMs(publishedMs, basis)}));
 	}
 
 	/** Returns the newest version of each model. */
 	listNewest(): ReadonlyMap<string, number> {
 		return new Map([...this.#versions].map(([model, versions]) => [model, versions.at(-1)!.version]));
 	}
+
+	/** Determines when a version that is learned now was published at the earliest. */
+	#datePublication(wasListed: boolean): Omit<KnownVersion, 'version'> {
+		const {clock, suspensions} = this.#dependencies;
+		const nowMs = clock.now();
+		if (!wasListed) {
+			return {publishedMs: this.#createdMs - ageAtStartMs, basis: 'unknown'};
+		}
+
+		const suspension = suspensions.getLast();
+		return suspension && nowMs - suspension.endMs < resumedMs ? {publishedMs: suspension.startMs, basis: 'assumed'} : {publishedMs: nowMs, basis: 'observed'};
+	}
+
+	#computeAgeMs(publishedMs: number, basis: AgeBasis): number {
+		const nowMs = this.#dependencies.clock.now();
+		return basis === 'unknown' && nowMs - this.#createdMs >= maxUnknownMs ? Infinity : nowMs - publishedMs;
+	}
+
+	#add(model: string, added: KnownVersion): void {
+		const others = (this.#versions.get(model) ?? []).filter(({version}) => version !== added.version);
+		this.#versions.set(model, [...others, added].toSorted((a, b) => a.version - b.version).slice(-maxVersions));
+	}
 }
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -13,7 +13,7 @@
 import {TargetReach} from '../target-reach.ts';
 import {TargetSet} from '../target-set.ts';
 import {PublishedWeights} from '../published-weights.ts';
-import {ManualClock} from '#clock';
+import {ManualClock, SuspensionMonitor} from '#clock';
 import {
 	createRandom, prepareHash, type Prompt, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
 } from '#core';
@@ -166,7 +166,7 @@
 			bus, clock, random: createRandom(5), zone: 'z',
 		}),
 		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
-		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
+		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)}),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
 			await onProbe();
 			return alive.has(id);
