Relay: a target whose weights are not known is asked for the newest

Cause: a prompt for a target whose entry says nothing of its weights went out without the version that it expects, and the target counted as current for ever: it could run on any version (hypothesis 2 of VERSION), and what it cached was shared under no version. Change: without knowledge, the newest published version is stated; a target with another one refuses the request as not run, and its report is read then. Engines of which only a report told the weights take part in roll-outs. Result: "a target whose weights are not known is sent the newest version that it must serve" failed before (no version stated).

--- a/packages/node/_instance-rollout.ts
+++ b/packages/node/_instance-rollout.ts
@@ -69,7 +69,7 @@
 		}
 	}
 
-	const listEngines = () => targets.list().filter(({target, isLeaving}) => !isLeaving && target.weights.size > 0);
+	const listEngines = () => targets.list().filter(({weights, isLeaving}) => !isLeaving && weights.size > 0);
 	const exchange = new WeightsProgressExchange({
 		bus, clock,
 		handleStep(progress, from) {
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -67,7 +67,7 @@
 	costMs: number;
 	/** Prompt tokens that the target is expected to read, as they are not cached. */
 	unreadTokens: number;
-	/** Version of the weights that the target is believed to serve; absent if it is not known. */
+	/** Version of the weights that the target must serve: the one that it is believed to serve, else the newest published one; absent if neither is known. */
 	weights: number | undefined;
 	/** Time for which these weights have been stale, in milliseconds; absent if they are not. */
 	stalenessMs?: number | undefined;
@@ -184,8 +184,9 @@
 	return passing.length > 0 ? passing : states;
 }
 
-function getWeights({prompt}: TargetQuery, state: TargetState): number | undefined {
-	return prompt && state.weights.get(prompt.model);
+/** Returns the version that the target serves as far as known. Where nothing is known, the newest one is stated with the request, so that a target with another one refuses it. */
+function getWeights({prompt, publishedVersions}: TargetQuery, state: TargetState): number | undefined {
+	return prompt && (state.weights.get(prompt.model) ?? publishedVersions?.at(-1)?.version);
 }
 
 /** Returns the time for which weights have been stale, in milliseconds, or `undefined` if they are not stale. */
