--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -78,9 +78,10 @@
 		const {telemetry, publishedWeights, rollout} = this.#dependencies;
 		this.#mirrorRelay.handleHeartbeat(peer, status);
 		const newer = (status.publishedWeights ?? []).filter(statement => publishedWeights.merge(statement));
-		for (const {model, version, ageMs} of newer) {
+		for (const {model, versions} of newer) {
+			const [version, ageMs] = versions.at(-1)!;
 			telemetry.log('new version of weights published', {
-				model, version, ageMs: Math.round(ageMs), statedBy: peer.name,
+				model, version, ageMs, statedBy: peer.name,
 			});
 		}
 
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -21,6 +21,7 @@
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
 import {runWorkExchange} from '#placement';
+import type {PeerStatus} from '#peer-protocol';
 import {
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
@@ -313,8 +314,8 @@
 }
 
 /** Returns the field of a heartbeat's status that states the ages of published weights; none if none were published lately. */
-function formatPublishedWeights(statements: readonly WeightsStatement[]): Readonly<{publishedWeights?: WeightsStatement[]}> {
-	return statements.length > 0 ? {publishedWeights: [...statements]} : {};
+function formatPublishedWeights(statements: readonly WeightsStatement[]): Pick<PeerStatus, 'publishedWeights'> {
+	return statements.length > 0 ? {publishedWeights: statements.map(({model, versions}) => ({model, versions: versions.map(([version, ageMs]) => [version, ageMs])}))} : {};
 }
 
 type Registration = Readonly<{store: ObjectStore; key: string; value: string; clock: Clock}>;
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -8,7 +8,8 @@
 const maxNameLength = 200;
 const maxHops = 64;
 const maxUnreachablePools = 256;
-const maxWeightsStatements = 64;
+const maxModels = 64;
+const maxVersions = 64;
 
 /** Schema of the state that an instance repeats in each heartbeat. */
 export const peerStatusSchema = z.object({
@@ -24,8 +25,10 @@
 	membersDigest: z.string().max(maxNameLength),
 	/** Pools of which the instance reaches no target; absent if there are none. */
 	unreachablePools: z.array(z.string().max(maxNameLength)).max(maxUnreachablePools).optional(),
-	/** Versions of weights that were published lately, and the time since then, in milliseconds; absent if there are none. */
-	publishedWeights: z.array(z.object({model: z.string().max(maxNameLength), version: z.number().int().min(0), ageMs: z.number().min(0)})).max(maxWeightsStatements).optional(),
+	/** Models whose weights were published lately, with the published versions and the time since then, in milliseconds; absent if there are none. */
+	publishedWeights: z.array(z.object({
+		model: z.string().max(maxNameLength), versions: z.array(z.tuple([z.number().int().min(0), z.number().min(0)])).max(maxVersions),
+	})).max(maxModels).optional(),
 });
 
 /** Schema of every envelope. */
--- a/packages/relay/published-weights.ts
+++ b/packages/relay/published-weights.ts
@@ -20,12 +20,11 @@
 
 type KnownVersion = Readonly<{version: number; publishedMs: number; basis: AgeBasis}>;
 
-/** The age of a published version, as instances tell it each other. */
+/** The ages of a model's published versions, as instances tell them each other. */
 export type WeightsStatement = Readonly<{
 	model: string;
-	version: number;
-	/** Time since its publication, in milliseconds. */
-	ageMs: number;
+	/** Versions, the oldest first, each with the time since its publication, in milliseconds. */
+	versions: ReadonlyArray<readonly [version: number, ageMs: number]>;
 }>;
 
 export type PublishedWeightsDependencies = Readonly<{
@@ -45,11 +44,8 @@
 /** Time after a suspension within which a version that is learned may have been published in it, in milliseconds: the watch may have to be opened again. */
 const resumedMs = 5000;
 
-/** Age from which on a version is not stated any more, in milliseconds: every instance then takes it for older than any bound. */
-const maxStatedAgeMs = 30_000;
-
-/** Maximum number of statements in one message. */
-const maxStatements = 32;
+/** Age from which on a version is old, in milliseconds: older than the platform's bounds. An instance to which no younger one is stated takes all for that old. */
+const oldAgeMs = 15_000;
 
 /** Published versions by model; a model's versions only rise. */
 export class PublishedWeights {
@@ -69,8 +65,7 @@
 	 * @returns whether it is newer than the versions known before
 	 */
 	record(model: string, version: number, wasListed: boolean): boolean {
-		const newest = this.#versions.get(model)?.at(-1)?.version ?? 0;
-		if (version <= newest) {
+		if (version <= this.#getNewest(model)) {
 			return false;
 		}
 
@@ -79,31 +74,31 @@
 	}
 
 	/**
-	 * Merges the age of a version that a peer states. Of several statements, the oldest holds.
+	 * Merges the ages of a model's versions that a peer states. Of several ages, the oldest holds.
 	 *
-	 * @returns whether the version is newer than those known before
+	 * @returns whether there is a version that is newer than those known before
 	 */
-	merge({model, version, ageMs}: WeightsStatement): boolean {
-		const versions = this.#versions.get(model) ?? [];
-		const known = versions.find(other => other.version === version);
-		const statedMs = this.#dependencies.clock.now() - ageMs;
-		const isDated = known?.basis === 'observed' || known?.basis === 'stated';
-		const isNewest = version > (versions.at(-1)?.version ?? 0);
-		if (!isDated || statedMs < known.publishedMs) {
-			this.#add(model, {version, publishedMs: statedMs, basis: 'stated'});
+	merge({model, versions}: WeightsStatement): boolean {
+		const newestBefore = this.#getNewest(model);
+		for (const [version, ageMs] of versions) {
+			const known = this.#versions.get(model)?.find(other => other.version === version);
+			const statedMs = this.#dependencies.clock.now() - ageMs;
+			if (!known || !isDated(known) || statedMs < known.publishedMs) {
+				this.#add(model, {version, publishedMs: statedMs, basis: 'stated'});
+			}
 		}
 
-		return isNewest;
+		return this.#getNewest(model) > newestBefore;
 	}
 
-	/** Lists what the peers should know: the versions of the last time whose age is known, the newest first. */
+	/** Lists what the peers should know: of each model whose newest version is not old, the versions that are not old and the one before, as far as their ages are known. */
 	listStatements(): readonly WeightsStatement[] {
 		const nowMs = this.#dependencies.clock.now();
-		return [...this.#versions].flatMap(([model, versions]) => versions.filter(({basis}) => basis === 'observed' || basis === 'stated')
-			.map(({version, publishedMs}) => ({model, version, ageMs: Math.max(0, nowMs - publishedMs)})))
-			.filter(({ageMs}) => ageMs <= maxStatedAgeMs)
-			.toSorted((a, b) => a.ageMs - b.ageMs)
-			.slice(0, maxStatements);
+		return [...this.#versions].map(([model, versions]) => {
+			const dated = versions.filter(known => isDated(known)).map(({version, publishedMs}) => [version, Math.max(0, Math.round(nowMs - publishedMs))] as const);
+			const firstYoung = dated.findIndex(([, ageMs]) => ageMs < oldAgeMs);
+			return {model, versions: firstYoung === -1 ? [] : dated.slice(Math.max(0, firstYoung - 1))};
+		}).filter(({versions}) => versions.length > 0);
 	}
 
 	/** Returns the versions of a model with their ages, the oldest first. */
@@ -116,6 +111,10 @@
 		return new Map([...this.#versions].map(([model, versions]) => [model, versions.at(-1)!.version]));
 	}
 
+	#getNewest(model: string): number {
+		return this.#versions.get(model)?.at(-1)?.version ?? 0;
+	}
+
 	/** Determines when a version that is learned now was published at the earliest. */
 	#datePublication(wasListed: boolean): Omit<KnownVersion, 'version'> {
 		const {clock, suspensions} = this.#dependencies;
@@ -138,3 +137,8 @@
 		this.#versions.set(model, [...others, added].toSorted((a, b) => a.version - b.version).slice(-maxVersions));
 	}
 }
+
+/** Whether this instance or a peer knows when the version was published. */
+function isDated({basis}: KnownVersion): boolean {
+	return basis === 'observed' || basis === 'stated';
+}
