--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -183,7 +183,7 @@
 	});
 
 	/** Starts a request whose first attempt goes to the target with index `first`. */
-	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST', lastEventId}: Readonly<{prompt?: Prompt; method?: 'POST' | 'HEAD'; lastEventId?: string}> = {}) => {
+	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST', lastEventId}: Readonly<{prompt?: Prompt; method?: 'GET' | 'POST' | 'HEAD'; lastEventId?: string}> = {}) => {
 		const caller = new RecordingCaller();
 		for (const [index, state] of targets.list().entries()) {
 			state.serviceMs = index === first ? 1 : 30;
@@ -217,7 +217,7 @@
 	};
 
 	return {
-		clock, raw, targets, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		clock, relay, raw, targets, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
 		handleProbe(handler: () => unknown) {
 			onProbe = handler;
 		},
