Relay: a head that contains another answer's status line is no answer

Cause: a target that stops inside a header value or the reason phrase, and whose server then writes an error on the same connection (Node.js writes "HTTP/1.1 400 Bad Request" with "Connection: close" by default), sends bytes that the parser reads as one head: the status, id and signature of the unfinished answer, with the framing and body of the error. Callers got a 200 with an empty body, framed as complete. The same happens on a kept connection when the beginning of an extra answer arrives late, before the answer that is due.

Change: explainHeadFault (packages/http) finds a status line in a header value or a reason phrase, also of informational answers; the exchange is aborted then, so a request that runs once gets 502, a safe one goes elsewhere, and the connection is not reused. A target that quotes a status line in a header on purpose is treated as lost, too.

--- /dev/null
+++ b/packages/http/head-fault.ts
@@ -0,0 +1,24 @@
+/**
+ * Heads of answers that an HTTP parser accepts though they prove nothing. A head
+ * that never ended is completed by the next answer on its connection: the status
+ * line of that answer becomes a part of a header value or of the reason phrase.
+ */
+
+const statusLine = /HTTP\/\d\.\d \d{3}/v;
+
+/**
+ * Explains why the head of an answer must not be used, or returns `undefined` if it may be.
+ *
+ * @param reason reason phrase of the status line
+ * @param lines alternating header names and values
+ */
+export function explainHeadFault(reason: string, lines: readonly string[]): string | undefined {
+	for (let index = 0; index < lines.length; index += 2) {
+		const value = lines[index + 1]!;
+		if (statusLine.test(value)) {
+			return `the header ${lines[index]!} contains the status line of another answer`;
+		}
+	}
+
+	return statusLine.test(reason) ? 'the status line contains that of another answer' : undefined;
+}
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {getErrorMessage} from '#core';
+import {explainHeadFault} from '#http';
 
 /** Alternating header names and values, as sent or received. */
 export type HeaderLines = readonly string[];
@@ -162,11 +163,18 @@
 		this.#isStarted = true;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, _headers: unknown, reason = ''): void {
 		if (this.#isAborted) {
 			return;
 		}
 
+		const headers = decodeHeaderLines(controller.rawHeaders);
+		const headFault = explainHeadFault(reason, headers);
+		if (headFault !== undefined) {
+			this.abort(headFault);
+			return;
+		}
+
 		if (status < 200) {
 			this.#interimAnswers++;
 			if (this.#interimAnswers > maxInterimAnswers) {
@@ -178,7 +186,7 @@
 
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
-		this.#head = {status, headers: decodeHeaderLines(controller.rawHeaders)};
+		this.#head = {status, headers};
 		this.#notify();
 	}
 
--- /dev/null
+++ b/packages/relay/spliced-heads.test.ts
@@ -0,0 +1,68 @@
+/** Heads that never ended and are followed by another answer on the same connection, and heads whose framing is not certain. */
+import t, {type Test} from 'tap';
+import {
+	onceRoute, runRequest, safeRoute, sendTextAndClose, startRelay, streamRoute,
+} from './testing/relay.ts';
+import type {RelayRoute} from '#core';
+import type {RawScript} from '#standins';
+
+const named = 'x-signed: s1\r\nx-id: a\r\n';
+const lost = ['refused 502 target_lost unknown'];
+
+/** Beginnings of a success that a parser can join with the status line of the answer after them. */
+const beginnings = [
+	'HTTP/1.1 200 O',
+	`HTTP/1.1 200 OK\r\n${named}x-note: `,
+	`HTTP/1.1 200 OK\r\n${named}x-note: some tex`,
+	`HTTP/1.1 200 OK\r\n${named}content-type: text/event-stream; x=`,
+	`HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n${named}x-note: `,
+];
+
+/** Answers that the target, or something before it, writes after that. */
+const followers = [
+	'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n',
+	`HTTP/1.1 500 Oh\r\n${named}content-length: 0\r\n\r\n`,
+	`HTTP/1.1 503 Full\r\n${named}x-not-run: 1\r\ncontent-length: 2\r\n\r\nno`,
+	`HTTP/1.0 200 OK\r\n${named}\r\nok`,
+	`HTTP/1.1 103 Early\r\n${named}\r\n`,
+];
+
+const kinds: Readonly<Record<string, RelayRoute>> = {
+	'request that must not run twice': onceRoute, 'safe request': {...safeRoute, maxTargets: 1}, stream: {...streamRoute, maxTargets: 1},
+};
+
+for (const [name, route] of Object.entries(kinds)) {
+	// Guards against a success whose head never ended: the error that follows it completes its head and gives it a body.
+	t.test(`a head that is followed by another answer is no answer: ${name}`, async t => {
+		for (const beginning of beginnings) {
+			for (const follower of followers) {
+				const {caller, targets} = await runRequest(t, route, sendTextAndClose(beginning + follower));
+				t.strictSame([caller.records, caller.text], [lost, ''], JSON.stringify(beginning + follower));
+				t.notOk(targets.list()[0]!.connections.hasIdle, 'the connection is not reused');
+			}
+		}
+	});
+}
+
+/** Runs two requests; the target sends its answers to the first, and a late beginning of another answer before that to the second. */
+async function runAfterLateBytes(t: Test, beginning: string, second: string) {
+	const script: RawScript = (request, reply) => {
+		reply.write(request.headers['x-id'] === 'a' ? beginning + second : `HTTP/1.1 200 OK\r\nx-signed: s0\r\nx-id: ${String(request.headers['x-id'])}\r\ncontent-length: 2\r\n\r\nok`);
+	};
+
+	const setup = await startRelay(t, script);
+	const earlier = setup.startRequest(safeRoute, 0, 'earlier');
+	await setup.waitUntil(() => earlier.isDone() && setup.targets.list()[0]!.connections.hasIdle);
+	const {caller, isDone} = setup.startRequest(onceRoute);
+	await setup.waitUntil(isDone);
+	return {...setup, caller};
+}
+
+// Guards against a status from the bytes after an earlier answer, with the id and the body of the answer that is due.
+t.test('the beginning of an extra answer gives the next answer no status', async t => {
+	for (const beginning of ['HTTP/1.1 200 O', 'HTTP/1.1 200 OK\r\nx-signed: s0\r\nx-note: ', 'HTTP/1.1 200 OK\r\nx-signed: s0\r\nx-id: earlier\r\nx-note: ']) {
+		const {caller, targets} = await runAfterLateBytes(t, beginning, `HTTP/1.1 500 Oh\r\n${named}content-length: 2\r\n\r\nno`);
+		t.strictSame([caller.records, caller.text], [lost, ''], JSON.stringify(beginning));
+		t.notOk(targets.list()[0]!.connections.hasIdle, 'the connection is not reused');
+	}
+});
