Relay: an answer with another transfer coding than chunked is no answer

Cause: for `Transfer-Encoding: gzip`, `identity` or an empty value the parser reads up to the end of the connection, and the exchange took that for a body in chunks: its end counted as complete also for a stream without an event, and the bytes reached the caller without the header that names their coding.

--- a/packages/relay/spliced-heads.test.ts
+++ b/packages/relay/spliced-heads.test.ts
@@ -1,7 +1,7 @@
 /** Heads that never ended and are followed by another answer on the same connection, and heads whose framing is not certain. */
 import t, {type Test} from 'tap';
 import {
-	onceRoute, runRequest, safeRoute, sendTextAndClose, startRelay, streamRoute,
+	formatChunk, onceRoute, runRequest, safeRoute, sendText, sendTextAndClose, startRelay, streamRoute,
 } from './testing/relay.ts';
 import type {RelayRoute} from '#core';
 import type {RawScript} from '#standins';
@@ -66,3 +66,25 @@
 		t.notOk(targets.list()[0]!.connections.hasIdle, 'the connection is not reused');
 	}
 });
+
+// Guards against a body that is delivered in a coding which its caller is not told of, and that ends with the connection.
+t.test('an answer with another transfer coding than chunked is no answer', async t => {
+	const chunked = `${formatChunk('ok')}0\r\n\r\n`;
+	for (const [lines, body] of [
+		['transfer-encoding: gzip', 'ok'],
+		['transfer-encoding: identity', 'ok'],
+		['transfer-encoding: ', 'ok'],
+		['transfer-encoding: chunked, gzip', 'ok'],
+		['transfer-encoding: gzip, chunked', chunked],
+		['transfer-encoding: gzip\r\ntransfer-encoding: chunked', chunked],
+		['transfer-encoding: chunked\r\ntransfer-encoding: chunked', chunked],
+	] as const) {
+		const {caller, targets} = await runRequest(t, onceRoute, sendTextAndClose(`HTTP/1.1 200 OK\r\n${named}${lines}\r\n\r\n${body}`));
+		t.strictSame([caller.records, caller.text, targets.list()[0]!.connections.hasIdle], [lost, '', false], lines);
+	}
+
+	for (const lines of ['transfer-encoding: chunked', 'Transfer-Encoding: Chunked']) {
+		const {caller} = await runRequest(t, onceRoute, sendText(`HTTP/1.1 200 OK\r\n${named}${lines}\r\n\r\n${chunked}`));
+		t.strictSame([caller.records, caller.text], [['200 s1', 'end'], 'ok'], lines);
+	}
+});
