Relay: answers with status 204 and 304 end with their head, whatever length they state

Cause: a 304 may state the length of what it does not send (RFC 9110, section 8.6). The parser waits for a body of that length: the caller waited until the request timed out and got 502 or 504, and on the connection the beginning of the next answer would have been taken for that body.

Change: the exchange finishes at such a head and closes its connection, as the parser cannot tell where the next answer begins; a length of 0 and an answer to HEAD keep it.

--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -89,6 +89,8 @@
 	#isStarted = false;
 	#isAborted = false;
 	#isFinished = false;
+	/** Whether the parser cannot tell where the next answer on the connection begins. */
+	#isUnreadable = false;
 	#wake: (() => void) | undefined;
 
 	/** @param method method of the request */
@@ -187,10 +189,22 @@
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		this.#head = {status, headers};
+		if (this.framing === 'none' && this.#method !== 'HEAD' && Number(findHeader(headers, 'content-length') ?? 0) !== 0) {
+			// The parser would wait for a body of that length, which an answer with this status does not have (RFC 9112, section 6.3).
+			this.#isUnreadable = true;
+			this.#finish();
+			controller.abort(new Error('the answer has no body'));
+			return;
+		}
+
 		this.#notify();
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
+		if (this.#isFinished) {
+			return;
+		}
+
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		this.#chunks.push(bytes);
@@ -224,7 +238,7 @@
 
 	#finish(): void {
 		this.#isFinished = true;
-		this.#callbacks.handleEnd(!this.#fault && this.#head !== undefined && isReusable(this.framing, this.#head));
+		this.#callbacks.handleEnd(!this.#fault && !this.#isUnreadable && this.#head !== undefined && isReusable(this.framing, this.#head));
 		this.#notify();
 	}
 
--- a/packages/relay/spliced-heads.test.ts
+++ b/packages/relay/spliced-heads.test.ts
@@ -1,4 +1,5 @@
 /** Heads that never ended and are followed by another answer on the same connection, and heads whose framing is not certain. */
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import t, {type Test} from 'tap';
 import {
 	formatChunk, onceRoute, runRequest, safeRoute, sendText, sendTextAndClose, startRelay, streamRoute,
@@ -88,3 +89,20 @@
 		t.strictSame([caller.records, caller.text], [['200 s1', 'end'], 'ok'], lines);
 	}
 });
+
+// Guards against callers that wait in vain for the answer to a conditional request, which states the length of what it does not send.
+t.test('an answer with status 204 or 304 ends with its head, whatever length it states', async t => {
+	for (const status of ['204 No Content', '304 Not Modified']) {
+		for (const [line, rest] of [['', ''], ['content-length: 5\r\n', ''], ['content-length: 5\r\n', 'HTTP/1.1 200 OK\r\n'], ['content-length: 0\r\n', ''], ['transfer-encoding: chunked\r\n', '']] as const) {
+			const {caller, targets, startRequest, waitUntil, raw} = await runRequest(t, safeRoute, (request, reply) => {
+				reply.write(request.headers['x-id'] === 'a' ? `HTTP/1.1 ${status}\r\n${named}${line}\r\n${rest}` : 'HTTP/1.1 200 OK\r\nx-signed: s2\r\nx-id: b\r\ncontent-length: 2\r\n\r\nok');
+			});
+			t.strictSame([caller.records, caller.text], [[`${status.slice(0, 3)} s1`, 'end'], ''], `${status} ${line}`);
+			await nextTurn();
+			const next = startRequest(onceRoute, 0, 'b');
+			await waitUntil(next.isDone);
+			t.strictSame([next.caller.records, next.caller.text, raw[0]!.requests.length], [['200 s2', 'end'], 'ok', 2], 'the next answer is whole');
+			t.equal(targets.list()[0]!.inFlight, 0);
+		}
+	}
+});
