Relay: a connection that is about to close is not given to the next request

Cause: after an answer with HTTP/1.0, or with `close` among other words of its Connection header, undici destroys the socket and reports it some turns of the event loop later. Until then the connection counted as idle; the next request failed as not sent, which refuses a request whose only target this was and suspects the target.

Change: an idle connection whose socket is destroyed is dropped before the choice.

--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -68,7 +68,8 @@
 
 	/** Whether another exchange can start on the connection. */
 	get isOpen(): boolean {
-		return this.#isOpen;
+		// The close of a socket is reported only some turns of the event loop after undici has decided on it.
+		return this.#isOpen && !this.#socket?.destroyed;
 	}
 
 	/** Time since the last exchange finished, in milliseconds. */
--- a/packages/relay/connections.ts
+++ b/packages/relay/connections.ts
@@ -44,12 +44,13 @@
 
 	/** Whether an exchange can start on an open connection. */
 	get hasIdle(): boolean {
+		this.#removeClosed();
 		return this.#idle.length > 0;
 	}
 
 	/** Whether another exchange can start without more than `maxConnections` connections being open. */
 	canStart(maxConnections: number): boolean {
-		return this.#idle.length > 0 || this.#open.size < maxConnections;
+		return this.hasIdle || this.#open.size < maxConnections;
 	}
 
 	/** Sends a request over an idle connection, or over a new one if none meets the criteria. */
@@ -80,6 +81,7 @@
 
 	/** Takes the connection used last; if it has been idle for too long, so have all others. */
 	#takeIdle({maxIdleMs}: ConnectionCriteria): TargetConnection | undefined {
+		this.#removeClosed();
 		const connection = this.#idle.at(-1);
 		if (!connection || connection.idleMs > maxIdleMs) {
 			return undefined;
@@ -88,6 +90,13 @@
 		return this.#idle.pop();
 	}
 
+	/** Removes idle connections that are about to close: their targets have announced it with their answers. */
+	#removeClosed(): void {
+		while (this.#idle.length > 0 && !this.#idle.at(-1)!.isOpen) {
+			this.#idle.pop();
+		}
+	}
+
 	#create(): TargetConnection {
 		const connection: TargetConnection = new TargetConnection(this.#address, this.#clock, () => {
 			this.#open.delete(connection);
--- a/packages/relay/spliced-heads.test.ts
+++ b/packages/relay/spliced-heads.test.ts
@@ -90,10 +90,19 @@
 	}
 });
 
+/** Lines that state the framing of a body which is not sent, and what follows the head. */
+const bodylessLines = [
+	['', ''],
+	['content-length: 5\r\n', ''],
+	['content-length: 5\r\n', 'HTTP/1.1 200 OK\r\n'],
+	['content-length: 0\r\n', ''],
+	['transfer-encoding: chunked\r\n', ''],
+] as const;
+
 // Guards against callers that wait in vain for the answer to a conditional request, which states the length of what it does not send.
 t.test('an answer with status 204 or 304 ends with its head, whatever length it states', async t => {
 	for (const status of ['204 No Content', '304 Not Modified']) {
-		for (const [line, rest] of [['', ''], ['content-length: 5\r\n', ''], ['content-length: 5\r\n', 'HTTP/1.1 200 OK\r\n'], ['content-length: 0\r\n', ''], ['transfer-encoding: chunked\r\n', '']] as const) {
+		for (const [line, rest] of bodylessLines) {
 			const {caller, targets, startRequest, waitUntil, raw} = await runRequest(t, safeRoute, (request, reply) => {
 				reply.write(request.headers['x-id'] === 'a' ? `HTTP/1.1 ${status}\r\n${named}${line}\r\n${rest}` : 'HTTP/1.1 200 OK\r\nx-signed: s2\r\nx-id: b\r\ncontent-length: 2\r\n\r\nok');
 			});
@@ -106,3 +115,18 @@
 		}
 	}
 });
+
+// Guards against a request that fails, and a target that is avoided, as a connection that is about to close counts as idle.
+t.test('a connection that its target closes is not given to the next request', async t => {
+	for (const [version, line] of [['1.0', ''], ['1.1', 'connection: keep-alive, close\r\n'], ['1.1', 'Connection: Close\r\n'], ['1.1', 'connection: x\r\nconnection: close\r\n']] as const) {
+		const setup = await startRelay(t, (request, reply) => {
+			reply.write(`HTTP/${version} 200 OK\r\nx-signed: s1\r\nx-id: ${String(request.headers['x-id'])}\r\n${line}content-length: 2\r\n\r\nok`);
+		});
+		for (let round = 0; round < 5; round++) {
+			const {caller, done} = setup.startRequest(onceRoute, 0, `a${round}`);
+			await done;
+			t.strictSame([caller.records, caller.text], [['200 s1', 'end'], 'ok'], `${version} ${line}`);
+			t.notOk(setup.targets.list()[0]!.suspectUntilMs > setup.clock.now(), 'the target is not avoided');
+		}
+	}
+});
