Targets: a head joined with another answer's status line is no answer in the own interface

Cause: as in the relay; an unfinished head that an error of the same server completes was a success with an empty body for calls to plain services, a refusal for calls to engines and services, which then ran again elsewhere, and a body in another transfer coding than chunked was delivered.

Change: checkHeads (packages/http), an interceptor of undici, fails such a request and closes its connection; the exchange with a target uses the same check. Tests break answers of services and engines off inside their head, on kept and new connections, for GET, HEAD, POST, chat, reports, orders and cache events.

--- a/packages/http/mod.ts
+++ b/packages/http/mod.ts
@@ -3,4 +3,5 @@
 export {finishResponse} from './finish-response.ts';
 export {createCloseSignal} from './close-signal.ts';
 export {runInTurn} from './run-in-turn.ts';
+export {checkHeads, decodeHeaderLines} from './check-heads.ts';
 export {explainHeadFault} from './head-fault.ts';
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -3,10 +3,9 @@
  * body chunk by chunk, then its end. The connection is paused while the caller
  * reads more slowly than the target sends.
  */
-import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {getErrorMessage} from '#core';
-import {explainHeadFault} from '#http';
+import {decodeHeaderLines, explainHeadFault} from '#http';
 
 /** Alternating header names and values, as sent or received. */
 export type HeaderLines = readonly string[];
@@ -282,8 +281,3 @@
 
 	return findHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
-
-/** Header lines are encoded in Latin-1 (RFC 9110, section 5.5). */
-function decodeHeaderLines(raw: Dispatcher.DispatchController['rawHeaders']): HeaderLines {
-	return Array.isArray(raw) ? raw.map(line => Buffer.isBuffer(line) ? line.toString('latin1') : line) : [];
-}
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -18,4 +18,5 @@
 export {
 	startRawTarget, type RawReply, type RawRequest, type RawScript, type RawTarget,
 } from './raw-target.ts';
+export {listBrokenHeads, listJoinedHeads} from './broken-heads.ts';
 export {LinkSwitch, type LinkFault} from './link-switch.ts';
--- a/packages/targets/_http-link.ts
+++ b/packages/targets/_http-link.ts
@@ -1,18 +1,21 @@
 /** Functions that both HTTP adapters share: connection pools, classification of transport errors, JSON requests. */
 import type {IncomingHttpHeaders} from 'node:http';
-import {Agent, errors, Pool} from 'undici';
+import {
+	Agent, errors, Pool, type Dispatcher,
+} from 'undici';
 import * as z from 'zod';
 import type {HttpConnectorOptions} from './http-connector.ts';
 import {
 	fail, succeed, getErrorMessage, type Result, type TargetFailure, type TargetFrame,
 } from '#core';
+import {checkHeads} from '#http';
 
 /** Connections to one target: a keep-alive pool, and new connections for calls that may not be repeated. */
 export type HttpLink = Readonly<{
 	origin: string;
-	pool: Pool;
+	pool: Dispatcher;
 	/** Creates a dispatcher whose next request opens a new connection. */
-	openNewConnection(): Agent;
+	openNewConnection(): Dispatcher;
 }>;
 
 /** Creates the connection pool of one target. */
@@ -23,8 +26,8 @@
 	const agentOptions = {connect, bodyTimeout: 0, headersTimeout: 0};
 	return {
 		origin,
-		pool: new Pool(origin, {...agentOptions, connections: options.maxConnections ?? 64}),
-		openNewConnection: () => new Agent({...agentOptions, connections: 1, pipelining: 0}),
+		pool: new Pool(origin, {...agentOptions, connections: options.maxConnections ?? 64}).compose(checkHeads),
+		openNewConnection: () => new Agent({...agentOptions, connections: 1, pipelining: 0}).compose(checkHeads),
 	};
 }
 
