Platform: a head joined with another answer's status line is no answer of the store

Cause: as in the relay; an unfinished head of the store that an error of the same server completes gave an object, an absent object, a conflict, or a removal that had not taken place.

Reports, probes, checks of the reach, events, orders and checks of stores of KV cache told nothing from such heads.

--- a/packages/object-store/http-object-store.ts
+++ b/packages/object-store/http-object-store.ts
@@ -7,6 +7,7 @@
 import {
 	fail, succeed, getErrorMessage, type Result,
 } from '#core';
+import {checkHeads} from '#http';
 
 /** Options of {@link createHttpObjectStore}. */
 export type HttpObjectStoreOptions = Readonly<{
@@ -54,7 +55,7 @@
 export function createHttpObjectStore(origin: string, options: HttpObjectStoreOptions = {}): ObjectStore {
 	const timeoutMs = options.timeoutMs ?? 2000;
 	const watchMs = options.watchMs ?? 10_000;
-	const pool = new Pool(origin, {connections: options.connections ?? 8});
+	const pool = new Pool(origin, {connections: options.connections ?? 8}).compose(checkHeads);
 	const headers = {
 		'content-type': 'application/json',
 		...(options.token ? {authorization: `Bearer ${options.token}`} : {}),
