--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -3,9 +3,9 @@
  * body chunk by chunk, then its end. The connection is paused while the caller
  * reads more slowly than the target sends.
  */
-import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {getErrorMessage} from '#core';
+import {decodeHeaderLines, explainHeadFault} from '#http';
 
 /** Alternating header names and values, as sent or received. */
 export type HeaderLines = readonly string[];
@@ -88,6 +88,8 @@
 	#isStarted = false;
 	#isAborted = false;
 	#isFinished = false;
+	/** Whether the parser cannot tell where the next answer on the connection begins. */
+	#isUnreadable = false;
 	#wake: (() => void) | undefined;
 
 	/** @param method method of the request */
@@ -162,11 +164,18 @@
 		this.#isStarted = true;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, _headers: unknown, reason = ''): void {
 		if (this.#isAborted) {
 			return;
 		}
 
+		const headers = decodeHeaderLines(controller.rawHeaders);
+		const headFault = explainHeadFault(reason, headers);
+		if (headFault !== undefined) {
+			this.abort(headFault);
+			return;
+		}
+
 		if (status < 200) {
 			this.#interimAnswers++;
 			if (this.#interimAnswers > maxInterimAnswers) {
@@ -178,11 +187,23 @@
 
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
-		this.#head = {status, headers: decodeHeaderLines(controller.rawHeaders)};
+		this.#head = {status, headers};
+		if (this.framing === 'none' && this.#method !== 'HEAD' && Number(findHeader(headers, 'content-length') ?? 0) !== 0) {
+			// The parser would wait for a body of that length, which an answer with this status does not have (RFC 9112, section 6.3).
+			this.#isUnreadable = true;
+			this.#finish();
+			controller.abort(new Error('the answer has no body'));
+			return;
+		}
+
 		this.#notify();
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, bytes: Uint8Array): void {
+		if (this.#isFinished) {
+			return;
+		}
+
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
 		this.#chunks.push(bytes);
@@ -216,7 +237,7 @@
 
 	#finish(): void {
 		this.#isFinished = true;
-		this.#callbacks.handleEnd(!this.#fault && this.#head !== undefined && isReusable(this.framing, this.#head));
+		this.#callbacks.handleEnd(!this.#fault && !this.#isUnreadable && this.#head !== undefined && isReusable(this.framing, this.#head));
 		this.#notify();
 	}
 
@@ -260,8 +281,3 @@
 
 	return findHeader(headers, 'content-length') === undefined ? 'connection' : 'length';
 }
-
-/** Header lines are encoded in Latin-1 (RFC 9110, section 5.5). */
-function decodeHeaderLines(raw: Dispatcher.DispatchController['rawHeaders']): HeaderLines {
-	return Array.isArray(raw) ? raw.map(line => Buffer.isBuffer(line) ? line.toString('latin1') : line) : [];
-}
