Relay: peers' reports on a target name the process that they concern

Change: the message carries the start of the process (`startedWallMs`, optional) and what it states in a new optional field (`statement`); reports on another process than the one listed are left out. `limit` stays as it was for programs that know only that. Result: target-incarnations.test (new): 6 assertions in 2 of its 5 tests failed before, on the earlier process's report and on a report that precedes the entry; the other three held. All pass now.

--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -33,6 +33,17 @@
 	untilWallMs: z.number(),
 });
 
+/** Schema of what a target states about itself, and the time since it did, in milliseconds; an absent field is not stated any more. */
+const statementSchema = z.object({
+	/** Requests per second that it takes from all instances. */
+	perSecond: z.number().min(0).optional(),
+	/** Whether it is about to stop. */
+	isLeaving: z.boolean().optional(),
+	/** Requests per second that it can refuse without failing. */
+	maxRefusals: z.number().min(0).optional(),
+	ageMs: z.number().min(0),
+});
+
 /** A step in the update of an engine's weights. */
 const weightsStepFields = {
 	incarnation: nameSchema, model: nameSchema, version: z.number().int().min(0), isLoading: z.boolean(),
@@ -45,18 +56,13 @@
 		kind: z.literal('sent'),
 		targets: z.array(z.object({
 			target: nameSchema, requests: z.number(), tokens: z.number(),
+			/** Start of the process that all of this concerns, as the target reports it; absent if it is unknown, and from programs that name no process. */
+			startedWallMs: z.number().optional(),
 			/** Tokens by urgency, for engines that schedule by urgency. */
 			byUrgency: z.array(z.number()).max(maxUrgencies).optional(),
-			/** What the target states about itself, and the time since it did, in milliseconds; an absent field is not stated any more. */
-			limit: z.object({
-				/** Requests per second that it takes from all instances. */
-				perSecond: z.number().min(0).optional(),
-				/** Whether it is about to stop. */
-				isLeaving: z.boolean().optional(),
-				/** Requests per second that it can refuse without failing. */
-				maxRefusals: z.number().min(0).optional(),
-				ageMs: z.number().min(0),
-			}).optional(),
+			statement: statementSchema.optional(),
+			/** The statement for programs that read only this field; they take it for one of whichever process has the target's name now. */
+			limit: statementSchema.optional(),
 		})).max(maxEntries),
 	}),
 	strikeSchema,
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -8,7 +8,7 @@
 } from './chain.ts';
 export {chooseWeights} from './choose-weights.ts';
 export {
-	TargetViews, type TargetWork, type TargetSummary, type TargetView, type TargetViewsOptions,
+	TargetViews, type TargetStatementReport, type TargetWork, type TargetSummary, type TargetView, type TargetViewsOptions,
 } from './target-views.ts';
 export {
 	chooseTarget, type Candidate, type PlacementQuery, type PlacementTerms,
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -27,6 +27,18 @@
 	findCachedPrefix(words: KeyWords): CachedPrefix;
 }>;
 
+/** What a target states about itself, as instances tell it each other; an absent field is not stated any more. */
+export type TargetStatementReport = Readonly<{
+	/** Requests per second over all instances. */
+	perSecond?: number | undefined;
+	/** Whether the target is about to stop. */
+	isLeaving?: boolean | undefined;
+	/** Requests per second that the target can refuse without failing. */
+	maxRefusals?: number | undefined;
+	/** Time since the target stated this, in milliseconds. */
+	ageMs: number;
+}>;
+
 /** The work that an instance has in progress on a target. */
 export type TargetWork = Readonly<{
 	target: string;
@@ -36,8 +48,12 @@
 	tokens: number;
 	/** The same tokens by urgency. Only the relay states and reads them, whose engines process prompts in order of urgency. */
 	byUrgency?: readonly number[];
-	/** Limit that the target states: requests per second over all instances, absent if it no longer states one, and the time since it stated that, in milliseconds. Only the relay states and reads it. */
-	limit?: Readonly<{perSecond?: number | undefined; isLeaving?: boolean | undefined; maxRefusals?: number | undefined; ageMs: number}> | undefined;
+	/** Start of the process that this concerns, in Unix milliseconds; absent if it is unknown. Only the relay states and reads it. */
+	startedWallMs?: number | undefined;
+	/** What the process states about itself. Only the relay states and reads it. */
+	statement?: TargetStatementReport | undefined;
+	/** The same for peers whose program knows only this field; see the schema of the message. */
+	limit?: TargetStatementReport | undefined;
 }>;
 
 /** Options of {@link TargetViews}. */
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -64,11 +64,15 @@
 	unsubscribe();
 }
 
-/** Compares two lists of work by target, requests, tokens and limit; the tokens by urgency and the age of the limit are not compared. */
+/** Compares two lists of work by target, process, requests, tokens and statements; the tokens by urgency and the age of the statements are not compared. */
 function isSameWork(a: readonly TargetWork[], b: readonly TargetWork[]): boolean {
-	return a.length === b.length && a.every(({target, requests, tokens, limit}, index) => {
+	return a.length === b.length && a.every(({target, startedWallMs, requests, tokens, statement, limit}, index) => {
 		const other = b[index]!;
-		return other.target === target && other.requests === requests && other.tokens === tokens && Boolean(other.limit) === Boolean(limit)
-			&& other.limit?.perSecond === limit?.perSecond && other.limit?.isLeaving === limit?.isLeaving && other.limit?.maxRefusals === limit?.maxRefusals;
+		return other.target === target && other.startedWallMs === startedWallMs && other.requests === requests && other.tokens === tokens
+			&& isSameStatement(other.statement, statement) && isSameStatement(other.limit, limit);
 	});
 }
+
+function isSameStatement(a: TargetWork['statement'], b: TargetWork['statement']): boolean {
+	return Boolean(a) === Boolean(b) && a?.perSecond === b?.perSecond && a?.isLeaving === b?.isLeaving && a?.maxRefusals === b?.maxRefusals;
+}
--- /dev/null
+++ b/packages/relay/target-incarnations.test.ts
@@ -0,0 +1,106 @@
+/** Targets that start again under the id that they had: what was stated by the earlier process, or known of it, must not count for the later one. */
+import t from 'tap';
+import {TargetSet} from './target-set.ts';
+import {ManualClock} from '#clock';
+import type {RelayTarget} from '#core';
+import {peerMessageSchema} from '#peer-protocol';
+
+const sharing = () => ({instances: 8, rank: 7});
+
+function createTarget(startedWallMs: number, options: Partial<RelayTarget> = {}): RelayTarget {
+	return {
+		id: 'e', incarnation: `e@${startedWallMs}`, startedWallMs, pool: 'p', address: '10.0.0.1:80', zone: 'z', slots: 4, isDraining: false, softwareVersion: 'v1', weights: new Map(), ...options,
+	};
+}
+
+/** Starts instances that list the process of the target that started at 1. */
+function startInstances() {
+	const clock = new ManualClock();
+	const start = () => {
+		const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
+		targets.update([createTarget(1)]);
+		return targets;
+	};
+
+	return {clock, a: start(), b: start()};
+}
+
+/** Delivers to `to` what `from` tells its peers now. */
+function tell(clock: ManualClock, from: TargetSet, to: TargetSet): void {
+	const message = peerMessageSchema.parse({kind: 'sent', targets: from.listWork()});
+	if (message.kind === 'sent') {
+		to.applyPeerWork('from', message.targets, clock.now());
+	}
+}
+
+// Guards against a peer that has not seen the new entry yet and reports that the target leaves.
+t.test('a peer\'s report on the earlier process does not count for the later one', async t => {
+	const {clock, a, b} = startInstances();
+	await clock.advance(1000);
+	const earlier = a.get('e')!;
+	earlier.inFlight = 3;
+	earlier.statements.recordAnswer({isLeaving: true, perSecond: 1, maxRefusals: 2}, 900, 1000);
+	b.update([createTarget(2)]);
+	const later = b.get('e')!;
+	tell(clock, a, b);
+	t.notOk(later.isLeaving);
+	t.equal(later.statements.computeDelayMs(sharing, {inFlight: 0, slots: 4}, clock.now()), 0);
+	t.equal(later.countRequests(clock.now()), 0);
+	a.update([createTarget(2)]);
+	await clock.advance(20_000);
+	tell(clock, a, b);
+	tell(clock, b, a);
+	t.notOk(later.isLeaving);
+	t.notOk(a.get('e')!.isLeaving);
+});
+
+t.test('a peer\'s report on the process that is listed counts as long as that process', async t => {
+	const {clock, a, b} = startInstances();
+	await clock.advance(1000);
+	a.get('e')!.inFlight = 3;
+	a.get('e')!.statements.recordAnswer({isLeaving: true}, 900, 1000);
+	tell(clock, a, b);
+	t.equal(b.get('e')!.countRequests(clock.now()), 3);
+	await clock.advance(600_000);
+	t.ok(b.get('e')!.isLeaving);
+});
+
+t.test('a report on a process whose entry has not arrived yet counts once it has', async t => {
+	const {clock, a, b} = startInstances();
+	await clock.advance(1000);
+	a.update([createTarget(2)]);
+	a.get('e')!.statements.recordAnswer({isLeaving: true}, 900, 1000);
+	tell(clock, a, b);
+	t.notOk(b.get('e')!.isLeaving, 'the process listed here has not stated it');
+	b.update([createTarget(2)]);
+	t.notOk(b.get('e')!.isLeaving);
+	await clock.advance(10_000);
+	tell(clock, a, b);
+	t.ok(b.get('e')!.isLeaving);
+});
+
+t.test('a late answer of the earlier process is told to no peer', async t => {
+	const {clock, a, b} = startInstances();
+	const earlier = a.get('e')!;
+	a.update([createTarget(2)]);
+	b.update([createTarget(2)]);
+	earlier.statements.recordAnswer({isLeaving: true, perSecond: 1}, 0, clock.now());
+	tell(clock, a, b);
+	for (const targets of [a, b]) {
+		t.notOk(targets.get('e')!.isLeaving);
+		t.equal(targets.get('e')!.statements.perSecond, undefined);
+	}
+});
+
+t.test('an answer of the later process that arrives before its entry leaves nothing to the state that the entry creates', async t => {
+	const {clock, a, b} = startInstances();
+	a.get('e')!.statements.recordAnswer({isLeaving: true}, 0, clock.now());
+	// The request was on its way when the earlier process ended.
+	a.get('e')!.statements.recordAnswer({}, 0, clock.now());
+	t.ok(a.get('e')!.isLeaving, 'nothing shows that another process has answered');
+	a.update([createTarget(2)]);
+	b.update([createTarget(2)]);
+	tell(clock, a, b);
+	t.notOk(a.get('e')!.isLeaving);
+	t.notOk(b.get('e')!.isLeaving);
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -123,16 +123,17 @@
 	listWork(): readonly TargetWork[] {
 		const nowMs = this.#clock.now();
 		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, statements}) => {
-			const limit = statements.announce(nowMs);
-			return inFlight > 0 || limit
+			const statement = statements.announce(nowMs);
+			return inFlight > 0 || statement
 				? [{
-					target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit,
+					target: target.id, ...(target.startedWallMs > 0 && {startedWallMs: target.startedWallMs}),
+					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(statement && {statement, limit: statement}),
 				}]
 				: [];
 		});
 	}
 
-	/** Replaces the work that a peer has in progress with its newest report. */
+	/** Replaces the work that a peer has in progress with its newest report. What concerns another process than the one that is listed now is left out. */
 	applyPeerWork(peer: string, work: readonly TargetWork[], nowMs: number): void {
 		for (const id of this.#targetIdsByPeer.get(peer) ?? []) {
 			this.#states.get(id)?.removePeerWork(peer);
@@ -140,11 +141,16 @@
 
 		this.#targetIdsByPeer.set(peer, work.map(({target}) => target));
 		// Without counts by urgency, all tokens count as the most urgent.
-		for (const {target, requests, tokens, byUrgency = [tokens], limit} of work) {
+		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], statement, limit} of work) {
 			const state = this.#states.get(target);
-			state?.setPeerWork(peer, {requests, byUrgency}, nowMs);
-			if (limit) {
-				state?.statements.merge(limit, nowMs);
+			if (!state || (startedWallMs !== undefined && startedWallMs !== state.target.startedWallMs)) {
+				continue;
+			}
+
+			state.setPeerWork(peer, {requests, byUrgency}, nowMs);
+			const stated = statement ?? limit;
+			if (stated) {
+				state.statements.merge(stated, nowMs);
 			}
 		}
 	}
