Relay: no report that names no process gives up a target for good

Cause: instances of the build before name no process in `sent`. What they told of an earlier process under a target's id was merged into the state of the later one as if it had stated it: leaving for good, and brittleness until a peer told its end, which an instance that sends nothing to the target never saw. They merge what this build tells them in the same way. Change: such a report counts for 3 s beside what is known of the process, that the target leaves only once for each process (they repeat it with each later statement), an answer to a later request ends it, and it is not passed on. That a limit or brittleness has ended counts, as the target's answers show otherwise. The field that they read no longer says that a target leaves, and says for 3 s after a restart under an id that the limits of the earlier process have ended.

--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -61,7 +61,7 @@
 			/** Tokens by urgency, for engines that schedule by urgency. */
 			byUrgency: z.array(z.number()).max(maxUrgencies).optional(),
 			statement: statementSchema.optional(),
-			/** The statement for programs that read only this field; they take it for one of whichever process has the target's name now. */
+			/** The statement for programs that know only this field and take it for one of whichever process has the target's name now. It does not say that the target leaves, as they would then never use it again. */
 			limit: statementSchema.optional(),
 		})).max(maxEntries),
 	}),
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -52,7 +52,7 @@
 	startedWallMs?: number | undefined;
 	/** What the process states about itself. Only the relay states and reads it. */
 	statement?: TargetStatementReport | undefined;
-	/** The same for peers whose program knows only this field; see the schema of the message. */
+	/** What peers are told whose program knows only this field; see the schema of the message. */
 	limit?: TargetStatementReport | undefined;
 }>;
 
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -20,7 +20,7 @@
 		id: `e${index}`, incarnation: `e${index}@1`, startedWallMs: 0, pool: 'p', address: '127.0.0.1:1', zone: zones[index % zones.length]!, slots: 64, isDraining: false, softwareVersion: 'v1',
 		weights: new Map([['m', 1]]), ...options,
 	};
-	return new TargetState(target, new TargetConnections(target.address, clock, () => clock.now(), {connectTimeoutMs: 1, idleTimeoutMs: 1}));
+	return new TargetState(target, new TargetConnections(target.address, clock, () => clock.now(), {connectTimeoutMs: 1, idleTimeoutMs: 1}), clock);
 }
 
 function createQuery(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetQuery {
--- a/packages/relay/kv-cache-store.test.ts
+++ b/packages/relay/kv-cache-store.test.ts
@@ -22,7 +22,7 @@
 	return new TargetState({
 		id: `e${index}`, incarnation: `e${index}@1`, startedWallMs: 0, pool: 'p', address: `10.0.0.1:${index}`, zone: zones[index % zones.length]!, slots: 32,
 		isDraining: false, softwareVersion: 'v1', weights: new Map([['m', 1]]),
-	}, new TargetConnections('127.0.0.1:1', clock, () => 0, {connectTimeoutMs: 1, idleTimeoutMs: 1}));
+	}, new TargetConnections('127.0.0.1:1', clock, () => 0, {connectTimeoutMs: 1, idleTimeoutMs: 1}), clock);
 }
 
 function createPrompt(subject: number, request: number): Prompt {
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -2,10 +2,14 @@
 import type {ConnectionOptions} from './connection.ts';
 import {TargetConnections} from './connections.ts';
 import {TargetState} from './target-state.ts';
+import type {SharedStatement} from './target-statements.ts';
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 import type {TargetWork} from '#placement';
 
+/** Time for which the end of the statements of an earlier process is told, in milliseconds. */
+const announceEndMs = 3000;
+
 /** Target states by id; a restarted target gets a new state. */
 export class TargetSet {
 	readonly #clock: Clock;
@@ -103,7 +107,9 @@
 				known.update(target);
 			} else {
 				known?.connections.closeIdle();
-				this.#states.set(target.id, this.#create(target));
+				const state = this.#create(target);
+				state.succeededMs = known?.statements.isStating ? this.#clock.now() : Number.NEGATIVE_INFINITY;
+				this.#states.set(target.id, state);
 			}
 		}
 
@@ -122,12 +128,14 @@
 	/** Lists the work that this instance has in progress on each target, and what the peers should know of the targets' statements. */
 	listWork(): readonly TargetWork[] {
 		const nowMs = this.#clock.now();
-		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, statements}) => {
-			const statement = statements.announce(nowMs);
-			return inFlight > 0 || statement
+		return [...this.#states.values()].flatMap(state => {
+			const {target, inFlight, pendingTokens} = state;
+			const statement = state.statements.announce(nowMs);
+			const limit = getUnnamedStatement(state, statement, nowMs);
+			return inFlight > 0 || limit
 				? [{
 					target: target.id, ...(target.startedWallMs > 0 && {startedWallMs: target.startedWallMs}),
-					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(statement && {statement, limit: statement}),
+					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(limit && {limit}), ...(statement && {statement}),
 				}]
 				: [];
 		});
@@ -149,8 +157,10 @@
 
 			state.setPeerWork(peer, {requests, byUrgency}, nowMs);
 			const stated = statement ?? limit;
-			if (stated) {
-				state.statements.merge(stated, nowMs);
+			if (startedWallMs !== undefined && statement) {
+				state.statements.merge(statement, nowMs);
+			} else if (startedWallMs === undefined && stated) {
+				state.statements.mergeUnnamed(stated, nowMs);
 			}
 		}
 	}
@@ -183,11 +193,26 @@
 		const state: TargetState = new TargetState(target, new TargetConnections(target.address, this.#clock, () => {
 			state.lastReceivedMs = this.#clock.now();
 			return state.lastReceivedMs;
-		}, this.#options));
+		}, this.#options), this.#clock);
 		return state;
 	}
 }
 
+/**
+ * Returns what peers are told whose program takes a statement for one of whichever
+ * process has the target's name now. They would never use a target again of which
+ * they hear that it leaves, so they are not told that. They are told that the limits
+ * of an earlier process have ended.
+ */
+function getUnnamedStatement({succeededMs}: TargetState, statement: SharedStatement | undefined, nowMs: number): SharedStatement | undefined {
+	if (statement) {
+		const {isLeaving: _isLeaving, ...limits} = statement;
+		return limits;
+	}
+
+	return nowMs - succeededMs < announceEndMs ? {ageMs: nowMs - succeededMs} : undefined;
+}
+
 /** Of several targets at one address, keeps only the one that started last: the others have been replaced, and their entries have not expired yet. */
 function removeReplaced(targets: readonly RelayTarget[]): readonly RelayTarget[] {
 	const newest = new Map<string, number>();
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -6,6 +6,7 @@
 import type {TargetConnections} from './connections.ts';
 import {TargetStatements} from './target-statements.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
+import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 
 /** Load that a target reported in an answer. */
@@ -69,6 +70,8 @@
 	isUnreachable = false;
 	/** Time at which the target last sent an answer or a part of one, in milliseconds. */
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
+	/** Time at which this process took the place of an earlier one under the target's id that had stated something about itself, in milliseconds. */
+	succeededMs = Number.NEGATIVE_INFINITY;
 	/** Called when the target is suspected; one per exchange in progress whose request may be sent again. */
 	readonly suspicionHandlers = new Set<() => void>();
 	/** Average time in which the target reads a prompt token, in milliseconds. */
@@ -77,16 +80,18 @@
 	serviceMs = initialServiceMs;
 	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
+	readonly #clock: Pick<Clock, 'now'>;
 
-	constructor(target: RelayTarget, connections: TargetConnections) {
+	constructor(target: RelayTarget, connections: TargetConnections, clock: Pick<Clock, 'now'>) {
 		this.target = target;
 		this.connections = connections;
+		this.#clock = clock;
 		this.update(target);
 	}
 
-	/** Whether the target is about to stop, as the store or its answers state. */
+	/** Whether the target is about to stop, as the store, its answers or peers state. */
 	get isLeaving(): boolean {
-		return this.target.isDraining || this.statements.isLeaving;
+		return this.target.isDraining || this.statements.leavingUntilMs > this.#clock.now();
 	}
 
 	/** Time until which other targets are preferred to this one, in milliseconds. */
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -4,8 +4,11 @@
  * wants nothing from this one, that it is about to stop, and how many requests it
  * can refuse without failing. The newest statement holds. Instances tell each
  * other what concerns all of them, as those that send nothing would not hear of a
- * change. Refusals without a statement count as a weaker one: the target is
- * avoided for a while, longer with each refusal in a row.
+ * change. A statement holds for the process that made it. A report that names no
+ * process may concern an earlier one under the target's name, so it counts for a
+ * short time only, beside what is known of the process. Refusals without a
+ * statement count as a weaker one: the target is avoided for a while, longer with
+ * each refusal in a row.
  */
 import type {TargetStatement} from './dialect.ts';
 import {LearnedRoom} from './_learned-room.ts';
@@ -38,6 +41,9 @@
 /** Age at which two reports are taken for the same statement, in milliseconds. */
 const sameStatementMs = 5;
 
+/** Time for which a report that names no process counts after the statement was made, in milliseconds; by then, a target that leaves is listed as draining. */
+const maxUnnamedReportMs = 3000;
+
 /** Part of a brittle target's slots that is divided among the instances. The rest covers the time in which they disagree on their ranks. */
 const dividedSlots = 0.9;
 
@@ -63,6 +69,13 @@
 	#heardMs = Number.NEGATIVE_INFINITY;
 	#changedMs = Number.NEGATIVE_INFINITY;
 	#announcedMs = Number.NEGATIVE_INFINITY;
+	/** Time at which the newest request was sent of those that the target has answered, in milliseconds. */
+	#answeredSentMs = Number.NEGATIVE_INFINITY;
+	/** What the newest report says that names no process, and the time at which a target stated that, in milliseconds. */
+	#reported: CommonStatement = {};
+	#reportedMs = Number.NEGATIVE_INFINITY;
+	/** Whether such a report has said that the target leaves; it counts once, as peers may repeat it with every later statement. */
+	#hasReportedLeaving = false;
 	/** Time until which the target wants nothing from this instance, in milliseconds. */
 	#restUntilMs = Number.NEGATIVE_INFINITY;
 	#avoidUntilMs = Number.NEGATIVE_INFINITY;
@@ -75,11 +88,25 @@
 		return this.#stated.perSecond;
 	}
 
+	/** Whether the target states anything that concerns all instances, as far as known. */
+	get isStating(): boolean {
+		return hasFields(this.#stated);
+	}
+
 	/** Whether the target is about to stop; once stated, this holds as long as its process. */
 	get isLeaving(): boolean {
 		return this.#stated.isLeaving === true;
 	}
 
+	/** Time until which the target counts as about to stop, in milliseconds: for good if its process has stated that. */
+	get leavingUntilMs(): number {
+		if (this.isLeaving) {
+			return Infinity;
+		}
+
+		return this.#reported.isLeaving ? this.#reportedMs + maxUnnamedReportMs : Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	 * Records what an answer states.
 	 *
@@ -87,6 +114,11 @@
 	 */
 	recordAnswer({restMs, malformed: _malformed, ...stated}: TargetStatement, sentMs: number, nowMs: number): void {
 		this.#restUntilMs = Math.max(this.#restUntilMs, nowMs + (restMs ?? 0));
+		this.#answeredSentMs = Math.max(this.#answeredSentMs, sentMs);
+		if (sentMs >= this.#reportedMs) {
+			this.#reported = {};
+		}
+
 		const isLate = sentMs < this.#statedMs;
 		const hasStatement = hasFields(stated);
 		if (!hasStatement && (isLate || !hasFields(this.#stated))) {
@@ -112,7 +144,7 @@
 
 		this.#avoidUntilMs = nowMs + Math.min(maxAvoidanceMs, minAvoidanceMs * (2 ** this.#refusalsInRow));
 		this.#refusalsInRow++;
-		const {maxRefusals} = this.#stated;
+		const {maxRefusals} = this.#getCurrent(nowMs);
 		if (maxRefusals !== undefined) {
 			this.#learnedRoom.recordRefusal(inFlight, nowMs);
 			const restMs = Math.min(maxBrittleRestMs, 2 * msPerSecond * sharing().instances / Math.max(1, maxRefusals));
@@ -126,11 +158,45 @@
 		this.#avoidUntilMs = Number.NEGATIVE_INFINITY;
 	}
 
-	/** Merges what a peer knows, if that is newer. */
+	/** Merges what a peer knows of the target's process, if that is newer. That the process leaves holds however old it is. */
 	merge({ageMs, ...stated}: SharedStatement, nowMs: number): void {
 		const statedMs = nowMs - ageMs;
+		if (statedMs >= this.#reportedMs) {
+			this.#reported = {};
+		}
+
 		if (statedMs > this.#statedMs + sameStatementMs) {
 			this.#set(stated, statedMs, nowMs);
+		} else if (stated.isLeaving) {
+			this.#set({...this.#stated, isLeaving: true}, this.#statedMs, nowMs);
+		}
+	}
+
+	/**
+	 * Merges a report that names no process, if it is newer than all that is known.
+	 * What it states counts for a short time, and that the target leaves only once.
+	 * What it does not state any more ends, as the target's answers show if it still
+	 * holds.
+	 */
+	mergeUnnamed({ageMs, isLeaving = false, ...limits}: SharedStatement, nowMs: number): void {
+		const reportedMs = nowMs - ageMs;
+		if (this.isLeaving || reportedMs <= Math.max(this.#statedMs, this.#reportedMs, this.#answeredSentMs) + sameStatementMs) {
+			return;
+		}
+
+		if (this.#getCurrent(nowMs).perSecond === undefined) {
+			this.#limitShare.reset();
+		}
+
+		const countsAsLeaving = isLeaving && !this.#hasReportedLeaving && ageMs < maxUnnamedReportMs;
+		this.#hasReportedLeaving ||= countsAsLeaving;
+		this.#reported = getStatedFields({...limits, ...(countsAsLeaving && {isLeaving})});
+		this.#reportedMs = reportedMs;
+		const ended = fields.filter(field => this.#stated[field] !== undefined && this.#reported[field] === undefined);
+		if (ended.length > 0) {
+			this.#stated = {...this.#stated, ...Object.fromEntries(ended.map(field => [field, undefined]))};
+			// The peers are told only what is known of the process.
+			this.#changedMs = Number.NEGATIVE_INFINITY;
 		}
 	}
 
@@ -149,11 +215,13 @@
 
 	/** Computes the time until this instance may send a request, in milliseconds; `Infinity` if only others may. */
 	computeDelayMs(sharing: () => LimitSharing, occupancy: TargetOccupancy, nowMs: number): number {
-		const {perSecond, maxRefusals} = this.#stated;
+		const current = this.#getCurrent(nowMs);
+		const {perSecond, maxRefusals} = current;
+		const statedMs = current === this.#stated ? this.#statedMs : this.#reportedMs;
 		return Math.max(
 			0,
 			this.#restUntilMs - nowMs,
-			perSecond === undefined ? 0 : this.#limitShare.computeDelayMs(perSecond, this.#statedMs, sharing(), nowMs),
+			perSecond === undefined ? 0 : this.#limitShare.computeDelayMs(perSecond, statedMs, sharing(), nowMs),
 			maxRefusals === undefined || (occupancy.inFlight < this.#learnedRoom.get(nowMs) && hasRoom(occupancy, sharing())) ? 0 : brittleRetryMs,
 		);
 	}
@@ -173,6 +241,11 @@
 		this.#limitShare.recordSent();
 	}
 
+	/** Returns what counts now. */
+	#getCurrent(nowMs: number): CommonStatement {
+		return hasFields(this.#reported) && nowMs < this.#reportedMs + maxUnnamedReportMs ? {...this.#stated, ...this.#reported} : this.#stated;
+	}
+
 	#set(stated: CommonStatement, statedMs: number, nowMs: number): void {
 		const next: CommonStatement = {...stated, isLeaving: this.isLeaving || stated.isLeaving};
 		this.#statedMs = statedMs;
