Relay: a target whose start is unknown is not given up for good

Cause: entries without a start time (`born`) give two processes under one id the same incarnation. What the first had stated, or a message that it has been replaced (421), excluded the second one for good. Change: for such targets leaving and `replaced` hold for 30 s after the last statement, reports to peers name no process and so count for 3 s, and an entry that is ready again after it has drained begins a new state.

--- a/packages/relay/target-incarnations.test.ts
+++ b/packages/relay/target-incarnations.test.ts
@@ -104,3 +104,52 @@
 	t.notOk(a.get('e')!.isLeaving);
 	t.notOk(b.get('e')!.isLeaving);
 });
+
+// Guards against targets given up for good whose entries do not tell one process from the next.
+t.test('a target whose start is unknown gets a new state when it is ready again after it has drained', async t => {
+	const {clock, a, b} = startInstances();
+	a.update([createTarget(0)]);
+	b.update([createTarget(0)]);
+	await clock.advance(1000);
+	a.get('e')!.statements.recordAnswer({isLeaving: true}, 900, 1000);
+	a.update([createTarget(0, {isDraining: true})]);
+	a.update([createTarget(0)]);
+	t.notOk(a.get('e')!.isLeaving);
+	tell(clock, a, b);
+	t.notOk(b.get('e')!.isLeaving);
+});
+
+t.test('a target whose start is unknown counts as leaving or replaced for a bounded time', async t => {
+	const {clock, a, b} = startInstances();
+	a.update([createTarget(0)]);
+	b.update([createTarget(0)]);
+	await clock.advance(1000);
+	const [own, told] = [a.get('e')!, b.get('e')!];
+	own.statements.recordAnswer({isLeaving: true}, 900, 1000);
+	tell(clock, a, b);
+	t.ok(own.isLeaving);
+	t.ok(told.isLeaving);
+	own.markReplaced();
+	t.ok(own.isReplaced);
+	for (let second = 0; second < 60; second++) {
+		await clock.advance(1000);
+		tell(clock, a, b);
+		t.equal(told.isLeaving, second < 2, `at the peer after ${second + 1} s`);
+	}
+
+	t.notOk(own.isLeaving);
+	t.notOk(own.isReplaced);
+	t.ok(own.suspectUntilMs <= clock.now());
+	own.statements.recordAnswer({isLeaving: true}, clock.now(), clock.now());
+	t.ok(own.isLeaving, 'its next answer says so again');
+});
+
+t.test('a target whose start is known counts as leaving or replaced as long as its process', async t => {
+	const {clock, a} = startInstances();
+	const state = a.get('e')!;
+	state.statements.recordAnswer({isLeaving: true}, 0, 0);
+	state.markReplaced();
+	await clock.advance(3_600_000);
+	t.ok(state.isLeaving);
+	t.ok(state.isReplaced);
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -235,6 +235,8 @@
 	return pools;
 }
 
-function isSameProcess(a: RelayTarget, b: RelayTarget): boolean {
-	return a.incarnation === b.incarnation && a.address === b.address && a.pool === b.pool;
+/** Whether two successive entries describe the same process. One that drains never becomes ready again, which shows a restart if the entries do not state the start. */
+function isSameProcess(before: RelayTarget, after: RelayTarget): boolean {
+	const isRestarted = after.startedWallMs === 0 && before.isDraining && !after.isDraining;
+	return before.incarnation === after.incarnation && before.address === after.address && before.pool === after.pool && !isRestarted;
 }
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -31,6 +31,9 @@
 /** Time for which a target's open connections are taken to be alive after something was received from it, in milliseconds; shorter than a cut takes to be noticed. */
 const aliveMs = 300;
 
+/** Time for which a target whose start is unknown is excluded because its process ends or has ended, in milliseconds: a later process cannot be told from it. */
+const maxUnknownExclusionMs = 30_000;
+
 /** Weight of the newest measurement in a moving average. */
 const smoothingFactor = 0.2;
 
@@ -55,7 +58,7 @@
 	inFlight = 0;
 	/** Prompt tokens that the target still has to read, of this instance's requests whose answer has not started. */
 	readonly pendingTokens = new TokenQueue();
-	readonly statements = new TargetStatements();
+	readonly statements: TargetStatements;
 	/** Load that the target reported last. */
 	load: TargetLoad | undefined;
 	/** Time at which that load was received, in milliseconds. */
@@ -64,8 +67,6 @@
 	readonly weights = new Map<string, number>();
 	/** Time until which the target is assumed to load weights and to refuse requests, in milliseconds. */
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
-	/** Whether another process has taken over the target's address. */
-	isReplaced = false;
 	/** Whether this instance reaches no target of the pool over new connections. */
 	isUnreachable = false;
 	/** Time at which the target last sent an answer or a part of one, in milliseconds. */
@@ -81,11 +82,17 @@
 	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
 	readonly #clock: Pick<Clock, 'now'>;
+	/** Time until which the target is excluded as another process has taken over its address, in milliseconds. */
+	#replacedUntilMs = Number.NEGATIVE_INFINITY;
+	/** Time for which the target is excluded if its process ends, in milliseconds. */
+	readonly #maxExclusionMs: number;
 
 	constructor(target: RelayTarget, connections: TargetConnections, clock: Pick<Clock, 'now'>) {
 		this.target = target;
 		this.connections = connections;
 		this.#clock = clock;
+		this.#maxExclusionMs = target.startedWallMs > 0 ? Infinity : maxUnknownExclusionMs;
+		this.statements = new TargetStatements(this.#maxExclusionMs);
 		this.update(target);
 	}
 
@@ -94,6 +101,11 @@
 		return this.target.isDraining || this.statements.leavingUntilMs > this.#clock.now();
 	}
 
+	/** Whether another process has taken over the target's address. */
+	get isReplaced(): boolean {
+		return this.#replacedUntilMs > this.#clock.now();
+	}
+
 	/** Time until which other targets are preferred to this one, in milliseconds. */
 	get suspectUntilMs(): number {
 		return this.#suspectUntilMs;
@@ -116,10 +128,10 @@
 		}
 	}
 
-	/** Excludes the target for good, as its process has ended and another one has taken over its address. */
+	/** Excludes the target, as its process has ended and another one has taken over its address: for good if that process is known. */
 	markReplaced(): void {
-		this.isReplaced = true;
-		this.suspect(Infinity);
+		this.#replacedUntilMs = this.#clock.now() + this.#maxExclusionMs;
+		this.suspect(this.#replacedUntilMs);
 	}
 
 	/** Ends the effect of {@link TargetState.suspect}, as the target has answered. */
--- a/packages/relay/target-statements.ts
+++ b/packages/relay/target-statements.ts
@@ -59,7 +59,8 @@
 
 const msPerSecond = 1000;
 
-const fields = ['perSecond', 'isLeaving', 'maxRefusals'] as const satisfies ReadonlyArray<keyof CommonStatement>;
+const limitFields = ['perSecond', 'maxRefusals'] as const;
+const fields = [...limitFields, 'isLeaving'] as const satisfies ReadonlyArray<keyof CommonStatement>;
 
 export class TargetStatements {
 	#stated: CommonStatement = {};
@@ -71,6 +72,9 @@
 	#announcedMs = Number.NEGATIVE_INFINITY;
 	/** Time at which the newest request was sent of those that the target has answered, in milliseconds. */
 	#answeredSentMs = Number.NEGATIVE_INFINITY;
+	/** Time at which the target last stated that it leaves, in milliseconds, and time for which that holds. */
+	#leavingStatedMs = Number.NEGATIVE_INFINITY;
+	readonly #maxLeavingMs: number;
 	/** What the newest report says that names no process, and the time at which a target stated that, in milliseconds. */
 	#reported: CommonStatement = {};
 	#reportedMs = Number.NEGATIVE_INFINITY;
@@ -83,6 +87,11 @@
 	readonly #limitShare = new LimitShare();
 	readonly #learnedRoom = new LearnedRoom();
 
+	/** @param maxLeavingMs time for which it holds that the target leaves, in milliseconds: for good if all statements are known to come from one process */
+	constructor(maxLeavingMs = Infinity) {
+		this.#maxLeavingMs = maxLeavingMs;
+	}
+
 	/** Requests per second over all instances; `undefined` if the target states no limit. */
 	get perSecond(): number | undefined {
 		return this.#stated.perSecond;
@@ -93,18 +102,17 @@
 		return hasFields(this.#stated);
 	}
 
-	/** Whether the target is about to stop; once stated, this holds as long as its process. */
+	/** Whether the target's process has stated that it is about to stop. */
 	get isLeaving(): boolean {
 		return this.#stated.isLeaving === true;
 	}
 
-	/** Time until which the target counts as about to stop, in milliseconds: for good if its process has stated that. */
+	/** Time until which the target counts as about to stop, in milliseconds. */
 	get leavingUntilMs(): number {
-		if (this.isLeaving) {
-			return Infinity;
-		}
-
-		return this.#reported.isLeaving ? this.#reportedMs + maxUnnamedReportMs : Number.NEGATIVE_INFINITY;
+		return Math.max(
+			this.isLeaving ? this.#leavingStatedMs + this.#maxLeavingMs : Number.NEGATIVE_INFINITY,
+			this.#reported.isLeaving ? this.#reportedMs + maxUnnamedReportMs : Number.NEGATIVE_INFINITY,
+		);
 	}
 
 	/**
@@ -180,7 +188,7 @@
 	 */
 	mergeUnnamed({ageMs, isLeaving = false, ...limits}: SharedStatement, nowMs: number): void {
 		const reportedMs = nowMs - ageMs;
-		if (this.isLeaving || reportedMs <= Math.max(this.#statedMs, this.#reportedMs, this.#answeredSentMs) + sameStatementMs) {
+		if (this.leavingUntilMs === Infinity || reportedMs <= Math.max(this.#statedMs, this.#reportedMs, this.#answeredSentMs) + sameStatementMs) {
 			return;
 		}
 
@@ -192,7 +200,7 @@
 		this.#hasReportedLeaving ||= countsAsLeaving;
 		this.#reported = getStatedFields({...limits, ...(countsAsLeaving && {isLeaving})});
 		this.#reportedMs = reportedMs;
-		const ended = fields.filter(field => this.#stated[field] !== undefined && this.#reported[field] === undefined);
+		const ended = limitFields.filter(field => this.#stated[field] !== undefined && this.#reported[field] === undefined);
 		if (ended.length > 0) {
 			this.#stated = {...this.#stated, ...Object.fromEntries(ended.map(field => [field, undefined]))};
 			// The peers are told only what is known of the process.
@@ -249,6 +257,10 @@
 	#set(stated: CommonStatement, statedMs: number, nowMs: number): void {
 		const next: CommonStatement = {...stated, isLeaving: this.isLeaving || stated.isLeaving};
 		this.#statedMs = statedMs;
+		if (stated.isLeaving) {
+			this.#leavingStatedMs = statedMs;
+		}
+
 		if (fields.some(field => next[field] !== this.#stated[field])) {
 			if (this.#stated.perSecond === undefined) {
 				this.#limitShare.reset();
