Relay: what is known of a target's process holds when its entry comes back

Cause: the state of a target ended with its entry. Change: the states of the last 256 processes that are not listed any more are kept by incarnation, and a process that has drained does not become ready again. Whether a target can be reached is not kept. Earlier programs hear of the end of limits also if the entry was gone between two processes.

--- a/packages/relay/earlier-programs.test.ts
+++ b/packages/relay/earlier-programs.test.ts
@@ -179,3 +179,14 @@
 	await clock.advance(5000);
 	t.same(targets.listWork(), []);
 });
+
+t.test('an earlier program hears of the end of limits also if the entry was gone between two processes', async t => {
+	const {clock, targets} = start();
+	await clock.advance(1000);
+	targets.get('e')!.statements.recordAnswer({maxRefusals: 3}, 900, 1000);
+	await clock.advance(2000);
+	targets.update([]);
+	targets.update([createTarget(2)]);
+	await clock.advance(100);
+	t.match(targets.listWork(), [{target: 'e', limit: {maxRefusals: undefined, ageMs: 100}, statement: undefined}]);
+});
--- a/packages/relay/target-incarnations.test.ts
+++ b/packages/relay/target-incarnations.test.ts
@@ -153,3 +153,53 @@
 	t.ok(state.isLeaving);
 	t.ok(state.isReplaced);
 });
+
+// Guards against requests to a target that has said that it leaves, as its entry expires, or is older for a moment after the store was restored.
+t.test('what is known of a process holds when its entry comes back', async t => {
+	const {clock, a} = startInstances();
+	const first = a.get('e')!;
+	first.statements.recordAnswer({isLeaving: true}, 0, 0);
+	first.isUnreachable = true;
+	a.update([]);
+	await clock.advance(1000);
+	a.update([createTarget(1)]);
+	t.ok(a.get('e')!.isLeaving);
+	t.notOk(a.get('e')!.isUnreachable, 'only targets that are listed are checked');
+	a.update([createTarget(2)]);
+	t.notOk(a.get('e')!.isLeaving);
+	a.get('e')!.markReplaced();
+	a.update([createTarget(1)]);
+	t.equal(a.get('e'), first);
+	t.ok(a.get('e')!.isLeaving);
+	t.notOk(a.get('e')!.isReplaced);
+	a.update([createTarget(2)]);
+	t.ok(a.get('e')!.isReplaced);
+	a.update([createTarget(1, {address: '10.0.0.2:80'})]);
+	t.not(a.get('e'), first);
+});
+
+t.test('a process that has drained is not ready again, and a later one is', async t => {
+	const {a} = startInstances();
+	a.update([createTarget(1, {isDraining: true})]);
+	a.update([createTarget(1)]);
+	t.ok(a.get('e')!.isLeaving);
+	a.update([]);
+	a.update([createTarget(1)]);
+	t.ok(a.get('e')!.isLeaving);
+	a.update([createTarget(2)]);
+	t.notOk(a.get('e')!.isLeaving);
+});
+
+t.test('a bounded number of processes is kept', async t => {
+	const {a} = startInstances();
+	const first = a.get('e');
+	for (let startedWallMs = 2; startedWallMs < 400; startedWallMs++) {
+		a.update([createTarget(startedWallMs)]);
+	}
+
+	const last = a.get('e');
+	a.update([createTarget(1)]);
+	t.not(a.get('e'), first);
+	a.update([createTarget(399)]);
+	t.equal(a.get('e'), last);
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -10,6 +10,9 @@
 /** Time for which the end of the statements of an earlier process is told, in milliseconds. */
 const announceEndMs = 3000;
 
+/** Maximum number of processes that are kept after they are no longer listed. */
+const maxUnlisted = 256;
+
 /** Target states by id; a restarted target gets a new state. */
 export class TargetSet {
 	readonly #clock: Clock;
@@ -23,6 +26,8 @@
 	readonly #pastVersions = new Map<string, Map<string, number>>();
 	/** Time of the first update with targets. */
 	#observedSinceMs: number | undefined;
+	/** States of processes that are not listed now, by incarnation, the last one at the end. */
+	readonly #unlisted = new Map<string, TargetState>();
 	#byIncarnation: ReadonlyMap<string, TargetState> = new Map();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
@@ -106,16 +111,14 @@
 			if (known && isSameProcess(known.target, target)) {
 				known.update(target);
 			} else {
-				known?.connections.closeIdle();
-				const state = this.#create(target);
-				state.succeededMs = known?.statements.isStating ? this.#clock.now() : Number.NEGATIVE_INFINITY;
-				this.#states.set(target.id, state);
+				this.#unlist(known);
+				this.#states.set(target.id, this.#takeUnlisted(target) ?? this.#create(target));
 			}
 		}
 
 		for (const [id, state] of this.#states) {
 			if (!listed.has(id)) {
-				state.connections.closeIdle();
+				this.#unlist(state);
 				this.#states.delete(id);
 			}
 		}
@@ -177,7 +180,7 @@
 
 	/** Closes all connections. */
 	close(): void {
-		for (const {connections} of this.#states.values()) {
+		for (const {connections} of [...this.#states.values(), ...this.#unlisted.values()]) {
 			connections.close();
 		}
 	}
@@ -189,11 +192,42 @@
 		}
 	}
 
+	/** Keeps what is known of a process, as its entry may come back: after it has expired, or with an older copy of the store. */
+	#unlist(state: TargetState | undefined): void {
+		if (!state) {
+			return;
+		}
+
+		state.connections.closeIdle();
+		this.#unlisted.delete(state.target.incarnation);
+		this.#unlisted.set(state.target.incarnation, state);
+		if (this.#unlisted.size > maxUnlisted) {
+			const [oldest] = this.#unlisted.keys();
+			this.#unlisted.delete(oldest!);
+		}
+	}
+
+	/** Returns the state of a process that is listed again. One whose start is unknown may be another process. */
+	#takeUnlisted(target: RelayTarget): TargetState | undefined {
+		const state = this.#unlisted.get(target.incarnation);
+		if (!state || target.startedWallMs === 0 || !isSameProcess(state.target, target)) {
+			return undefined;
+		}
+
+		this.#unlisted.delete(target.incarnation);
+		// Checks set this for listed targets only.
+		state.isUnreachable = false;
+		state.update(target);
+		return state;
+	}
+
 	#create(target: RelayTarget): TargetState {
 		const state: TargetState = new TargetState(target, new TargetConnections(target.address, this.#clock, () => {
 			state.lastReceivedMs = this.#clock.now();
 			return state.lastReceivedMs;
 		}, this.#options), this.#clock);
+		const hasPredecessor = [...this.#unlisted.values()].some(earlier => earlier.target.id === target.id && earlier.statements.isStating);
+		state.succeededMs = hasPredecessor ? this.#clock.now() : Number.NEGATIVE_INFINITY;
 		return state;
 	}
 }
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -82,6 +82,8 @@
 	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
 	readonly #clock: Pick<Clock, 'now'>;
+	/** Whether an entry of the process was draining. */
+	#hasDrained = false;
 	/** Time until which the target is excluded as another process has taken over its address, in milliseconds. */
 	#replacedUntilMs = Number.NEGATIVE_INFINITY;
 	/** Time for which the target is excluded if its process ends, in milliseconds. */
@@ -98,7 +100,7 @@
 
 	/** Whether the target is about to stop, as the store, its answers or peers state. */
 	get isLeaving(): boolean {
-		return this.target.isDraining || this.statements.leavingUntilMs > this.#clock.now();
+		return this.#hasDrained || this.statements.leavingUntilMs > this.#clock.now();
 	}
 
 	/** Whether another process has taken over the target's address. */
@@ -139,9 +141,10 @@
 		this.#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	}
 
-	/** Updates the target's entry to the one listed now. */
+	/** Updates the target's entry to the one listed now. A process that has drained does not become ready again, even if an older copy of the store says so. */
 	update(target: RelayTarget): void {
 		this.target = target;
+		this.#hasDrained ||= target.isDraining;
 		for (const [model, version] of target.weights) {
 			this.recordWeights(model, version);
 		}
