--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -2,10 +2,17 @@
 import type {ConnectionOptions} from './connection.ts';
 import {TargetConnections} from './connections.ts';
 import {TargetState} from './target-state.ts';
+import type {SharedStatement} from './target-statements.ts';
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 import type {TargetWork} from '#placement';
 
+/** Time for which the end of the statements of an earlier process is told, in milliseconds. */
+const announceEndMs = 3000;
+
+/** Maximum number of processes that are kept after they are no longer listed. */
+const maxUnlisted = 256;
+
 /** Target states by id; a restarted target gets a new state. */
 export class TargetSet {
 	readonly #clock: Clock;
@@ -19,6 +26,8 @@
 	readonly #pastVersions = new Map<string, Map<string, number>>();
 	/** Time of the first update with targets. */
 	#observedSinceMs: number | undefined;
+	/** States of processes that are not listed now, by incarnation, the last one at the end. */
+	readonly #unlisted = new Map<string, TargetState>();
 	#byIncarnation: ReadonlyMap<string, TargetState> = new Map();
 	#pools: ReadonlyMap<string, readonly TargetState[]> = new Map();
 
@@ -102,14 +111,14 @@
 			if (known && isSameProcess(known.target, target)) {
 				known.update(target);
 			} else {
-				known?.connections.closeIdle();
-				this.#states.set(target.id, this.#create(target));
+				this.#unlist(known);
+				this.#states.set(target.id, this.#takeUnlisted(target) ?? this.#create(target));
 			}
 		}
 
 		for (const [id, state] of this.#states) {
 			if (!listed.has(id)) {
-				state.connections.closeIdle();
+				this.#unlist(state);
 				this.#states.delete(id);
 			}
 		}
@@ -122,17 +131,20 @@
 	/** Lists the work that this instance has in progress on each target, and what the peers should know of the targets' statements. */
 	listWork(): readonly TargetWork[] {
 		const nowMs = this.#clock.now();
-		return [...this.#states.values()].flatMap(({target, inFlight, pendingTokens, statements}) => {
-			const limit = statements.announce(nowMs);
+		return [...this.#states.values()].flatMap(state => {
+			const {target, inFlight, pendingTokens} = state;
+			const statement = state.statements.announce(nowMs);
+			const limit = getUnnamedStatement(state, statement, nowMs);
 			return inFlight > 0 || limit
 				? [{
-					target: target.id, requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), limit,
+					target: target.id, ...(target.startedWallMs > 0 && {startedWallMs: target.startedWallMs}),
+					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(limit && {limit}), ...(statement && {statement}),
 				}]
 				: [];
 		});
 	}
 
-	/** Replaces the work that a peer has in progress with its newest report. */
+	/** Replaces the work that a peer has in progress with its newest report. What concerns another process than the one that is listed now is left out. */
 	applyPeerWork(peer: string, work: readonly TargetWork[], nowMs: number): void {
 		for (const id of this.#targetIdsByPeer.get(peer) ?? []) {
 			this.#states.get(id)?.removePeerWork(peer);
@@ -140,11 +152,18 @@
 
 		this.#targetIdsByPeer.set(peer, work.map(({target}) => target));
 		// Without counts by urgency, all tokens count as the most urgent.
-		for (const {target, requests, tokens, byUrgency = [tokens], limit} of work) {
+		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], statement, limit} of work) {
 			const state = this.#states.get(target);
-			state?.setPeerWork(peer, {requests, byUrgency}, nowMs);
-			if (limit) {
-				state?.statements.merge(limit, nowMs);
+			if (!state || (startedWallMs !== undefined && startedWallMs !== state.target.startedWallMs)) {
+				continue;
+			}
+
+			state.setPeerWork(peer, {requests, byUrgency}, nowMs);
+			const stated = statement ?? limit;
+			if (startedWallMs !== undefined && statement) {
+				state.statements.merge(statement, nowMs);
+			} else if (startedWallMs === undefined && stated) {
+				state.statements.mergeUnnamed(stated, nowMs);
 			}
 		}
 	}
@@ -161,7 +180,7 @@
 
 	/** Closes all connections. */
 	close(): void {
-		for (const {connections} of this.#states.values()) {
+		for (const {connections} of [...this.#states.values(), ...this.#unlisted.values()]) {
 			connections.close();
 		}
 	}
@@ -173,15 +192,61 @@
 		}
 	}
 
+	/** Keeps what is known of a process, as its entry may come back: after it has expired, or with an older copy of the store. */
+	#unlist(state: TargetState | undefined): void {
+		if (!state) {
+			return;
+		}
+
+		state.connections.closeIdle();
+		this.#unlisted.delete(state.target.incarnation);
+		this.#unlisted.set(state.target.incarnation, state);
+		if (this.#unlisted.size > maxUnlisted) {
+			const [oldest] = this.#unlisted.keys();
+			this.#unlisted.delete(oldest!);
+		}
+	}
+
+	/** Returns the state of a process that is listed again. One whose start is unknown may be another process. */
+	#takeUnlisted(target: RelayTarget): TargetState | undefined {
+		const state = this.#unlisted.get(target.incarnation);
+		if (!state || target.startedWallMs === 0 || !isSameProcess(state.target, target)) {
+			return undefined;
+		}
+
+		this.#unlisted.delete(target.incarnation);
+		// Checks set this for listed targets only.
+		state.isUnreachable = false;
+		state.update(target);
+		return state;
+	}
+
 	#create(target: RelayTarget): TargetState {
 		const state: TargetState = new TargetState(target, new TargetConnections(target.address, this.#clock, () => {
 			state.lastReceivedMs = this.#clock.now();
 			return state.lastReceivedMs;
-		}, this.#options));
+		}, this.#options), this.#clock);
+		const hasPredecessor = [...this.#unlisted.values()].some(earlier => earlier.target.id === target.id && earlier.statements.isStating);
+		state.succeededMs = hasPredecessor ? this.#clock.now() : Number.NEGATIVE_INFINITY;
 		return state;
 	}
 }
 
+/**
+ * Returns what peers are told whose program takes a statement for one of whichever
+ * process has the target's name now. They would never use a target again of which
+ * they hear that it leaves, so they are not told that. They are told that the limits
+ * of an earlier process have ended.
+ */
+function getUnnamedStatement({succeededMs}: TargetState, statement: SharedStatement | undefined, nowMs: number): SharedStatement | undefined {
+	if (statement) {
+		const {isLeaving: _isLeaving, ...limits} = statement;
+		return limits;
+	}
+
+	return nowMs - succeededMs < announceEndMs ? {ageMs: nowMs - succeededMs} : undefined;
+}
+
 /** Of several targets at one address, keeps only the one that started last: the others have been replaced, and their entries have not expired yet. */
 function removeReplaced(targets: readonly RelayTarget[]): readonly RelayTarget[] {
 	const newest = new Map<string, number>();
@@ -204,6 +269,8 @@
 	return pools;
 }
 
-function isSameProcess(a: RelayTarget, b: RelayTarget): boolean {
-	return a.incarnation === b.incarnation && a.address === b.address && a.pool === b.pool;
+/** Whether two successive entries describe the same process. One that drains never becomes ready again, which shows a restart if the entries do not state the start. */
+function isSameProcess(before: RelayTarget, after: RelayTarget): boolean {
+	const isRestarted = after.startedWallMs === 0 && before.isDraining && !after.isDraining;
+	return before.incarnation === after.incarnation && before.address === after.address && before.pool === after.pool && !isRestarted;
 }
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -6,6 +6,7 @@
 import type {TargetConnections} from './connections.ts';
 import {TargetStatements} from './target-statements.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
+import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 
 /** Load that a target reported in an answer. */
@@ -30,6 +31,9 @@
 /** Time for which a target's open connections are taken to be alive after something was received from it, in milliseconds; shorter than a cut takes to be noticed. */
 const aliveMs = 300;
 
+/** Time for which a target whose start is unknown is excluded because its process ends or has ended, in milliseconds: a later process cannot be told from it. */
+const maxUnknownExclusionMs = 30_000;
+
 /** Weight of the newest measurement in a moving average. */
 const smoothingFactor = 0.2;
 
@@ -54,7 +58,7 @@
 	inFlight = 0;
 	/** Prompt tokens that the target still has to read, of this instance's requests whose answer has not started. */
 	readonly pendingTokens = new TokenQueue();
-	readonly statements = new TargetStatements();
+	readonly statements: TargetStatements;
 	/** Load that the target reported last. */
 	load: TargetLoad | undefined;
 	/** Time at which that load was received, in milliseconds. */
@@ -63,12 +67,12 @@
 	readonly weights = new Map<string, number>();
 	/** Time until which the target is assumed to load weights and to refuse requests, in milliseconds. */
 	loadingUntilMs = Number.NEGATIVE_INFINITY;
-	/** Whether another process has taken over the target's address. */
-	isReplaced = false;
 	/** Whether this instance reaches no target of the pool over new connections. */
 	isUnreachable = false;
 	/** Time at which the target last sent an answer or a part of one, in milliseconds. */
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
+	/** Time at which this process took the place of an earlier one under the target's id that had stated something about itself, in milliseconds. */
+	succeededMs = Number.NEGATIVE_INFINITY;
 	/** Called when the target is suspected; one per exchange in progress whose request may be sent again. */
 	readonly suspicionHandlers = new Set<() => void>();
 	/** Average time in which the target reads a prompt token, in milliseconds. */
@@ -77,16 +81,31 @@
 	serviceMs = initialServiceMs;
 	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
-
-	constructor(target: RelayTarget, connections: TargetConnections) {
+	readonly #clock: Pick<Clock, 'now'>;
+	/** Whether an entry of the process was draining. */
+	#hasDrained = false;
+	/** Time until which the target is excluded as another process has taken over its address, in milliseconds. */
+	#replacedUntilMs = Number.NEGATIVE_INFINITY;
+	/** Time for which the target is excluded if its process ends, in milliseconds. */
+	readonly #maxExclusionMs: number;
+
+	constructor(target: RelayTarget, connections: TargetConnections, clock: Pick<Clock, 'now'>) {
 		this.target = target;
 		this.connections = connections;
+		this.#clock = clock;
+		this.#maxExclusionMs = target.startedWallMs > 0 ? Infinity : maxUnknownExclusionMs;
+		this.statements = new TargetStatements(this.#maxExclusionMs);
 		this.update(target);
 	}
 
-	/** Whether the target is about to stop, as the store or its answers state. */
+	/** Whether the target is about to stop, as the store, its answers or peers state. */
 	get isLeaving(): boolean {
-		return this.target.isDraining || this.statements.isLeaving;
+		return this.#hasDrained || this.statements.leavingUntilMs > this.#clock.now();
+	}
+
+	/** Whether another process has taken over the target's address. */
+	get isReplaced(): boolean {
+		return this.#replacedUntilMs > this.#clock.now();
 	}
 
 	/** Time until which other targets are preferred to this one, in milliseconds. */
@@ -111,10 +130,10 @@
 		}
 	}
 
-	/** Excludes the target for good, as its process has ended and another one has taken over its address. */
+	/** Excludes the target, as its process has ended and another one has taken over its address: for good if that process is known. */
 	markReplaced(): void {
-		this.isReplaced = true;
-		this.suspect(Infinity);
+		this.#replacedUntilMs = this.#clock.now() + this.#maxExclusionMs;
+		this.suspect(this.#replacedUntilMs);
 	}
 
 	/** Ends the effect of {@link TargetState.suspect}, as the target has answered. */
@@ -122,9 +141,10 @@
 		this.#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	}
 
-	/** Updates the target's entry to the one listed now. */
+	/** Updates the target's entry to the one listed now. A process that has drained does not become ready again, even if an older copy of the store says so. */
 	update(target: RelayTarget): void {
 		this.target = target;
+		this.#hasDrained ||= target.isDraining;
 		for (const [model, version] of target.weights) {
 			this.recordWeights(model, version);
 		}
