--- a/packages/gateway/gateway.test.ts
+++ b/packages/gateway/gateway.test.ts
@@ -157,6 +157,16 @@
 	t.match(runs, [[{softwareVersion: 'v2', lastEventId: '3'}, {name: 'q'}]]);
 });
 
+t.test('a resumed stream that may go on anywhere runs at the only software version of its pool', async t => {
+	const pools = [{pool: 'p', weight: 1000}, {pool: 'q', weight: 1}];
+	const {gateway, accept, runs} = createGateway({kind: 'any', softwareVersions: new Map([['q', 'v2']])});
+	gateway.applyConfiguration(createConfiguration(1, {
+		routes: [{...route, pools}], pools: new Map(['p', 'q'].map(name => [name, {name, healthPath: '/', maxConnections: 9}])),
+	}));
+	await gateway.run(accept({lastEventId: '3', resumedRequestId: 'first'}), undefined, caller);
+	t.match(runs, [[{softwareVersion: 'v2', lastEventId: '3'}, {name: 'q'}]], 'no version is known of the other pool');
+});
+
 t.test('a stream that cannot be resumed is refused as not run, with a retry time', async t => {
 	for (const [kind, reason] of [['unknown', 'stream_origin_unknown'], ['moved', 'stream_origin_gone']] as const) {
 		const {gateway, accept, runs} = createGateway({kind});
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -181,7 +181,9 @@
 		}
 
 		const origin = decision.kind === 'origin' ? decision.origin : undefined;
-		const pool = configuration.pools.get(origin?.pool ?? choosePool(route.pools, random.next()) ?? '');
+		const onlyVersions = decision.kind === 'any' ? decision.softwareVersions : undefined;
+		const shares = onlyVersions ? route.pools.filter(({pool}) => onlyVersions.has(pool)) : route.pools;
+		const pool = configuration.pools.get(origin?.pool ?? choosePool(shares, random.next()) ?? '');
 		if (!pool) {
 			caller.refuse(this.refuse(head, 'no_target', {retryAfterMs: notConfiguredRetryAfterMs}));
 			return;
@@ -189,7 +191,8 @@
 
 		await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.forwardedHeaders, body, route, customer, prompt: head.prompt, cacheScope,
-			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, softwareVersion: origin?.softwareVersion, configurationVersion: configuration.version, arrivedMs, deadlineMs,
+			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, softwareVersion: origin?.softwareVersion ?? onlyVersions?.get(pool.name),
+			configurationVersion: configuration.version, arrivedMs, deadlineMs,
 		}, pool, caller);
 	}
 
--- a/packages/mirror/sync-mirror.ts
+++ b/packages/mirror/sync-mirror.ts
@@ -50,6 +50,11 @@
 	recordAnswer(isAnswered: boolean): void;
 }>;
 
+type MirroredKind = Pick<SyncMirrorDependencies, 'mirror' | 'store'>;
+
+/** Waiting time of a watch that returns at once, with or without changes, in milliseconds. */
+const noWaitMs = 1;
+
 /** Time between checks of whether this instance has become a watcher, in milliseconds. */
 const watcherCheckIntervalMs = 300;
 
@@ -75,7 +80,7 @@
 			continue;
 		}
 
-		const failure = isListed ? await watch(dependencies, signal) : await list(dependencies);
+		const failure = isListed ? await watch(dependencies, signal, watchers?.isLargeFleet ? watchers.getPace().waitMs : undefined) : await list(dependencies);
 		if (signal.aborted) {
 			return;
 		}
@@ -107,8 +112,18 @@
 	}
 }
 
+/**
+ * Brings a mirror up to date at once, besides the task that keeps it in sync.
+ *
+ * @returns whether the mirror has all changes that the store had when this was called
+ */
+export async function refreshMirror(mirror: KindMirror, store: ObjectStore, signal: AbortSignal): Promise<boolean> {
+	const failure = mirror.revision > 0 ? await watch({mirror, store}, signal, noWaitMs) : await list({mirror, store});
+	return !failure || (failure.kind === 'gone' && !await list({mirror, store}));
+}
+
 /** Lists the kind and replaces the mirror's objects. */
-async function list({mirror, store}: SyncMirrorDependencies): Promise<StoreFailure | undefined> {
+async function list({mirror, store}: MirroredKind): Promise<StoreFailure | undefined> {
 	const listed = await store.list(`${mirror.kind}/`);
 	if (!listed.ok) {
 		return listed.error;
@@ -119,9 +134,9 @@
 }
 
 /** Waits for the next changes of the kind and applies them to the mirror. */
-async function watch({mirror, store, watchers}: SyncMirrorDependencies, signal: AbortSignal): Promise<StoreFailure | undefined> {
+async function watch({mirror, store}: MirroredKind, signal: AbortSignal, waitMs: number | undefined): Promise<StoreFailure | undefined> {
 	const since = mirror.revision;
-	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs: watchers?.isLargeFleet ? watchers.getPace().waitMs : undefined});
+	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs});
 	if (!batch.ok) {
 		return batch.error;
 	}
--- a/packages/node/_peers.ts
+++ b/packages/node/_peers.ts
@@ -5,7 +5,7 @@
 import type {Random} from '#core';
 import {pollInstanceList, Membership, type InstanceStatus} from '#membership';
 import {
-	createNoopBus, createTcpTransport, type Peer, type PeerBus, type PeerStatus,
+	createNoopBus, createTcpTransport, type Peer, type PeerBus, type PeerStatus, type PeerTransport,
 } from '#peer-protocol';
 import type {InstanceEntry, ObjectStore} from '#object-store';
 import type {Telemetry} from '#telemetry';
@@ -17,6 +17,8 @@
 	random: Random;
 	telemetry: Telemetry;
 	platform: ObjectStore;
+	/** Carries the bytes between instances. Default: TCP. */
+	transport?: PeerTransport | undefined;
 	/** Returns the state that heartbeats carry. */
 	getStatus: () => Omit<PeerStatus, 'membersDigest'>;
 	/** Called with each heartbeat of a neighbour. */
@@ -78,7 +80,7 @@
 		};
 	}
 
-	const transport = createTcpTransport();
+	const {transport = createTcpTransport()} = dependencies;
 	const listener = await transport.listen(peers.listen, stream => {
 		membership.accept(stream);
 	});
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -8,7 +8,9 @@
 import type {Clock} from '#clock';
 import type {Random, RelayConfiguration, RelayTarget} from '#core';
 import type {Gateway} from '#gateway';
-import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
+import {
+	refreshMirror, syncMirror, KindMirror, MirrorRelay,
+} from '#mirror';
 import type {ObjectStore} from '#object-store';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
@@ -93,6 +95,14 @@
 		}, signal)));
 	}
 
+	/** Brings the targets up to date with the store at once; returns whether it has answered. */
+	async refreshTargets(store: ObjectStore, signal: AbortSignal): Promise<boolean> {
+		const isRefreshed = await refreshMirror(this.#targets, store, signal);
+		// The event of the mirror comes later than this call returns.
+		this.#decodeTargets();
+		return isRefreshed;
+	}
+
 	#listMirrors(): readonly KindMirror[] {
 		return [this.#configuration, this.#targets, this.#weights];
 	}
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -20,13 +20,14 @@
 import {
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
+import type {PeerTransport} from '#peer-protocol';
 import {runWorkExchange} from '#placement';
 import {
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
-	CachedParts, KvCacheStores, OpenRequests, OriginExchange, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet, watchEngines,
-	PublishedWeights, VersionRecord, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
+	CachedParts, KvCacheStores, OpenRequests, OriginExchange, originRetentionMs, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet,
+	watchEngines, PublishedWeights, VersionRecord, VersionRefresh, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type RelayedWork, type TargetDialect,
 } from '#relay';
 import type {EngineControl} from '#rollout';
@@ -81,6 +82,8 @@
 	createCalls: (targets: TargetSet) => TargetCalls;
 	connections: ConnectionOptions;
 	bounds: RelayBounds;
+	/** Carries the bytes between instances. Default: TCP. */
+	peerTransport?: PeerTransport | undefined;
 	/** Called with each configuration that comes into force. */
 	handleConfiguration: (configuration: RelayConfiguration) => void;
 }>;
@@ -147,7 +150,7 @@
 		platform: dependencies.store, clock, random, telemetry, countInstances: countLiveInstances,
 	}, {rates: dependencies.storeRates, expectedInstances});
 	const peers = await startPeers({
-		settings, clock, random, telemetry, platform: store.status, listIntervalMs,
+		settings, clock, random, telemetry, platform: store.status, transport: dependencies.peerTransport, listIntervalMs,
 		getStatus: () => ({
 			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
@@ -165,12 +168,21 @@
 	const publishedWeights = new PublishedWeights(clock);
 	const cachedParts = new CachedParts();
 	const origins = new StreamOrigins(clock);
-	const originExchange = new OriginExchange({
-		origins, bus, clock, random, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
-	});
 	const versionRecord = new VersionRecord({
 		clock, telemetry, store: store.status, kind: formats.kinds.software, targets, getRank: duty => peers.getRank(duty),
 	});
+	const stopping = new AbortController();
+	const {signal} = stopping;
+	setMaxListeners(maxSignalListeners, signal);
+	const versionRefresh = new VersionRefresh({
+		clock, refreshTargets: async () => await started.storeMirrors?.refreshTargets(store.configuration, signal) ?? false,
+		refreshRecord: async () => versionRecord.refresh(),
+	});
+	const refresh = async () => versionRefresh.refresh();
+	const originExchange = new OriginExchange({
+		origins, bus, clock, random, refresh, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
+		listVersions: pool => targets.listVersions(pool, originRetentionMs),
+	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
 	}, {strikeLimit: maxCrashes, retentionMs: strikeRetentionMs});
@@ -208,7 +220,7 @@
 	});
 	const gateway = new Gateway({
 		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({
-			origins, exchange: originExchange, targets, versionRecord, telemetry,
+			origins, exchange: originExchange, refresh, targets, versionRecord, telemetry,
 		}, stream),
 	});
 	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay, or wait for it.
@@ -252,9 +264,6 @@
 	started.relayedWork = serveRelayedRequests({
 		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
 	});
-	const stopping = new AbortController();
-	const {signal} = stopping;
-	setMaxListeners(maxSignalListeners, signal);
 	const tasks = [
 		storeMirrors.run(store.configuration, random, signal),
 		rollout.run(signal),
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -7,6 +7,8 @@
 const maxCrashes = 16;
 const maxFailedTrials = 1000;
 const maxUrgencies = 10;
+const maxPools = 256;
+const maxVersionsPerPool = 64;
 
 const nameSchema = z.string().max(maxNameLength);
 
@@ -88,9 +90,27 @@
 	/** Where resumable streams began, by their keys. */
 	z.object({
 		kind: z.literal('origins'), origins: z.array(z.object({key: nameSchema, pool: nameSchema, softwareVersion: nameSchema})).max(maxEntries),
+		/** The answer to the receiver's question with this number; present also if the sender does not know the origin. */
+		answer: z.object({
+			number: z.number().int().min(0),
+			/** Software versions that targets of the pools in question had in the retention time of origins. */
+			versions: z.array(z.object({pool: nameSchema, softwareVersions: z.array(nameSchema).max(maxVersionsPerPool)})).max(maxPools),
+			/** Whether the sender has read these versions from the object store since it received the question. */
+			isRefreshed: z.boolean(),
+		}).optional(),
 	}),
 	/** The sender needs the origin of a stream; peers that know it answer with `origins`. */
-	z.object({kind: z.literal('origin_wanted'), key: nameSchema}),
+	z.object({
+		kind: z.literal('origin_wanted'), key: nameSchema,
+		/** What the neighbours are to answer in any case; programs that do not know the field answer only if they know the origin. */
+		question: z.object({
+			/** Identifies the question among those of the sender. */
+			number: z.number().int().min(0),
+			pools: z.array(nameSchema).max(maxPools),
+			/** Whether the versions are to be read from the object store, as the sender has got no answer from it. */
+			shouldRefresh: z.boolean(),
+		}).optional(),
+	}),
 	/** An engine that the sender monitors does not answer. */
 	z.object({kind: z.literal('silent'), incarnation: nameSchema}),
 	/** Another process now listens at the address of a target. */
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -30,11 +30,16 @@
 } from './stream-origins.ts';
 export {KvCacheStores, type CheckKvCacheStore} from './kv-cache-stores.ts';
 export {OpenRequests} from './open-requests.ts';
-export {OriginExchange, type OriginExchangeDependencies} from './origin-exchange.ts';
+export {
+	OriginExchange, type OriginAnswer, type OriginExchangeDependencies, type OriginQuestion,
+} from './origin-exchange.ts';
 export {
 	resolveOrigin, type OriginDecision, type OriginDependencies, type ResumedStream,
 } from './resolve-origin.ts';
-export {VersionRecord, type VersionKnowledge, type VersionRecordDependencies} from './version-record.ts';
+export {
+	VersionRecord, type VersionKnowledge, type VersionRecordDependencies, type VersionsByPool,
+} from './version-record.ts';
+export {VersionRefresh, type VersionRefreshDependencies} from './version-refresh.ts';
 export {runPartExchange, type PartExchangeDependencies} from './part-exchange.ts';
 export {Relay, type RelayDependencies} from './relay.ts';
 export {PeerPaths, type PeerPathsDependencies} from './peer-paths.ts';
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -2,14 +2,18 @@
  * Exchanges the origins of streams with the peers. Only while targets of several
  * software versions serve, and for the retention time of origins after that, an
  * instance announces the streams that began at it, so that the origins outlive the
- * instance. An instance that does not know an origin asks all peers for it; one that
- * knows it answers all of them, unless another peer was faster.
+ * instance. An instance that does not know an origin asks its peers for it. Its
+ * neighbours answer in any case, also with the software versions that they know of,
+ * as the one that asks may be out of step; others answer all instances if they know
+ * the origin, unless another peer was faster.
  */
 import {originRetentionMs, type StreamOrigin, type StreamOrigins} from './stream-origins.ts';
+import type {VersionsByPool} from './version-record.ts';
+import {maxRefreshWaitMs} from './version-refresh.ts';
 import type {Cancel, Clock} from '#clock';
 import type {Random} from '#core';
 import {maxFullMeshPeers} from '#membership';
-import type {PeerBus} from '#peer-protocol';
+import type {Peer, PeerBus, PeerMessageOf} from '#peer-protocol';
 
 export type OriginExchangeDependencies = Readonly<{
 	origins: StreamOrigins;
@@ -18,8 +22,46 @@
 	random: Random;
 	/** Whether targets of a pool had several software versions in the last `withinMs` milliseconds. */
 	hasSeveralVersions: (withinMs: number) => boolean;
+	/** Lists the software versions that targets of a pool had in the retention time of origins. */
+	listVersions: (pool: string) => readonly string[];
+	/** Reads the versions from the object store; see {@link VersionRefresh.refresh}. */
+	refresh: () => Promise<VersionsByPool | undefined>;
 }>;
 
+/** What an instance asks its peers. */
+export type OriginQuestion = Readonly<{
+	/** Key of the stream. */
+	key: string;
+	/** Pools where the stream may go on. */
+	pools: readonly string[];
+	/** Whether the peers are to read the versions from the object store, as this instance has got no answer from it. */
+	shouldRefresh: boolean;
+	/** Whether all peers are asked, also through others, rather than the neighbours whose programs are known to understand the question. Others would close the link. */
+	isForAll: boolean;
+}>;
+
+/** What the peers have answered. */
+export type OriginAnswer = Readonly<{
+	/** Absent if no peer knows it. */
+	origin?: StreamOrigin | undefined;
+	/** Software versions that neighbours know of, by pool. */
+	versions: VersionsByPool;
+	/** Whether a neighbour has read the versions from the object store since the question. */
+	isRefreshed: boolean;
+}>;
+
+type Answer = NonNullable<PeerMessageOf<'origins'>['answer']>;
+type Question = NonNullable<PeerMessageOf<'origin_wanted'>['question']>;
+
+/** The answers to a question, as they arrive. */
+type PendingQuestion = {
+	/** Incarnations of the neighbours that have not answered. */
+	readonly missing: Set<string>;
+	readonly versions: Map<string, readonly string[]>;
+	isRefreshed: boolean;
+	readonly finish: () => void;
+};
+
 /** Interval between announcements while each reaches all peers, in milliseconds; streams that began since the last one are forgotten if the instance is killed. */
 const meshIntervalMs = 50;
 
@@ -32,24 +74,40 @@
 /** Time to wait for an answer, in milliseconds: some hops between instances, and the longest delay of an answer. */
 const answerTimeoutMs = 300;
 
+/** Maximum number of software versions of a pool in an answer. */
+const maxVersionsPerPool = 64;
+
+/** Time to wait for an answer by a peer that reads the versions first, in milliseconds. */
+const refreshedAnswerTimeoutMs = maxRefreshWaitMs + 150;
+
 /** Maximum delay of an answer, in milliseconds; it is random, so that mostly one of several peers answers. */
 const maxAnswerDelayMs = 60;
 
 export class OriginExchange {
 	readonly #dependencies: OriginExchangeDependencies;
 	readonly #cancels: readonly Cancel[];
+	readonly #pending = new Map<number, PendingQuestion>();
+	#questionCount = 0;
 
 	constructor(dependencies: OriginExchangeDependencies) {
 		const {bus, origins} = dependencies;
 		this.#dependencies = dependencies;
 		this.#cancels = [
-			bus.subscribe('origins', message => {
-				for (const {key, pool, softwareVersion} of message.origins) {
+			bus.subscribe('origins', ({origins: announced, answer}, from) => {
+				for (const {key, pool, softwareVersion} of announced) {
 					origins.record({key, origin: {pool, softwareVersion}});
 				}
+
+				if (answer) {
+					this.#recordAnswer(answer, from);
+				}
 			}),
-			bus.subscribe('origin_wanted', ({key}) => {
-				this.#scheduleAnswer(key);
+			bus.subscribe('origin_wanted', ({key, question}, from) => {
+				if (question && bus.listNeighbours().some(({incarnation}) => incarnation === from.incarnation)) {
+					void this.#answer(key, question, from);
+				} else {
+					this.#scheduleAnswer(key);
+				}
 			}),
 		];
 	}
@@ -71,34 +129,71 @@
 		}
 	}
 
-	/** Whether the programs of all peers are known to understand the messages of this exchange; others would close the link. It is not known while messages reach some peers only through others. */
-	isUnderstood(): boolean {
-		const {bus} = this.#dependencies;
-		return bus.listPeers().length <= maxFullMeshPeers && bus.listChannelPeers().length === bus.listNeighbours().length;
-	}
-
-	/** Asks the peers for the origin of a stream; returns `undefined` if none answers in time. */
-	async request(key: string): Promise<StreamOrigin | undefined> {
+	/** Asks the peers for the origin of a stream, and for the versions that they know of; returns what they have answered when the origin is known, all that were asked have answered, or the time to wait has passed. */
+	async request({key, pools, shouldRefresh, isForAll}: OriginQuestion): Promise<OriginAnswer> {
 		const {origins, bus, clock} = this.#dependencies;
-		if (bus.listPeers().length === 0) {
-			return undefined;
+		const answering = new Set(bus.listChannelPeers().map(({incarnation}) => incarnation));
+		const number = this.#questionCount++;
+		const versions = new Map<string, readonly string[]>();
+		if (isForAll ? bus.listPeers().length === 0 : answering.size === 0) {
+			return {versions, isRefreshed: false};
 		}
 
 		return new Promise(resolve => {
-			const finish = (origin: StreamOrigin | undefined) => {
+			const finish = (origin?: StreamOrigin) => {
 				cancelWait();
 				cancelTimer();
-				resolve(origin);
+				this.#pending.delete(number);
+				resolve({origin, versions, isRefreshed: pending.isRefreshed});
 			};
 
+			const pending: PendingQuestion = {
+				missing: new Set(isForAll ? bus.listPeers().map(({incarnation}) => incarnation) : answering), versions, isRefreshed: false, finish,
+			};
+			this.#pending.set(number, pending);
 			const cancelWait = origins.subscribe(key, finish);
-			const cancelTimer = clock.setTimer(answerTimeoutMs, () => {
-				finish(undefined);
+			const cancelTimer = clock.setTimer(shouldRefresh ? refreshedAnswerTimeoutMs : answerTimeoutMs, () => {
+				finish();
 			});
-			bus.broadcast({kind: 'origin_wanted', key});
+			const message = {kind: 'origin_wanted' as const, key, question: {number, pools: [...pools], shouldRefresh}};
+			if (isForAll) {
+				bus.broadcast(message);
+			} else {
+				bus.sendToSample(message, ({incarnation}) => answering.has(incarnation));
+			}
 		});
 	}
 
+	#recordAnswer({number, versions, isRefreshed}: Answer, {incarnation}: Peer): void {
+		const pending = this.#pending.get(number);
+		if (!pending?.missing.delete(incarnation)) {
+			return;
+		}
+
+		pending.isRefreshed ||= isRefreshed;
+		for (const {pool, softwareVersions} of versions) {
+			pending.versions.set(pool, [...new Set([...pending.versions.get(pool) ?? [], ...softwareVersions])]);
+		}
+
+		if (pending.missing.size === 0) {
+			pending.finish();
+		}
+	}
+
+	/** Answers a neighbour, whether the origin is known or not. */
+	async #answer(key: string, {number, pools, shouldRefresh}: Question, to: Peer): Promise<void> {
+		const {origins, bus, listVersions, refresh} = this.#dependencies;
+		const recorded = shouldRefresh && !origins.get(key) ? await refresh() : undefined;
+		const origin = origins.get(key);
+		bus.sendToSample({
+			kind: 'origins', origins: origin ? [{key, ...origin}] : [],
+			answer: {
+				number, isRefreshed: recorded !== undefined,
+				versions: pools.map(pool => ({pool, softwareVersions: [...new Set([...listVersions(pool), ...recorded?.get(pool) ?? []])].slice(0, maxVersionsPerPool)})),
+			},
+		}, ({incarnation}) => incarnation === to.incarnation);
+	}
+
 	/** Answers after a random delay, unless a peer answers before that. */
 	#scheduleAnswer(key: string): void {
 		const {origins, bus, clock, random} = this.#dependencies;
--- a/packages/relay/version-record.ts
+++ b/packages/relay/version-record.ts
@@ -39,7 +39,8 @@
 	isComplete: z.boolean(),
 });
 
-type VersionsByPool = ReadonlyMap<string, readonly string[]>;
+/** Software versions by pool. */
+export type VersionsByPool = ReadonlyMap<string, readonly string[]>;
 
 /** The record as last read or written. */
 type KnownRecord = Readonly<{pools: VersionsByPool; isComplete: boolean; isDecoded: boolean; objectVersion: number}>;
@@ -87,6 +88,12 @@
 		return this.#first.isComplete && this.#first.pools.has(pool) ? 'complete' : 'partial';
 	}
 
+	/** Reads the record now; returns the versions that it holds, by pool, or `undefined` if the store does not answer. */
+	async refresh(): Promise<VersionsByPool | undefined> {
+		const record = await this.#read();
+		return record?.pools;
+	}
+
 	/** Marks that the store has come back from an outage, perhaps with an older state: the writers then read the record again. */
 	markDoubtful(): void {
 		this.#isDoubtful = true;
