Version record: a writer that is out of step removes no version

Cause: a writer that has listed targets for 30 s replaces the record by the versions that it has listed in that time. If a version leaves and comes back while the writer is cut off or stands still, it removes that version from the record when it is back, and the other instances do not read the record again. Change: a writer brings its list of targets up to date before it writes, and does not write if the store does not answer that; one more call for a write, of which there are a few in a release.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -168,16 +168,14 @@
 	const publishedWeights = new PublishedWeights(clock);
 	const cachedParts = new CachedParts();
 	const origins = new StreamOrigins(clock);
-	const versionRecord = new VersionRecord({
-		clock, telemetry, store: store.status, kind: formats.kinds.software, targets, getRank: duty => peers.getRank(duty),
-	});
 	const stopping = new AbortController();
 	const {signal} = stopping;
 	setMaxListeners(maxSignalListeners, signal);
-	const versionRefresh = new VersionRefresh({
-		clock, refreshTargets: async () => await started.storeMirrors?.refreshTargets(store.configuration, signal) ?? false,
-		refreshRecord: async () => versionRecord.refresh(),
+	const refreshTargets = async () => await started.storeMirrors?.refreshTargets(store.configuration, signal) ?? false;
+	const versionRecord = new VersionRecord({
+		clock, telemetry, store: store.status, kind: formats.kinds.software, targets, refreshTargets, getRank: duty => peers.getRank(duty),
 	});
+	const versionRefresh = new VersionRefresh({clock, refreshTargets, refreshRecord: async () => versionRecord.refresh()});
 	const refresh = async () => versionRefresh.refresh();
 	const originExchange = new OriginExchange({
 		origins, bus, clock, random, refresh, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
--- a/packages/relay/version-record.test.ts
+++ b/packages/relay/version-record.test.ts
@@ -36,12 +36,22 @@
 		t.teardown(() => {
 			stopping.abort();
 		});
+		const state = {
+			isAnswering: true,
+			handleRefresh() {
+				// The list is up to date.
+			},
+		};
 		const record = new VersionRecord({
 			clock, telemetry, store, kind: 'software', targets, getRank: () => rank,
+			async refreshTargets() {
+				state.handleRefresh();
+				return state.isAnswering;
+			},
 		});
 		void record.run(stopping.signal);
 		return {
-			targets, record, setVersions, listVersions: () => targets.listVersions('p', originRetentionMs),
+			targets, record, state, setVersions, listVersions: () => targets.listVersions('p', originRetentionMs),
 			stop() {
 				stopping.abort();
 			},
@@ -196,3 +206,20 @@
 	t.equal(store.served.read - read, 2, 'only the writers read it');
 	t.strictSame(await readRecord(), {pools: {p: ['v1']}, isComplete: true});
 });
+
+// Guards against a writer that is out of step and removes a version that has come back since it last heard of the targets.
+t.test('a writer removes versions only by a list of the targets as they are now', async t => {
+	for (const isAnswering of [true, false]) {
+		const {clock, startInstance, readRecord} = start();
+		const {state, setVersions} = startInstance(0, {p: ['v1', 'v2']});
+		await clock.advance(40_000);
+		setVersions({p: ['v1']});
+		Object.assign(state, {
+			isAnswering, handleRefresh() {
+				setVersions(isAnswering ? {p: ['v1', 'v2']} : {p: ['v1']});
+			},
+		});
+		await clock.advance(originRetentionMs + 5000);
+		t.match(await readRecord(), {pools: {p: ['v1', 'v2']}}, `the store answers: ${isAnswering}`);
+	}
+});
--- a/packages/relay/version-record.ts
+++ b/packages/relay/version-record.ts
@@ -21,6 +21,8 @@
 	/** Kind of the object, the first part of its key. */
 	kind: string;
 	targets: TargetSet;
+	/** Brings the list of targets up to date; returns whether the store has answered. */
+	refreshTargets: () => Promise<boolean>;
 	/** Returns the rank of this instance among those that can perform a duty; 0 is the first. */
 	getRank: (duty: string) => number;
 }>;
@@ -116,9 +118,9 @@
 		}
 	}
 
-	/** Writes the record if it is this instance's turn and the versions have changed. */
+	/** Writes the record if it is this instance's turn and the versions have changed, also by a list of the targets as they are now. */
 	async #update(known: KnownRecord): Promise<void> {
-		const {clock, getRank} = this.#dependencies;
+		const {clock, getRank, refreshTargets} = this.#dependencies;
 		if (!this.#isDoubtful && this.#isCurrent(known)) {
 			this.#outdatedSinceMs = undefined;
 			return;
@@ -130,6 +132,11 @@
 			return;
 		}
 
+		if (!await refreshTargets()) {
+			this.#nextCallMs = clock.now() + retryDelayMs;
+			return;
+		}
+
 		const current = await this.#read();
 		if (current && !this.#isCurrent(current)) {
 			await this.#write(current);
