--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -48,6 +48,7 @@
 	readonly #listing: TargetListing;
 	/** Decoded target entries by key, each with the revision that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
+	#isStoreAnswering = true;
 
 	constructor(dependencies: StoreMirrorsDependencies) {
 		const {formats: {kinds}, clock, telemetry, bus} = dependencies;
@@ -70,6 +71,11 @@
 		});
 	}
 
+	/** Whether the store has answered the last call, or is available according to the instances that call it. */
+	get isStoreAnswering(): boolean {
+		return this.#isStoreAnswering;
+	}
+
 	/** Returns the revision of the newest known change of each kind. */
 	getRevisions(): Readonly<Record<string, number>> {
 		return this.#mirrorRelay.getRevisions();
@@ -86,6 +92,7 @@
 		await Promise.all(this.#listMirrors().map(async mirror => syncMirror({
 			mirror, store, clock, random, telemetry, watchers,
 			handleAvailability: isAvailable => {
+				this.#isStoreAnswering = isAvailable;
 				// The end of an outage determines when retained entries are dropped.
 				if (this.#listing.recordStoreCall(isAvailable)) {
 					this.#updateTargets();
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -179,7 +179,7 @@
 	const refresh = async () => versionRefresh.refresh();
 	const originExchange = new OriginExchange({
 		origins, bus, clock, random, refresh, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
-		listVersions: pool => targets.listVersions(pool, originRetentionMs),
+		listVersions: pool => targets.listVersions(pool, originRetentionMs), isStoreAnswering: () => started.storeMirrors?.isStoreAnswering ?? true,
 	});
 	const quarantine = new Quarantine({
 		clock, random, telemetry, bus,
--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -47,7 +47,7 @@
 
 		const exchange = new OriginExchange({
 			origins, clock, random: createRandom(index + 1), bus: network.join({name, zone: 'z', incarnation: name}), hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
-			listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh,
+			listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh, isStoreAnswering: () => store.isAnswering,
 		});
 		void exchange.run(stopping.signal);
 		return {
@@ -74,6 +74,17 @@
 	t.equal(network.deliveredCounts.get('origins'), 1, 'an origin is announced once');
 });
 
+// Guards against the refusal of streams whose instance ends during an outage of the store (LOST): nobody can say then that there is only one version.
+t.test('origins are announced while the store does not answer', async t => {
+	const {clock, a, b} = start(t, ['a', 'b'], ['v2', 'v2']);
+	a.origins.recordOwn(getKey(), origin);
+	await clock.advance(500);
+	t.equal(b.origins.get(getKey()), undefined);
+	a.store.isAnswering = false;
+	await clock.advance(100);
+	t.strictSame(b.origins.get(getKey()), origin);
+});
+
 // Guards against streams of unknown origin while a version that has left still counts: their callers were refused.
 t.test('origins are announced until the retention time after several software versions served', async t => {
 	const {clock, network, a, b} = start(t, ['a', 'b'], ['v1', 'v2']);
@@ -152,7 +163,7 @@
 	const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
 	const exchange = new OriginExchange({
 		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus: network.join({name: 'a', zone: 'z', incarnation: 'a'}), hasSeveralVersions: () => false,
-		listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh: async () => undefined,
+		listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh: async () => undefined, isStoreAnswering: () => true,
 	});
 	const peer = network.join({name: 'b', zone: 'z', incarnation: 'b'});
 	const numbers: number[] = [];
@@ -188,7 +199,7 @@
 		},
 	};
 	const exchange = new OriginExchange({
-		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined,
+		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined, isStoreAnswering: () => true,
 	});
 	void exchange.request({
 		key: getKey(), pools: ['p'], shouldRefresh: false, isForAll: false,
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -1,8 +1,8 @@
 /**
  * Exchanges the origins of streams with the peers. Only while targets of several
- * software versions serve, and for the retention time of origins after that, an
- * instance announces the streams that began at it, so that the origins outlive the
- * instance. An instance that does not know an origin asks its peers for it. Its
+ * software versions serve, and for the retention time of origins after that, or
+ * while the object store cannot say how many there are, an instance announces the
+ * streams that began at it, so that the origins outlive the instance. An instance that does not know an origin asks its peers for it. Its
  * neighbours answer in any case, also with the software versions that they know of,
  * as the one that asks may be out of step; others answer all instances if they know
  * the origin, unless another peer was faster.
@@ -22,6 +22,8 @@
 	random: Random;
 	/** Whether targets of a pool had several software versions in the last `withinMs` milliseconds. */
 	hasSeveralVersions: (withinMs: number) => boolean;
+	/** Whether the object store has answered the last call of this instance, as far as known. */
+	isStoreAnswering: () => boolean;
 	/** Lists the software versions that targets of a pool had in the retention time of origins. */
 	listVersions: (pool: string) => readonly string[];
 	/** Reads the versions from the object store; see {@link VersionRefresh.refresh}. */
@@ -114,13 +116,9 @@
 
 	/** Announces this instance's streams until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {origins, bus, clock, hasSeveralVersions} = this.#dependencies;
+		const {bus, clock} = this.#dependencies;
 		while (!signal.aborted) {
-			const records = hasSeveralVersions(originRetentionMs) ? origins.takeUnannounced(maxOriginsPerMessage) : [];
-			if (records.length > 0) {
-				bus.sendToSample({kind: 'origins', origins: records.map(({key, origin}) => ({key, ...origin}))});
-			}
-
+			this.#announce();
 			await clock.sleep(bus.listPeers().length <= maxFullMeshPeers ? meshIntervalMs : partialIntervalMs, signal);
 		}
 
@@ -164,6 +162,17 @@
 		});
 	}
 
+	/** Announces the streams that began since the last announcement if their origins matter; during an outage of the store only to peers that are known to understand it. */
+	#announce(): void {
+		const {origins, bus, hasSeveralVersions, isStoreAnswering} = this.#dependencies;
+		const isForAll = hasSeveralVersions(originRetentionMs);
+		const records = isForAll || !isStoreAnswering() ? origins.takeUnannounced(maxOriginsPerMessage) : [];
+		if (records.length > 0) {
+			const understanding = new Set(bus.listChannelPeers().map(({incarnation}) => incarnation));
+			bus.sendToSample({kind: 'origins', origins: records.map(({key, origin}) => ({key, ...origin}))}, ({incarnation}) => isForAll || understanding.has(incarnation));
+		}
+	}
+
 	#recordAnswer({number, versions, isRefreshed}: Answer, {incarnation}: Peer): void {
 		const pending = this.#pending.get(number);
 		if (!pending?.missing.delete(incarnation)) {
