--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -8,7 +8,9 @@
 import type {Clock} from '#clock';
 import type {Random, RelayConfiguration, RelayTarget} from '#core';
 import type {Gateway} from '#gateway';
-import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
+import {
+	refreshMirror, syncMirror, KindMirror, MirrorRelay,
+} from '#mirror';
 import type {ObjectStore} from '#object-store';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
@@ -46,6 +48,7 @@
 	readonly #listing: TargetListing;
 	/** Decoded target entries by key, each with the revision that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
+	#isStoreAnswering = true;
 
 	constructor(dependencies: StoreMirrorsDependencies) {
 		const {formats: {kinds}, clock, telemetry, bus} = dependencies;
@@ -68,6 +71,11 @@
 		});
 	}
 
+	/** Whether the store has answered the last call, or is available according to the instances that call it. */
+	get isStoreAnswering(): boolean {
+		return this.#isStoreAnswering;
+	}
+
 	/** Returns the revision of the newest known change of each kind. */
 	getRevisions(): Readonly<Record<string, number>> {
 		return this.#mirrorRelay.getRevisions();
@@ -96,6 +104,7 @@
 		await Promise.all(this.#listMirrors().map(async mirror => syncMirror({
 			mirror, store, clock, random, telemetry, watchers,
 			handleAvailability: isAvailable => {
+				this.#isStoreAnswering = isAvailable;
 				// The end of an outage determines when retained entries are dropped.
 				if (this.#listing.recordStoreCall(isAvailable)) {
 					this.#updateTargets();
@@ -105,6 +114,14 @@
 		}, signal)));
 	}
 
+	/** Brings the targets up to date with the store at once; returns whether it has answered. */
+	async refreshTargets(store: ObjectStore, signal: AbortSignal): Promise<boolean> {
+		const isRefreshed = await refreshMirror(this.#targets, store, signal);
+		// The event of the mirror comes later than this call returns.
+		this.#decodeTargets();
+		return isRefreshed;
+	}
+
 	#listMirrors(): readonly KindMirror[] {
 		return [this.#configuration, this.#targets, this.#weights];
 	}
--- a/packages/relay/version-record.ts
+++ b/packages/relay/version-record.ts
@@ -21,6 +21,8 @@
 	/** Kind of the object, the first part of its key. */
 	kind: string;
 	targets: TargetSet;
+	/** Brings the list of targets up to date; returns whether the store has answered. */
+	refreshTargets: () => Promise<boolean>;
 	/** Returns the rank of this instance among those that can perform a duty; 0 is the first. */
 	getRank: (duty: string) => number;
 }>;
@@ -39,7 +41,8 @@
 	isComplete: z.boolean(),
 });
 
-type VersionsByPool = ReadonlyMap<string, readonly string[]>;
+/** Software versions by pool. */
+export type VersionsByPool = ReadonlyMap<string, readonly string[]>;
 
 /** The record as last read or written. */
 type KnownRecord = Readonly<{pools: VersionsByPool; isComplete: boolean; isDecoded: boolean; objectVersion: number}>;
@@ -87,6 +90,12 @@
 		return this.#first.isComplete && this.#first.pools.has(pool) ? 'complete' : 'partial';
 	}
 
+	/** Reads the record now; returns the versions that it holds, by pool, or `undefined` if the store does not answer. */
+	async refresh(): Promise<VersionsByPool | undefined> {
+		const record = await this.#read();
+		return record?.pools;
+	}
+
 	/** Marks that the store has come back from an outage, perhaps with an older state: the writers then read the record again. */
 	markDoubtful(): void {
 		this.#isDoubtful = true;
@@ -109,9 +118,9 @@
 		}
 	}
 
-	/** Writes the record if it is this instance's turn and the versions have changed. */
+	/** Writes the record if it is this instance's turn and the versions have changed, also by a list of the targets as they are now. */
 	async #update(known: KnownRecord): Promise<void> {
-		const {clock, getRank} = this.#dependencies;
+		const {clock, getRank, refreshTargets} = this.#dependencies;
 		if (!this.#isDoubtful && this.#isCurrent(known)) {
 			this.#outdatedSinceMs = undefined;
 			return;
@@ -123,6 +132,11 @@
 			return;
 		}
 
+		if (!await refreshTargets()) {
+			this.#nextCallMs = clock.now() + retryDelayMs;
+			return;
+		}
+
 		const current = await this.#read();
 		if (current && !this.#isCurrent(current)) {
 			await this.#write(current);
