Capacity: an order to an engine's earlier process is not awaited from the later one

Cause: orders that are under way are kept by the engine's name. After a restart of the engine its order counted as pending for up to 30 s, so the engine got no other one, and no further load could start where `loadsAtOnce` is 1. Change: a pending order names the process that was read when it was planned; a report of another process ends it.

--- a/packages/capacity/controller.test.ts
+++ b/packages/capacity/controller.test.ts
@@ -78,6 +78,25 @@
 	t.equal(engine.acceptedOrders.length, 1);
 });
 
+// Guards against an order to the earlier process that counts as pending for 30 s.
+t.test('sends an order again to an engine that has restarted since', async t => {
+	let orders = 0;
+	const {clock, engine} = await startController((_clock, engine) => ({
+		async sendOrder(order) {
+			if (orders++ > 0) {
+				return engine.sendOrder(order);
+			}
+
+			engine.crash();
+			engine.restart();
+			return succeed({accepted: true, fencing: order.fencing, lastOrderId: order.orderId});
+		},
+	}));
+	await clock.advance(5000);
+	t.equal(orders, 2);
+	t.equal(engine.weights, 'v2');
+});
+
 t.test('invalidates the lease when a target reports a newer fencing token', async t => {
 	const sent: EngineOrder[] = [];
 	const {clock, lease} = await startController(() => ({
--- a/packages/capacity/controller.ts
+++ b/packages/capacity/controller.ts
@@ -28,7 +28,13 @@
 	isCandidate: () => boolean;
 }>;
 
-type PendingOrder = Readonly<{kind: 'load' | 'unload'; weights: string; sentMs: number}>;
+type PendingOrder = Readonly<{
+	kind: 'load' | 'unload';
+	weights: string;
+	sentMs: number;
+	/** The engine's process when the order was planned; absent if it had not answered. */
+	incarnation: string | undefined;
+}>;
 type EngineReading = Readonly<{target: Target; report: LoadReport | undefined; readMs: number}>;
 
 const tickIntervalMs = 500;
@@ -85,7 +91,8 @@
 		});
 		telemetry.set('capacity_wanted', plan.desired, {pool: pool.name});
 		telemetry.set('capacity_serving', plan.serving, {pool: pool.name});
-		await Promise.all(plan.orders.map(async order => this.#sendOrder(pool, order)));
+		const incarnations = new Map(readings.map(({target, report}) => [target.name, report?.incarnation]));
+		await Promise.all(plan.orders.map(async order => this.#sendOrder(pool, order, incarnations.get(order.engine))));
 	}
 
 	/**
@@ -124,7 +131,7 @@
 
 	/**
 	 * Removes an engine's pending order once a report measured after the order
-	 * shows its effect, or once the order has timed out.
+	 * shows its effect or another process, or once the order has timed out.
 	 *
 	 * @returns the order that is still pending
 	 */
@@ -136,8 +143,9 @@
 
 		const isNewer = report !== undefined && readMs - report.ageMs > pending.sentMs;
 		const expectedWeights = pending.kind === 'load' ? pending.weights : undefined;
+		const isRestarted = isNewer && pending.incarnation !== undefined && report.incarnation !== pending.incarnation;
 		const isDone = isNewer && !report.loading && report.weights === expectedWeights;
-		if (isDone || readMs - pending.sentMs > pendingTimeoutMs) {
+		if (isDone || isRestarted || readMs - pending.sentMs > pendingTimeoutMs) {
 			this.#pendingOrders.delete(name);
 			return undefined;
 		}
@@ -145,7 +153,7 @@
 		return pending;
 	}
 
-	async #sendOrder(pool: TargetPool, planned: PlannedOrder): Promise<void> {
+	async #sendOrder(pool: TargetPool, planned: PlannedOrder, incarnation: string | undefined): Promise<void> {
 		const {clock, lease, random, telemetry, getLink} = this.#dependencies;
 		const target = pool.targets.find(({name}) => name === planned.engine)!;
 		if (!this.#canSend(pool)) {
@@ -156,7 +164,9 @@
 		const order: EngineOrder = {
 			kind: planned.kind, model: pool.model ?? '', value: planned.weights, fencing: lease.fencing, orderId: random.createId(),
 		};
-		this.#pendingOrders.set(target.name, {kind: planned.kind, weights: planned.weights, sentMs: clock.now()});
+		this.#pendingOrders.set(target.name, {
+			kind: planned.kind, weights: planned.weights, sentMs: clock.now(), incarnation,
+		});
 		const receipt = await this.#runWithTimeout(async callSignal => getLink(pool, target).sendOrder(order, callSignal));
 		const result = receipt.ok ? (receipt.value.accepted ? 'accepted' : 'superseded') : receipt.error.outcome;
 		telemetry.count('capacity_orders_total', {pool: pool.name, kind: planned.kind, result});
