--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -196,9 +196,9 @@
 		}
 	}
 
-	/** Removes the work of all peers except those named. */
-	removePeersExcept(names: readonly string[]): void {
-		const remaining = new Set(names);
+	/** Removes the work of all peers except those listed. */
+	removePeersExcept(peers: readonly string[]): void {
+		const remaining = new Set(peers);
 		for (const peer of this.#targetsByPeer.keys()) {
 			if (!remaining.has(peer)) {
 				this.applyPeerWork(peer, [], 0);
--- a/packages/placement/work-exchange.test.ts
+++ b/packages/placement/work-exchange.test.ts
@@ -8,14 +8,14 @@
 	const clock = new ManualClock();
 	const network = new PeerNetworkStandin(clock);
 	const stopping = new AbortController();
-	const join = (name: string) => {
+	const join = (name: string, incarnation = name, signal = stopping.signal) => {
 		const views = new TargetViews();
-		void runWorkExchange({views, clock, bus: network.join({name, zone: 'esbjerg', incarnation: name})}, stopping.signal);
+		void runWorkExchange({views, clock, bus: network.join({name, zone: 'esbjerg', incarnation})}, signal);
 		return views;
 	};
 
 	return {
-		clock, network, stopping, a: join('r1'), b: join('r2'),
+		clock, network, stopping, join, a: join('r1'), b: join('r2'),
 	};
 }
 
@@ -75,3 +75,21 @@
 	t.equal(b.get('e1').sumPeerWork(clock.now()).requests, 0);
 	stopping.abort();
 });
+
+t.test('the work of an instance\'s earlier process ends when another one has its name', async t => {
+	const {clock, network, stopping, join, b} = createExchanges();
+	const ending = new AbortController();
+	const earlier = join('r3', 'r3@1', ending.signal);
+	for (let request = 0; request < 5; request++) {
+		earlier.addInFlight('e1', 1);
+	}
+
+	await clock.advance(1100);
+	t.equal(b.get('e1').sumPeerWork(clock.now()).requests, 5);
+	ending.abort();
+	network.leave('r3');
+	join('r3', 'r3@2');
+	await clock.advance(1100);
+	t.equal(b.get('e1').sumPeerWork(clock.now()).requests, 0);
+	stopping.abort();
+});
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -12,11 +12,11 @@
 /** Dependencies of {@link runWorkExchange}. */
 export type WorkExchangeDependencies = Readonly<{views: WorkRegistry; bus: PeerBus; clock: Clock}>;
 
-/** Holds the work in progress on targets: that of this instance, and that of its peers. */
+/** Holds the work in progress on targets: that of this instance, and that of its peers, by their incarnation. */
 export type WorkRegistry = Readonly<{
 	listWork(): readonly TargetWork[];
 	applyPeerWork(peer: string, work: readonly TargetWork[], nowMs: number): void;
-	removePeersExcept(names: readonly string[]): void;
+	removePeersExcept(peers: readonly string[]): void;
 }>;
 
 /** Options of {@link runWorkExchange}. */
@@ -40,7 +40,7 @@
 export async function runWorkExchange({views, bus, clock}: WorkExchangeDependencies, signal: AbortSignal, options: WorkExchangeOptions = {}): Promise<void> {
 	const {intervalMs, repeatIntervalMs = defaultRepeatIntervalMs} = options;
 	const unsubscribe = bus.subscribe('sent', (message, from) => {
-		views.applyPeerWork(from.name, message.targets, clock.now());
+		views.applyPeerWork(from.incarnation, message.targets, clock.now());
 	});
 	let lastWork: readonly TargetWork[] = [];
 	// Time of the last message, or of the last check for a repetition.
@@ -49,7 +49,7 @@
 		const work = views.listWork().slice(0, maxTargets);
 		const isRepeatDue = clock.now() - repeatTimerStartMs >= repeatIntervalMs;
 		if (isRepeatDue) {
-			views.removePeersExcept(bus.listPeers().map(({name}) => name));
+			views.removePeersExcept(bus.listPeers().map(({incarnation}) => incarnation));
 		}
 
 		if (!isSameWork(work, lastWork) || (isRepeatDue && work.length > 0)) {
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -168,10 +168,10 @@
 		}
 	}
 
-	/** Removes the work of all peers except those in `names`. */
-	removePeersExcept(names: readonly string[]): void {
+	/** Removes the work of all peers except those listed. */
+	removePeersExcept(peers: readonly string[]): void {
 		for (const peer of this.#targetIdsByPeer.keys()) {
-			if (!names.includes(peer)) {
+			if (!peers.includes(peer)) {
 				this.applyPeerWork(peer, [], 0);
 				this.#targetIdsByPeer.delete(peer);
 			}
