Router: a mark of the platform's list for an earlier process ends with the mark

Cause: the list marks a target as leaving by its name. The mark counts for the process that is known when it appears; if the list lags behind the first report of a process that started again under the name, that process was marked, told to all instances, and got no requests until it started anew. Looked at as well: packages/dispatch (links by address and name, crashes by incarnation), packages/targets (incarnations in each answer), packages/placement (views by incarnation, work of peers for 2 s), packages/membership (records by incarnation), packages/claims (owners by incarnation), packages/admission (demand and loans by incarnation): nothing that acts.

--- a/packages/node/draining-notifier.test.ts
+++ b/packages/node/draining-notifier.test.ts
@@ -61,3 +61,37 @@
 	first.notifier.applyInstanceList([listEntry]);
 	t.ok(first.views.get('e1').isDraining);
 });
+
+// Guards against a process given up for good, as the list shows the mark of the one before it only after this one is known.
+t.test('a mark that appears late and belongs to the earlier process ends with the mark', async t => {
+	const {clock, first, second} = createFleet();
+	for (const {views} of [first, second]) {
+		views.applyReport('e1', createReport('i1', false));
+		views.applyReport('e1', createReport('i2', false));
+	}
+
+	first.notifier.applyInstanceList([listEntry]);
+	await clock.advance(10);
+	t.ok(first.views.get('e1').isDraining);
+	t.ok(second.views.get('e1').isDraining);
+	for (const {views, notifier} of [first, second]) {
+		for (let list = 0; list < 3; list++) {
+			t.ok(views.get('e1').isDraining);
+			notifier.applyInstanceList([{...listEntry, leaving: false}]);
+		}
+
+		notifier.reconcile('e1');
+		t.notOk(views.get('e1').isDraining);
+	}
+});
+
+t.test('a target that reports that it leaves stays marked, whatever the list says', async t => {
+	const {first} = createFleet();
+	first.views.applyReport('e1', createReport('i1', true));
+	first.notifier.reconcile('e1');
+	for (let list = 0; list < 10; list++) {
+		first.notifier.applyInstanceList([{...listEntry, leaving: false}]);
+	}
+
+	t.ok(first.views.get('e1').isDraining);
+});
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -177,6 +177,11 @@
 		this.#getOrCreate(name).isDraining = true;
 	}
 
+	/** Ends the effect of {@link TargetViews.markDraining}. */
+	clearDraining(name: string): void {
+		this.#getOrCreate(name).isDraining = false;
+	}
+
 	/** Lists the work that this instance has in progress, one entry for each target. */
 	listWork(): readonly TargetWork[] {
 		return [...this.#states.values()]
