--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -177,6 +177,11 @@
 		this.#getOrCreate(name).isDraining = true;
 	}
 
+	/** Ends the effect of {@link TargetViews.markDraining}. */
+	clearDraining(name: string): void {
+		this.#getOrCreate(name).isDraining = false;
+	}
+
 	/** Lists the work that this instance has in progress, one entry for each target. */
 	listWork(): readonly TargetWork[] {
 		return [...this.#states.values()]
@@ -196,9 +201,9 @@
 		}
 	}
 
-	/** Removes the work of all peers except those named. */
-	removePeersExcept(names: readonly string[]): void {
-		const remaining = new Set(names);
+	/** Removes the work of all peers except those listed. */
+	removePeersExcept(peers: readonly string[]): void {
+		const remaining = new Set(peers);
 		for (const peer of this.#targetsByPeer.keys()) {
 			if (!remaining.has(peer)) {
 				this.applyPeerWork(peer, [], 0);
