Addresses are checked once, where they enter

Cause: an entry of another writer had any text as `Address`, and an instance's entry any text as `address`.

Change: `parseAddress` in core gives a checked host and port, or nothing: IPv4, IPv6 in brackets, host names, port 1 to 65535, one spelling. Entries that cannot be read are passed over, counted in `entries_unreadable_total` and logged once for each revision; the others hold.

Looked at: platform/stored-formats, platform/object-store (list of instances), packages/node/_store-mirrors, packages/membership (addresses of seeds and of members' records go to the transport), packages/peer-protocol/tcp-transport. The configuration of the own interface checks its addresses already (packages/configuration/service-file).

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -4,6 +4,9 @@
  */
 export {succeed, fail, type Result} from './result.ts';
 export {getErrorMessage} from './error-message.ts';
+export {
+	formatAddress, normalizeAddress, parseAddress, type Address,
+} from './address.ts';
 export type {
 	CallRule, Configuration, Customer, CustomerLimit, Route, Target, TargetKind, TargetPool,
 } from './topology.ts';
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -6,10 +6,12 @@
 import type {StoredFormats} from './relay-instance.ts';
 import type {StoreWatchers} from './_store-watchers.ts';
 import type {Clock} from '#clock';
-import type {Random, RelayConfiguration, RelayTarget} from '#core';
+import type {
+	Random, RelayConfiguration, RelayTarget, Result,
+} from '#core';
 import type {Gateway} from '#gateway';
 import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
-import type {ObjectStore} from '#object-store';
+import {UnreadableEntries, type ObjectStore, type StoredObject} from '#object-store';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
 import type {WeightsRollout} from '#rollout';
@@ -44,6 +46,7 @@
 	readonly #weights: KindMirror;
 	readonly #mirrorRelay: MirrorRelay;
 	readonly #listing: TargetListing;
+	readonly #unreadable: UnreadableEntries;
 	/** Decoded target entries by key, each with the revision that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
 
@@ -54,6 +57,7 @@
 		this.#targets = new KindMirror(kinds.targets);
 		this.#weights = new KindMirror(kinds.weights);
 		this.#listing = new TargetListing(clock);
+		this.#unreadable = new UnreadableEntries(telemetry);
 		this.#mirrorRelay = new MirrorRelay({
 			mirrors: this.#listMirrors(), clock, telemetry, bus, isLargeFleet: () => dependencies.watchers.isLargeFleet,
 		});
@@ -117,7 +121,7 @@
 		// Only changed entries are decoded; otherwise a change to one of hundreds would cost as much as decoding the whole list.
 		this.#decodedTargets = new Map(this.#targets.list().map(stored => {
 			const previous = this.#decodedTargets.get(stored.key);
-			return [stored.key, previous?.revision === stored.revision ? previous : {revision: stored.revision, target: formats.decodeTarget(stored)}];
+			return [stored.key, previous?.revision === stored.revision ? previous : {revision: stored.revision, target: this.#decode(stored, formats.decodeTarget)}];
 		}));
 		this.#listing.update([...this.#decodedTargets.values()].map(({target}) => target).filter(target => target !== undefined));
 		this.#updateTargets();
@@ -140,7 +144,7 @@
 	#recordWeights(): void {
 		const {formats, telemetry, publishedWeights, rollout} = this.#dependencies;
 		for (const stored of this.#weights.list()) {
-			const weights = formats.decodeWeights(stored);
+			const weights = this.#decode(stored, formats.decodeWeights);
 			if (weights && publishedWeights.record(weights.model, weights.version)) {
 				telemetry.log('new version of weights published', weights);
 			}
@@ -149,6 +153,17 @@
 		rollout.wake();
 	}
 
+	/** Decodes an entry; returns `undefined` for one that cannot be read, of which no other entry suffers. */
+	#decode<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Value | undefined {
+		const decoded = decode(stored);
+		if (decoded.ok) {
+			return decoded.value;
+		}
+
+		this.#unreadable.record(stored, decoded.error);
+		return undefined;
+	}
+
 	#checkReady(): void {
 		if (this.#dependencies.gateway.configuration && this.#targets.revision > 0) {
 			this.#dependencies.handleReady();
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -37,9 +37,9 @@
 	/** Names of the kinds of objects in the store. */
 	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string; software: string}>;
 	decodeConfiguration(stored: StoredObject): Result<RelayConfiguration, string>;
-	/** @returns the target, or `undefined` if the entry does not describe a usable one */
-	decodeTarget(stored: StoredObject): RelayTarget | undefined;
-	decodeWeights(stored: StoredObject): Readonly<{model: string; version: number}> | undefined;
+	/** @returns the target, or why the entry describes none that can be used */
+	decodeTarget(stored: StoredObject): Result<RelayTarget, string>;
+	decodeWeights(stored: StoredObject): Result<Readonly<{model: string; version: number}>, string>;
 	/** Encodes the entry by which other instances find this one. */
 	encodeInstance(address: string, zone: string): string;
 }>;
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -29,12 +29,12 @@
 		decodeTarget({key, value}: StoredObject) {
 			decoded.push(key);
 			return value === 'bad'
-				? undefined
-				: {
+				? fail('no address')
+				: succeed({
 					...target, id: key, incarnation: `${key}@1`, address: value,
-				};
+				});
 		},
-		decodeWeights: ({value}: StoredObject) => ({model: 'm', version: Number(value)}),
+		decodeWeights: ({value}: StoredObject) => value === 'bad' ? fail('no version') : succeed({model: 'm', version: Number(value)}),
 		encodeInstance: () => '',
 	};
 }
@@ -44,13 +44,14 @@
 	const store = new PlatformStandin(clock, {latencyMs: 2});
 	const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
 	const publishedWeights = new PublishedWeights(clock);
+	const telemetry = createTelemetry({level: 'silent'});
 	const decoded: string[] = [];
 	const applied: number[] = [];
 	let newest: RelayConfiguration | undefined;
 	let readyCalls = 0;
 	let storeReturns = 0;
 	const mirrors = new StoreMirrors({
-		formats: createFormats(decoded), clock, telemetry: createTelemetry({level: 'silent'}), bus: createNoopBus(), targets, publishedWeights,
+		formats: createFormats(decoded), clock, telemetry, bus: createNoopBus(), targets, publishedWeights,
 		gateway: {
 			get configuration() {
 				return newest;
@@ -97,7 +98,7 @@
 	};
 
 	return {
-		clock, store, targets, publishedWeights, decoded, applied, run, write, countReadyCalls: () => readyCalls, countStoreReturns: () => storeReturns,
+		clock, store, telemetry, targets, publishedWeights, decoded, applied, run, write, countReadyCalls: () => readyCalls, countStoreReturns: () => storeReturns,
 		list: () => targets.list().map(({target: {id}}) => id),
 	};
 }
@@ -134,6 +135,20 @@
 	t.strictSame(list().toSorted((a, b) => a < b ? -1 : 1), ['t/a', 't/b']);
 });
 
+t.test('each revision of an entry that cannot be decoded is counted once, and hides no other', async t => {
+	const {run, write, telemetry, list, publishedWeights} = start(t);
+	await write(['t/a', 'bad'], ['t/b', '10.0.0.2:1'], ['w/a', 'bad'], ['w/b', '3']);
+	run();
+	await write();
+	await write(['t/c', '10.0.0.3:1'], ['w/c', '3']);
+	t.equal(telemetry.getCounter('entries_unreadable_total', {kind: 't'}), 1);
+	t.equal(telemetry.getCounter('entries_unreadable_total', {kind: 'w'}), 1);
+	await write(['t/a', 'bad']);
+	t.equal(telemetry.getCounter('entries_unreadable_total', {kind: 't'}), 2);
+	t.strictSame(list(), ['t/b', 't/c']);
+	t.equal(publishedWeights.listNewest().get('m'), 3);
+});
+
 t.test('a configuration that cannot be decoded or is older is not applied', async t => {
 	const {run, write, applied} = start(t);
 	run();
--- a/packages/object-store/mod.ts
+++ b/packages/object-store/mod.ts
@@ -12,3 +12,4 @@
 	createObjectStoreClient, type StoreCallKind, type ObjectStoreClient, type ObjectStoreClientDependencies, type ObjectStoreClientOptions, type StoreRates,
 } from './object-store-client.ts';
 export {InstanceCount} from './instance-count.ts';
+export {UnreadableEntries} from './unreadable-entries.ts';
--- a/packages/peer-protocol/tcp-transport.ts
+++ b/packages/peer-protocol/tcp-transport.ts
@@ -2,7 +2,9 @@
 import {once} from 'node:events';
 import {createConnection, createServer, type Socket} from 'node:net';
 import type {PeerTransport} from './transport.ts';
-import {fail, succeed, getErrorMessage} from '#core';
+import {
+	fail, getErrorMessage, parseAddress, succeed,
+} from '#core';
 
 /** Creates a transport that uses `node:net`. */
 export function createTcpTransport(): PeerTransport {
@@ -38,8 +40,12 @@
 			};
 		},
 		async connect(address, signal) {
-			const [host, port] = address.split(':');
-			const socket = createConnection({host, port: Number(port), noDelay: true});
+			const checked = parseAddress(address);
+			if (!checked) {
+				return fail('not an address');
+			}
+
+			const socket = createConnection({...checked, noDelay: true});
 			try {
 				await once(socket, 'connect', {signal});
 				return succeed(socket);
