--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -6,8 +6,8 @@
 import type {StoredFormats} from './relay-instance.ts';
 import type {StoreWatchers} from './_store-watchers.ts';
 import type {Clock} from '#clock';
-import type {
-	Random, RelayConfiguration, RelayTarget, Result,
+import {
+	fail, type Random, type RelayConfiguration, type RelayTarget, type Result,
 } from '#core';
 import type {Gateway} from '#gateway';
 import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
@@ -104,7 +104,7 @@
 	#applyConfigurations(): void {
 		const {formats, telemetry, gateway, handleConfiguration} = this.#dependencies;
 		for (const stored of this.#configuration.list()) {
-			const decoded = formats.decodeConfiguration(stored);
+			const decoded = decodeStored(stored, formats.decodeConfiguration);
 			if (!decoded.ok) {
 				telemetry.count('configuration_rejected_total');
 				telemetry.log('configuration rejected: it could not be decoded', {name: stored.key, revision: stored.revision, fault: decoded.error});
@@ -155,7 +155,7 @@
 
 	/** Decodes an entry; returns `undefined` for one that cannot be read, of which no other entry suffers. */
 	#decode<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Value | undefined {
-		const decoded = decode(stored);
+		const decoded = decodeStored(stored, decode);
 		if (decoded.ok) {
 			return decoded.value;
 		}
@@ -170,3 +170,7 @@
 		}
 	}
 }
+
+function decodeStored<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Result<Value, string> {
+	return stored.fault === undefined ? decode(stored) : fail(stored.fault);
+}
--- a/packages/object-store/object-store.ts
+++ b/packages/object-store/object-store.ts
@@ -14,6 +14,8 @@
 	key: string;
 	/** JSON text. */
 	value: string;
+	/** Why the value could not be read; it is `null` then. */
+	fault?: string;
 	/** Starts at 1 and increases with each change of this object. */
 	version: number;
 	/** Revision of the whole store at which this object last changed. */
