Numbers and names of stored objects are checked where they enter

Cause: numbers of entries and configurations were any finite number and names any text. A start time of 0.5, a name of 300 characters, a fraction as the number of targets or a name of a method as the kind of a route passed on to code that sends them to peers (which close a link on them), into headers (which throw) or timers (which fire at once). `Kind` "__defineGetter__" threw while the configuration was decoded. One odd route, service or customer refused the whole configuration.

Change: versions and start times are whole numbers, slots above 0, counts and times bounded, names as long as peers take them, ids and customers' names such that a header holds them. Routes, services and customers are decoded one by one; what cannot be read is left out, counted and logged. A route of which only host and path can be read has no pool: its requests are refused with 503 instead of going to a route with a shorter path.

Looked at: all decoders of platform/stored-formats. Lookups by a text of others elsewhere use maps (platform/dialect, headers, caller-request) or numbers.

--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -98,6 +98,8 @@
 	/** Customers by API key; absent if no request needs a key. */
 	customers?: ReadonlyMap<string, RelayCustomer>;
 	limits: CallerLimits;
+	/** What is wrong with the routes, pools and customers that could not be read and are left out; absent if there are none. */
+	omitted?: readonly string[];
 }>;
 
 /** One back end, as the object store currently lists it. */
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -109,6 +109,10 @@
 				telemetry.count('configuration_rejected_total');
 				telemetry.log('configuration rejected: it could not be decoded', {name: stored.key, revision: stored.revision, fault: decoded.error});
 			} else if (gateway.applyConfiguration(decoded.value)) {
+				if (decoded.value.omitted) {
+					this.#unreadable.record(stored, `left out: ${decoded.value.omitted.join('; ')}`);
+				}
+
 				handleConfiguration(decoded.value);
 			}
 		}
