An error ends the request, entry, message or task that it belongs to, and nothing else

Cause: handling that nobody awaits (`void handleRequest`, `void readEngine`, listeners of mirrors, background tasks) had no end for an exception, so that Node.js ended the process, and with it the answers of all other requests. An attempt began its exchange outside of its `try`. A request that the HTTP client refuses at once left a connection that counted as open for good.

Looked at: every `void` call outside of tests.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -169,8 +169,9 @@
 		await readArrivedInput();
 		const decision = await resolveOrigin({
 			requestId: head.requestId, route, customer: customer?.name, lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId,
+		}).finally(() => {
+			this.#resolving--;
 		});
-		this.#resolving--;
 		if (caller.hasLeft()) {
 			return;
 		}
--- a/packages/membership/membership.test.ts
+++ b/packages/membership/membership.test.ts
@@ -182,3 +182,24 @@
 	t.equal(other.membership.listInstances().length, 1);
 	t.ok(fleet.telemetry.getCounter('peer_links_closed_total', {reason: 'unauthenticated'}) >= 1);
 });
+
+t.test('an error in a handler ends the handling of one message, and the link stays', async t => {
+	const fleet = createFleet();
+	const [first, second] = await startMany(fleet, 2);
+	await fleet.clock.advance(1000);
+	const before = fleet.telemetry.getCounter('peer_links_opened_total');
+	let received = 0;
+	first!.membership.bus.subscribe('blind', () => {
+		received++;
+		throw new Error('odd');
+	});
+	for (let count = 0; count < 2; count++) {
+		second!.membership.bus.broadcast({kind: 'blind'});
+		await fleet.clock.advance(1000);
+	}
+
+	t.equal(received, 2);
+	t.equal(fleet.telemetry.getCounter('escaped_errors_total', {activity: 'message'}), 2);
+	t.equal(fleet.telemetry.getCounter('peer_links_opened_total'), before);
+	await Promise.all([first!.stop(), second!.stop()]);
+});
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -15,6 +15,7 @@
 import {
 	PeerLink, type Envelope, type LinkEndReason, type MemberRecord, type Peer, type PeerBus,
 } from '#peer-protocol';
+import {recordEscapedError} from '#telemetry';
 
 const defaults: Required<MembershipOptions> = {
 	seeds: [], suspicionTimeoutMs: 3000, connectionUpdateIntervalMs: 500, connectTimeoutMs: 1500, minRedialDelayMs: 200, maxRedialDelayMs: 5000, goneRetentionMs: 900_000, limits: {},
@@ -310,15 +311,23 @@
 				this.#handleOpenedLink(link);
 			},
 			handleEnvelope: (link: PeerLink, envelope: Envelope) => {
-				this.#links.handleEnvelope(link, envelope);
-				if (envelope.type === 'heartbeat') {
-					this.#resync(link, envelope.status.membersDigest);
-					this.#dependencies.handleHeartbeat?.(link.peer!, envelope.status);
+				try {
+					this.#handleEnvelope(link, envelope);
+				} catch (error) {
+					recordEscapedError(telemetry, 'message', error, {type: envelope.type, peer: link.peer?.name});
 				}
 			},
 		};
 	}
 
+	#handleEnvelope(link: PeerLink, envelope: Envelope): void {
+		this.#links.handleEnvelope(link, envelope);
+		if (envelope.type === 'heartbeat') {
+			this.#resync(link, envelope.status.membersDigest);
+			this.#dependencies.handleHeartbeat?.(link.peer!, envelope.status);
+		}
+	}
+
 	#handleOpenedLink(link: PeerLink): void {
 		const peer = link.peer!;
 		if (peer.incarnation === this.#dependencies.self.incarnation) {
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -4,10 +4,11 @@
  * records published weights.
  */
 import type {StoredFormats} from './relay-instance.ts';
+import {runTask} from './_run-task.ts';
 import type {StoreWatchers} from './_store-watchers.ts';
 import type {Clock} from '#clock';
 import {
-	fail, type Random, type RelayConfiguration, type RelayTarget, type Result,
+	fail, getErrorMessage, type Random, type RelayConfiguration, type RelayTarget, type Result,
 } from '#core';
 import type {Gateway} from '#gateway';
 import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
@@ -15,7 +16,7 @@
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
 import type {WeightsRollout} from '#rollout';
-import type {Telemetry} from '#telemetry';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 /** Dependencies of {@link StoreMirrors}. */
 export type StoreMirrorsDependencies = Readonly<{
@@ -61,13 +62,13 @@
 		this.#mirrorRelay = new MirrorRelay({
 			mirrors: this.#listMirrors(), clock, telemetry, bus, isLargeFleet: () => dependencies.watchers.isLargeFleet,
 		});
-		this.#configuration.events.on('changed', () => {
+		this.#subscribe(this.#configuration, () => {
 			this.#applyConfigurations();
 		});
-		this.#targets.events.on('changed', () => {
+		this.#subscribe(this.#targets, () => {
 			this.#decodeTargets();
 		});
-		this.#weights.events.on('changed', () => {
+		this.#subscribe(this.#weights, () => {
 			this.#recordWeights();
 		});
 	}
@@ -85,7 +86,7 @@
 	/** Keeps the mirrors up to date with the store until `signal` aborts. */
 	async run(store: ObjectStore, random: Random, signal: AbortSignal): Promise<void> {
 		const {clock, telemetry, watchers, handleStoreReturn} = this.#dependencies;
-		await Promise.all(this.#listMirrors().map(async mirror => syncMirror({
+		await Promise.all(this.#listMirrors().map(async mirror => runTask(`mirror ${mirror.kind}`, async () => syncMirror({
 			mirror, store, clock, random, telemetry, watchers,
 			handleAvailability: isAvailable => {
 				// The end of an outage determines when retained entries are dropped.
@@ -94,17 +95,27 @@
 					handleStoreReturn();
 				}
 			},
-		}, signal)));
+		}, signal), {clock, telemetry}, signal)));
 	}
 
 	#listMirrors(): readonly KindMirror[] {
 		return [this.#configuration, this.#targets, this.#weights];
 	}
 
+	#subscribe({kind, events}: KindMirror, handler: () => void): void {
+		events.on('changed', () => {
+			try {
+				handler();
+			} catch (error) {
+				recordEscapedError(this.#dependencies.telemetry, 'change', error, {kind});
+			}
+		});
+	}
+
 	#applyConfigurations(): void {
 		const {formats, telemetry, gateway, handleConfiguration} = this.#dependencies;
 		for (const stored of this.#configuration.list()) {
-			const decoded = decodeStored(stored, formats.decodeConfiguration);
+			const decoded = this.#decodeStored(stored, formats.decodeConfiguration);
 			if (!decoded.ok) {
 				telemetry.count('configuration_rejected_total');
 				telemetry.log('configuration rejected: it could not be decoded', {name: stored.key, revision: stored.revision, fault: decoded.error});
@@ -159,7 +170,7 @@
 
 	/** Decodes an entry; returns `undefined` for one that cannot be read, of which no other entry suffers. */
 	#decode<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Value | undefined {
-		const decoded = decodeStored(stored, decode);
+		const decoded = this.#decodeStored(stored, decode);
 		if (decoded.ok) {
 			return decoded.value;
 		}
@@ -168,13 +179,19 @@
 		return undefined;
 	}
 
+	/** Decodes an object; an error of the decoder concerns this object alone. */
+	#decodeStored<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Result<Value, string> {
+		try {
+			return stored.fault === undefined ? decode(stored) : fail(stored.fault);
+		} catch (error) {
+			recordEscapedError(this.#dependencies.telemetry, 'entry', error, {key: stored.key, revision: stored.revision});
+			return fail(getErrorMessage(error));
+		}
+	}
+
 	#checkReady(): void {
 		if (this.#dependencies.gateway.configuration && this.#targets.revision > 0) {
 			this.#dependencies.handleReady();
 		}
 	}
 }
-
-function decodeStored<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Result<Value, string> {
-	return stored.fault === undefined ? decode(stored) : fail(stored.fault);
-}
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -10,6 +10,7 @@
 import {StoreMirrors} from './_store-mirrors.ts';
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
+import {runTask} from './_run-task.ts';
 import type {Settings} from './settings.ts';
 import type {Clock} from '#clock';
 import type {
@@ -255,28 +256,29 @@
 	const stopping = new AbortController();
 	const {signal} = stopping;
 	setMaxListeners(maxSignalListeners, signal);
-	const tasks = [
-		storeMirrors.run(store.configuration, random, signal),
-		rollout.run(signal),
-		runWorkExchange({views: targets, bus, clock}, signal),
-		runPartExchange({cachedParts, bus, clock}, signal),
-		originExchange.run(signal),
-		versionRecord.run(signal),
-		targetReach.run(signal),
-		kvCacheStores.run(signal),
-		runStrikeSync({
+	const tasks: Readonly<Record<string, (signal: AbortSignal) => Promise<void>>> = {
+		mirrors: async () => storeMirrors.run(store.configuration, random, signal),
+		rollout: async () => rollout.run(signal),
+		work: async () => runWorkExchange({views: targets, bus, clock}, signal),
+		parts: async () => runPartExchange({cachedParts, bus, clock}, signal),
+		origins: async () => originExchange.run(signal),
+		versions: async () => versionRecord.run(signal),
+		reach: async () => targetReach.run(signal),
+		kvCacheStores: async () => kvCacheStores.run(signal),
+		strikes: async () => runStrikeSync({
 			clock, telemetry, bus, quarantines: [partStrikes, quarantine],
 		}, signal),
-		runQuarantineArchive({
+		archive: async () => runQuarantineArchive({
 			clock, telemetry, store: store.status, kind: formats.kinds.quarantine, quarantine: partStrikes, getRank: duty => peers.getRank(duty),
 		}, signal),
-		watchEngines({
+		engines: async () => watchEngines({
 			clock, telemetry, targets, cachedParts, bus, targetReach, readEvents: calls.readEvents, isReader: target => isFirstReader(target),
 		}, signal),
-		registerInstance({
+		registration: async () => registerInstance({
 			store: store.status, key: `${formats.kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
 		}, signal),
-	];
+	};
+	const running = Object.entries(tasks).map(async ([task, run]) => runTask(task, run, {clock, telemetry}, signal));
 
 	return {
 		gateway, lifecycle, peers, targets, openRequests,
@@ -289,7 +291,7 @@
 			quarantine.close();
 			partStrikes.close();
 			await peers.stop();
-			await Promise.all(tasks);
+			await Promise.all(running);
 			targets.close();
 		},
 	};
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -28,6 +28,10 @@
 		},
 		decodeTarget({key, value}: StoredObject) {
 			decoded.push(key);
+			if (value === 'throw') {
+				throw new Error('odd');
+			}
+
 			return value === 'bad'
 				? fail('no address')
 				: succeed({
@@ -149,6 +153,31 @@
 	t.equal(publishedWeights.listNewest().get('m'), 3);
 });
 
+t.test('an error while an entry is decoded concerns this entry alone', async t => {
+	const {run, write, telemetry, list} = start(t);
+	await write(['t/a', 'throw'], ['t/b', '10.0.0.2:1']);
+	run();
+	await write();
+	await write(['t/c', '10.0.0.3:1']);
+	t.strictSame(list(), ['t/b', 't/c']);
+	t.equal(telemetry.getCounter('escaped_errors_total', {activity: 'entry'}), 1);
+});
+
+t.test('an error while changes are applied does not end the mirror', async t => {
+	const {run, write, targets, telemetry, list} = start(t);
+	run();
+	const update = targets.update.bind(targets);
+	targets.update = () => {
+		throw new Error('odd');
+	};
+
+	await write(['t/a', '10.0.0.1:1']);
+	t.equal(telemetry.getCounter('escaped_errors_total', {activity: 'change'}), 1);
+	targets.update = update;
+	await write(['t/b', '10.0.0.2:1']);
+	t.strictSame(list(), ['t/a', 't/b']);
+});
+
 t.test('a configuration that cannot be decoded or is older is not applied', async t => {
 	const {run, write, applied} = start(t);
 	run();
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -45,23 +45,25 @@
 	let lastWork: readonly TargetWork[] = [];
 	// Time of the last message, or of the last check for a repetition.
 	let repeatTimerStartMs = clock.now();
-	while (!signal.aborted) {
-		const work = views.listWork().slice(0, maxTargets);
-		const isRepeatDue = clock.now() - repeatTimerStartMs >= repeatIntervalMs;
-		if (isRepeatDue) {
-			views.removePeersExcept(bus.listPeers().map(({name}) => name));
-		}
+	try {
+		while (!signal.aborted) {
+			const work = views.listWork().slice(0, maxTargets);
+			const isRepeatDue = clock.now() - repeatTimerStartMs >= repeatIntervalMs;
+			if (isRepeatDue) {
+				views.removePeersExcept(bus.listPeers().map(({name}) => name));
+			}
 
-		if (!isSameWork(work, lastWork) || (isRepeatDue && work.length > 0)) {
-			bus.sendToSample({kind: 'sent', targets: work.map(({byUrgency, ...rest}) => byUrgency ? {...rest, byUrgency: [...byUrgency]} : rest)});
-			lastWork = work;
-		}
+			if (!isSameWork(work, lastWork) || (isRepeatDue && work.length > 0)) {
+				bus.sendToSample({kind: 'sent', targets: work.map(({byUrgency, ...rest}) => byUrgency ? {...rest, byUrgency: [...byUrgency]} : rest)});
+				lastWork = work;
+			}
 
-		repeatTimerStartMs = isRepeatDue || lastWork === work ? clock.now() : repeatTimerStartMs;
-		await clock.sleep(intervalMs ?? (bus.listPeers().length <= maxFullMeshPeers ? meshIntervalMs : sampledIntervalMs), signal);
+			repeatTimerStartMs = isRepeatDue || lastWork === work ? clock.now() : repeatTimerStartMs;
+			await clock.sleep(intervalMs ?? (bus.listPeers().length <= maxFullMeshPeers ? meshIntervalMs : sampledIntervalMs), signal);
+		}
+	} finally {
+		unsubscribe();
 	}
-
-	unsubscribe();
 }
 
 /** Compares two lists of work by target, requests, tokens and limit; the tokens by urgency and the age of the limit are not compared. */
--- a/packages/quarantine/quarantine-archive.ts
+++ b/packages/quarantine/quarantine-archive.ts
@@ -47,22 +47,24 @@
 	});
 	let isRead = false;
 	let nextReadMs = clock.now();
-	while (!signal.aborted) {
-		if (!isRead && clock.now() >= nextReadMs) {
-			isRead = await readArchive(dependencies, archived);
-			nextReadMs = clock.now() + readRetryDelayMs;
-		}
+	try {
+		while (!signal.aborted) {
+			if (!isRead && clock.now() >= nextReadMs) {
+				isRead = await readArchive(dependencies, archived);
+				nextReadMs = clock.now() + readRetryDelayMs;
+			}
 
-		for (const fingerprint of pending) {
-			if (await writeQuarantine(dependencies, fingerprint, archived)) {
-				pending.delete(fingerprint);
+			for (const fingerprint of pending) {
+				if (await writeQuarantine(dependencies, fingerprint, archived)) {
+					pending.delete(fingerprint);
+				}
 			}
-		}
 
-		await clock.sleep(writeIntervalMs, signal);
+			await clock.sleep(writeIntervalMs, signal);
+		}
+	} finally {
+		unsubscribe();
 	}
-
-	unsubscribe();
 }
 
 /** Imports the archived quarantines, and removes those that have expired or cannot be read. Returns whether the store answered. */
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -19,11 +19,13 @@
 import type {TargetReach} from './target-reach.ts';
 import type {TargetState} from './target-state.ts';
 import type {Clock} from '#clock';
-import type {RelayPool, RelayRequest} from '#core';
+import {getErrorMessage, type RelayPool, type RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 export type AttemptDependencies = Readonly<{
 	clock: Clock;
+	telemetry: Pick<Telemetry, 'count' | 'log'>;
 	dialect: TargetDialect;
 	cachedParts: CachedParts;
 	streamOrigins: StreamOrigins;
@@ -84,16 +86,18 @@
 
 /** Runs one attempt until its exchange has finished. There is no failure if the caller was sent its complete answer. */
 export async function runAttempt(dependencies: AttemptDependencies, attempt: Attempt): Promise<AttemptResult> {
-	const {clock, dialect, openRequests} = dependencies;
-	const {request, choice, delivery, caller, urgency} = attempt;
+	const {clock, openRequests} = dependencies;
+	const {request, choice, caller} = attempt;
 	const {state} = choice;
-	const headers = dialect.encodeHead(request, {
-		target: state.target, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
-		cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.address, keepIn: choice.keeper?.address, urgency: request.prompt && urgency,
-	});
-	const {exchange, isNewConnection} = state.connections.start({
-		method: request.method, path: request.path, headers, body: request.body,
-	}, {maxIdleMs: getMaxIdleMs(request)});
+	let started: StartedExchange;
+	try {
+		started = startExchange(dependencies, attempt);
+	} catch (error) {
+		recordEscapedError(dependencies.telemetry, 'attempt', error, {id: request.id, target: state.target.id});
+		return {failure: {cause: 'not_sent', detail: getErrorMessage(error)}, isNewConnection: true};
+	}
+
+	const {exchange, isNewConnection} = started;
 	const work = startWork(dependencies, attempt);
 	const cancels = [
 		caller.subscribeLeave(() => {
@@ -110,13 +114,17 @@
 		}),
 	];
 	try {
-		const result = await receiveAnswer(dependencies, attempt, {exchange, isNewConnection}, work);
+		const result = await receiveAnswer(dependencies, attempt, started, work);
 		// A refusal takes no service time, and would make a busy target look fast; so would an answer to another request.
 		if (!request.prompt && !untimedCauses.has(result.failure?.cause)) {
 			state.recordServiceTime(clock.now() - work.startedMs);
 		}
 
 		return result;
+	} catch (error) {
+		recordEscapedError(dependencies.telemetry, 'attempt', error, {id: request.id, target: state.target.id});
+		exchange.abort(getErrorMessage(error));
+		return {failure: {cause: exchange.hasBeenSent ? 'lost' : 'not_sent', detail: getErrorMessage(error)}, isNewConnection};
 	} finally {
 		for (const cancel of cancels) {
 			cancel();
@@ -126,6 +134,17 @@
 	}
 }
 
+function startExchange({clock, dialect}: AttemptDependencies, {request, choice, delivery, urgency}: Attempt): StartedExchange {
+	const {target, connections} = choice.state;
+	const headers = dialect.encodeHead(request, {
+		target, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
+		cacheScope: choice.cacheScope, weights: choice.weights, fetchFrom: choice.source?.address, keepIn: choice.keeper?.address, urgency: request.prompt && urgency,
+	});
+	return connections.start({
+		method: request.method, path: request.path, headers, body: request.body,
+	}, {maxIdleMs: getMaxIdleMs(request)});
+}
+
 async function receiveAnswer(dependencies: AttemptDependencies, attempt: Attempt, {exchange, isNewConnection}: StartedExchange, {startedMs, handleAnswerStart}: AttemptWork): Promise<AttemptResult> {
 	const {clock, dialect, getLimitSharing} = dependencies;
 	const {request, pool, choice, delivery} = attempt;
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -78,15 +78,18 @@
 	sentAttempts = 0;
 	/** Number of failed attempts that may have run the request. */
 	possibleRuns = 0;
+	/** Whether an attempt is in progress whose outcome is not recorded yet. */
+	isSending = false;
 	/** What is known about whether the request has run, over all failed attempts. */
 	runState: RunState = 'not_run';
 	/**
 	 * Why the last attempt failed, or why no target was tried: `none` if no target
 	 * is usable, `origin_gone` if none has the software version that began the
 	 * stream, `full` if all usable targets have no connection free, `limited` if
-	 * their stated limits are reached, `stopping` if this instance stops.
+	 * their stated limits are reached, `stopping` if this instance stops, `escaped` if it has
+	 * failed itself.
 	 */
-	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'limited' | 'overloaded' | 'quarantined' | 'stopping' = 'none';
+	cause: AttemptCause | 'none' | 'origin_gone' | 'full' | 'limited' | 'overloaded' | 'quarantined' | 'stopping' | 'escaped' = 'none';
 	/** Only version of the targets' software that may run the request: that of the target which began the stream; `undefined` if any may. */
 	softwareVersion: string | undefined;
 	/** Key of the prompt part for which no further target is tried. */
@@ -100,6 +103,13 @@
 		this.softwareVersion = request.softwareVersion;
 	}
 
+	/** Marks the request as failed by an error of this instance; it may have run if an attempt was in progress. */
+	markEscaped(): void {
+		this.runState = this.isSending ? mergeRunStates(this.runState, 'unknown') : this.runState;
+		this.cause = 'escaped';
+		this.peerRefusal = undefined;
+	}
+
 	/** Records a finished attempt. */
 	recordAttempt(choice: TargetChoice, startMs: number, endMs: number, {failure, isNewConnection, status, isNamed, body, statement}: AttemptResult): void {
 		const {target} = choice.state;
--- a/packages/relay/_relay-refusal.ts
+++ b/packages/relay/_relay-refusal.ts
@@ -10,7 +10,8 @@
 
 /** Refusal reasons by cause, for requests that the router itself refuses. */
 const routerCauseReasons = {
-	none: 'no_target', origin_gone: 'stream_origin_gone', full: 'queue_full', overloaded: 'promise_unreachable', limited: 'target_limited', quarantined: 'crashes_targets', stopping: 'stopping',
+	none: 'no_target', origin_gone: 'stream_origin_gone', full: 'queue_full', overloaded: 'promise_unreachable', limited: 'target_limited', quarantined: 'crashes_targets',
+	stopping: 'stopping', escaped: 'internal_error',
 } as const;
 
 function isRouterCause(cause: RelayProgress['cause']): cause is keyof typeof routerCauseReasons {
--- a/packages/relay/connection.ts
+++ b/packages/relay/connection.ts
@@ -83,11 +83,13 @@
 	 * @param handleEnd called once, when the exchange has finished
 	 */
 	start(request: ExchangeRequest, recordReceived: () => number, handleEnd: (isReusable: boolean) => void): Exchange {
+		let hasEnded = false;
 		const exchange = new Exchange(request.method, {
 			recordReceived,
 			countReceivedBytes: () => this.#socket?.bytesRead ?? 0,
 			hasBeenReset: () => this.#hasBeenReset,
 			handleEnd: isReusable => {
+				hasEnded = true;
 				cancelCheck();
 				this.#idleSinceMs = this.#clock.now();
 				handleEnd(isReusable && this.#isOpen);
@@ -99,6 +101,11 @@
 		this.#client.dispatch({
 			method: request.method, path: request.path, headers: [...request.headers], body: request.body ?? null,
 		}, exchange);
+		if (hasEnded && !exchange.hasBeenSent) {
+			// The client refuses a request that cannot be sent at once, and then opens no connection whose end would be reported.
+			this.#close();
+		}
+
 		return exchange;
 	}
 
--- a/packages/relay/engine-watch.test.ts
+++ b/packages/relay/engine-watch.test.ts
@@ -21,7 +21,7 @@
 	const telemetry = createTelemetry({level: 'silent'});
 	const stopping = new AbortController();
 	const reads: Array<readonly [string, string, number]> = [];
-	const answers: Array<PartCacheEventBatch | undefined> = [];
+	const answers: Array<PartCacheEventBatch | Error | undefined> = [];
 	/** Answer to reads that `answers` does not cover; `undefined` if the engine is silent. */
 	let defaultAnswer: PartCacheEventBatch | undefined = {
 		epoch: 'x', next: 7, isGap: false, events: [],
@@ -35,7 +35,12 @@
 			targetReach: {checkTargetFailure: async () => true},
 			async readEvents(target, since) {
 				reads.push([name, target.id, since]);
-				return answers.length > 0 ? answers.shift() : defaultAnswer;
+				const answer = answers.length > 0 ? answers.shift() : defaultAnswer;
+				if (answer instanceof Error) {
+					throw answer;
+				}
+
+				return answer;
 			},
 		}, stopping.signal);
 		return {targets, cachedParts, engine: targets.get('e1')!};
@@ -46,7 +51,7 @@
 		await clock.advance(1000);
 	});
 	return {
-		clock, reads, answers, a: join('a'), b: join('b'),
+		clock, reads, answers, telemetry, a: join('a'), b: join('b'),
 		setSilent(isSilent: boolean) {
 			defaultAnswer = isSilent
 				? undefined
@@ -114,3 +119,13 @@
 	await clock.advance(1000);
 	t.strictSame(reads.slice(0, 4).map(read => read[2]), [0, 7, 40, 0]);
 });
+
+// Guards against an engine whose entry ended the instance that read its events.
+t.test('an error ends the reader of one engine, which is started again', async t => {
+	const {clock, reads, answers, telemetry} = start(t);
+	answers.push(new Error('odd'), new Error('odd'));
+	await clock.advance(3000);
+	t.equal(telemetry.getCounter('escaped_errors_total', {activity: 'engine_watch'}), 2);
+	t.ok(reads.length > 5, `${reads.length} reads`);
+	t.equal(reads.at(-1)![2], 7);
+});
--- a/packages/relay/engine-watch.ts
+++ b/packages/relay/engine-watch.ts
@@ -10,7 +10,7 @@
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
 import type {PeerBus} from '#peer-protocol';
-import type {Telemetry} from '#telemetry';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 /** A part of a prompt that was stored in an engine's cache or evicted from it. */
 export type PartCacheEvent = Readonly<{isStored: boolean; scope: string; part: string}>;
@@ -74,31 +74,37 @@
 			dependencies.cachedParts.remove(key, incarnation);
 		}
 	});
-	while (!signal.aborted) {
-		const assigned = new Map(targets.list().filter(({target}) => target.weights.size > 0 && !target.isDraining && dependencies.isReader(target))
-			.map(state => [state.target.incarnation, state]));
-		for (const [incarnation, controller] of readers) {
-			if (!assigned.has(incarnation)) {
-				controller.abort();
-				readers.delete(incarnation);
+	try {
+		while (!signal.aborted) {
+			const assigned = new Map(targets.list().filter(({target}) => target.weights.size > 0 && !target.isDraining && dependencies.isReader(target))
+				.map(state => [state.target.incarnation, state]));
+			for (const [incarnation, controller] of readers) {
+				if (!assigned.has(incarnation)) {
+					controller.abort();
+					readers.delete(incarnation);
+				}
 			}
-		}
 
-		for (const [incarnation, state] of assigned) {
-			if (!readers.has(incarnation)) {
-				const controller = new AbortController();
-				readers.set(incarnation, controller);
-				void readEngine(dependencies, state, controller.signal);
+			for (const [incarnation, state] of assigned) {
+				if (!readers.has(incarnation)) {
+					const controller = new AbortController();
+					readers.set(incarnation, controller);
+					void readEngine(dependencies, state, controller.signal).catch((error: unknown) => {
+						// The next assignment starts the reader again.
+						recordEscapedError(dependencies.telemetry, 'engine_watch', error, {target: state.target.id});
+						readers.delete(incarnation);
+					});
+				}
 			}
-		}
 
-		await clock.sleep(assignmentIntervalMs, signal);
-	}
-
-	unsubscribeSilent();
-	unsubscribeEvicted();
-	for (const controller of readers.values()) {
-		controller.abort();
+			await clock.sleep(assignmentIntervalMs, signal);
+		}
+	} finally {
+		unsubscribeSilent();
+		unsubscribeEvicted();
+		for (const controller of readers.values()) {
+			controller.abort();
+		}
 	}
 }
 
--- a/packages/relay/part-exchange.ts
+++ b/packages/relay/part-exchange.ts
@@ -26,14 +26,16 @@
 			cachedParts.record(key, incarnation, clock.now());
 		}
 	});
-	while (!signal.aborted) {
-		const newParts = cachedParts.takeNewParts(maxParts);
-		if (newParts.length > 0) {
-			bus.sendToSample({kind: 'parts', parts: [...newParts]});
-		}
+	try {
+		while (!signal.aborted) {
+			const newParts = cachedParts.takeNewParts(maxParts);
+			if (newParts.length > 0) {
+				bus.sendToSample({kind: 'parts', parts: [...newParts]});
+			}
 
-		await clock.sleep(bus.listPeers().length <= maxFullMeshPeers ? meshIntervalMs : partialIntervalMs, signal);
+			await clock.sleep(bus.listPeers().length <= maxFullMeshPeers ? meshIntervalMs : partialIntervalMs, signal);
+		}
+	} finally {
+		unsubscribe();
 	}
-
-	unsubscribe();
 }
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -13,7 +13,7 @@
 import type {
 	ChannelPart, ChannelPartHandlers, ChannelReceiver, PeerBus, PeerChannel, RelayedRequest,
 } from '#peer-protocol';
-import type {Telemetry} from '#telemetry';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 export type PeerRelayDependencies = Readonly<{
 	clock: Clock;
@@ -60,7 +60,10 @@
 			}
 
 			running++;
-			void runRequest({...dependencies, relay}, caller, request).finally(() => {
+			void runRequest({...dependencies, relay}, caller, request).catch((error: unknown) => {
+				recordEscapedError(dependencies.telemetry, 'request', error, {id: request.id, relayedBy: caller.peerName});
+				caller.abort();
+			}).finally(() => {
 				running--;
 			});
 		});
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -19,7 +19,7 @@
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
 } from '#dispatch';
 import type {Peer} from '#peer-protocol';
-import type {Telemetry} from '#telemetry';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 export type RelayDependencies = AttemptDependencies & PeerAttemptDependencies & QuarantineGuardDependencies & TargetChooserDependencies & Readonly<{
 	telemetry: Telemetry;
@@ -82,7 +82,8 @@
 		const progress = new RelayProgress(request, pool);
 		try {
 			const delivery = new AnswerDelivery(request, caller, this.#dependencies.clock);
-			this.#recordOutcome(progress, delivery, await this.#runAttempts(progress, delivery, caller));
+			const outcome = await this.#runAttempts(progress, delivery, caller).catch((error: unknown) => this.#finishEscaped(error, progress, delivery, caller));
+			this.#recordOutcome(progress, delivery, outcome);
 		} finally {
 			this.#running--;
 		}
@@ -133,11 +134,13 @@
 		const {target} = choice.state;
 		const startMs = clock.now();
 		caller.recordAttempt?.(target, 'started');
+		progress.isSending = true;
 		const result = await runAttempt(this.#dependencies, {
 			request, pool: progress.pool, choice, urgency, caller, delivery,
 		});
 		const {failure} = result;
 		progress.recordAttempt(choice, startMs, clock.now(), result);
+		progress.isSending = false;
 		progress.softwareVersion ??= delivery.hasStarted ? target.softwareVersion : undefined;
 		if (result.body) {
 			telemetry.count('answer_bodies_total', {framing: result.body.framing, end: result.body.end});
@@ -189,11 +192,13 @@
 		const {clock, telemetry, peerPaths} = this.#dependencies;
 		const {request, pool, softwareVersion, possibleRuns} = progress;
 		const startMs = clock.now();
+		progress.isSending = true;
 		const result = await runPeerAttempt(this.#dependencies, {
 			request, pool, peer, softwareVersion, caller, delivery, maxTargets: request.route.maxTargets - possibleRuns,
 		});
 		const {failure, refusal, canRetry} = result;
 		progress.recordPeerAttempt(peer, startMs, clock.now(), result);
+		progress.isSending = false;
 		progress.softwareVersion ??= delivery.hasStarted ? result.softwareVersion : undefined;
 		telemetry.count('attempts_via_peers_total', {outcome: failure?.cause ?? refusal?.reason ?? 'answered'});
 		if (caller.hasLeft()) {
@@ -260,6 +265,13 @@
 		}
 	}
 
+	/** Finishes a request whose handling has failed: its caller is told whether it may have run. */
+	#finishEscaped(error: unknown, progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): RelayOutcome {
+		recordEscapedError(this.#dependencies.telemetry, 'request', error, {id: progress.request.id});
+		progress.markEscaped();
+		return caller.hasLeft() ? {kind: 'caller_left'} : this.#finishUnanswered(progress, delivery, caller);
+	}
+
 	/** Finishes a request without a complete answer: aborts an answer that has started, else delivers a stored error answer, else refuses the request. */
 	#finishUnanswered(progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): RelayOutcome {
 		if (delivery.hasStarted) {
--- a/packages/relay/target-reach.ts
+++ b/packages/relay/target-reach.ts
@@ -119,8 +119,9 @@
 
 		const check = this.#checkPool(pool);
 		this.#checks.set(pool, check);
-		const isReached = await check;
-		this.#checks.delete(pool);
+		const isReached = await check.finally(() => {
+			this.#checks.delete(pool);
+		});
 		if (isReached) {
 			this.#recentlyReached.add(pool);
 			this.#dependencies.clock.setTimer(validityMs, () => {
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -161,11 +161,18 @@
 	});
 	const budget = new RetryBudget(clock, {ratio: 0, slack: 8});
 	const openRequests = new OpenRequests();
+	/** Called with each head of an answer before it is decoded. */
+	let onHead: () => void = () => undefined;
 	const relay = new Relay({
 		bus, targetReach, openRequests, listSharers: () => [], peerPaths: new PeerPaths({
 			bus, clock, random: createRandom(5), zone: 'z',
 		}),
-		clock, random: createRandom(2), telemetry, targets, dialect, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
+		clock, random: createRandom(2), telemetry, targets, dialect: {
+			...dialect, decodeHead(head) {
+				onHead();
+				return dialect.decodeHead(head);
+			},
+		}, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights(clock),
 		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
 			await onProbe();
@@ -217,7 +224,10 @@
 	};
 
 	return {
-		clock, raw, targets, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		clock, raw, targets, telemetry, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		handleHead(handler: () => void) {
+			onHead = handler;
+		},
 		handleProbe(handler: () => unknown) {
 			onProbe = handler;
 		},
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -30,6 +30,7 @@
 	configuration_rejected_total: {help: 'Accepted configuration generations that this instance cannot interpret.', labels: []},
 	configuration_fetches_total: {help: 'Configuration generations requested from other instances, by result.', labels: ['result']},
 	entries_unreadable_total: {help: 'Revisions of entries in the object store that cannot be read, such as those of another writer, and are passed over, by kind.', labels: ['kind']},
+	escaped_errors_total: {help: 'Errors that nobody expected and that have ended one activity, by activity.', labels: ['activity']},
 	mirror_fetches_total: {help: 'Changes to mirrored kinds of objects requested from other instances, by kind and result.', labels: ['kind', 'result']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
