--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -4,18 +4,21 @@
  * records published weights.
  */
 import type {StoredFormats} from './relay-instance.ts';
+import {runTask} from './_run-task.ts';
 import type {StoreWatchers} from './_store-watchers.ts';
 import type {Clock} from '#clock';
-import type {Random, RelayConfiguration, RelayTarget} from '#core';
+import {
+	fail, getErrorMessage, type Random, type RelayConfiguration, type RelayTarget, type Result,
+} from '#core';
 import type {Gateway} from '#gateway';
 import {
-	refreshMirror, syncMirror, KindMirror, MirrorRelay,
+	refreshMirror, syncMirror, KindMirror, MirrorRelay, type MirrorChange,
 } from '#mirror';
-import type {ObjectStore} from '#object-store';
+import {UnreadableEntries, type ObjectStore, type StoredObject} from '#object-store';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
 import type {WeightsRollout} from '#rollout';
-import type {Telemetry} from '#telemetry';
+import {recordEscapedError, type Telemetry} from '#telemetry';
 
 /** Dependencies of {@link StoreMirrors}. */
 export type StoreMirrorsDependencies = Readonly<{
@@ -46,6 +49,7 @@
 	readonly #weights: KindMirror;
 	readonly #mirrorRelay: MirrorRelay;
 	readonly #listing: TargetListing;
+	readonly #unreadable: UnreadableEntries;
 	/** Decoded target entries by key, each with the revision that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
 	#isStoreAnswering = true;
@@ -57,16 +61,17 @@
 		this.#targets = new KindMirror(kinds.targets);
 		this.#weights = new KindMirror(kinds.weights);
 		this.#listing = new TargetListing(clock);
+		this.#unreadable = new UnreadableEntries(telemetry);
 		this.#mirrorRelay = new MirrorRelay({
 			mirrors: this.#listMirrors(), clock, telemetry, bus, isLargeFleet: () => dependencies.watchers.isLargeFleet,
 		});
-		this.#configuration.events.on('changed', () => {
+		this.#subscribe(this.#configuration, () => {
 			this.#applyConfigurations();
 		});
-		this.#targets.events.on('changed', () => {
+		this.#subscribe(this.#targets, () => {
 			this.#decodeTargets();
 		});
-		this.#weights.events.on('changed', ({isFirstList}) => {
+		this.#subscribe(this.#weights, ({isFirstList}) => {
 			this.#recordWeights(!isFirstList);
 		});
 	}
@@ -101,7 +106,7 @@
 	/** Keeps the mirrors up to date with the store until `signal` aborts. */
 	async run(store: ObjectStore, random: Random, signal: AbortSignal): Promise<void> {
 		const {clock, telemetry, watchers, handleStoreReturn} = this.#dependencies;
-		await Promise.all(this.#listMirrors().map(async mirror => syncMirror({
+		await Promise.all(this.#listMirrors().map(async mirror => runTask(`mirror ${mirror.kind}`, async () => syncMirror({
 			mirror, store, clock, random, telemetry, watchers,
 			handleAvailability: isAvailable => {
 				this.#isStoreAnswering = isAvailable;
@@ -111,7 +116,7 @@
 					handleStoreReturn();
 				}
 			},
-		}, signal)));
+		}, signal), {clock, telemetry}, signal)));
 	}
 
 	/** Brings the targets up to date with the store at once; returns whether it has answered. */
@@ -126,14 +131,28 @@
 		return [this.#configuration, this.#targets, this.#weights];
 	}
 
+	#subscribe({kind, events}: KindMirror, handler: (change: MirrorChange) => void): void {
+		events.on('changed', change => {
+			try {
+				handler(change);
+			} catch (error) {
+				recordEscapedError(this.#dependencies.telemetry, 'change', error, {kind});
+			}
+		});
+	}
+
 	#applyConfigurations(): void {
 		const {formats, telemetry, gateway, handleConfiguration} = this.#dependencies;
 		for (const stored of this.#configuration.list()) {
-			const decoded = formats.decodeConfiguration(stored);
+			const decoded = this.#decodeStored(stored, formats.decodeConfiguration);
 			if (!decoded.ok) {
 				telemetry.count('configuration_rejected_total');
 				telemetry.log('configuration rejected: it could not be decoded', {name: stored.key, revision: stored.revision, fault: decoded.error});
 			} else if (gateway.applyConfiguration(decoded.value)) {
+				if (decoded.value.omitted) {
+					this.#unreadable.record(stored, `left out: ${decoded.value.omitted.join('; ')}`);
+				}
+
 				handleConfiguration(decoded.value);
 			}
 		}
@@ -146,7 +165,7 @@
 		// Only changed entries are decoded; otherwise a change to one of hundreds would cost as much as decoding the whole list.
 		this.#decodedTargets = new Map(this.#targets.list().map(stored => {
 			const previous = this.#decodedTargets.get(stored.key);
-			return [stored.key, previous?.revision === stored.revision ? previous : {revision: stored.revision, target: formats.decodeTarget(stored)}];
+			return [stored.key, previous?.revision === stored.revision ? previous : {revision: stored.revision, target: this.#decode(stored, formats.decodeTarget)}];
 		}));
 		this.#listing.update([...this.#decodedTargets.values()].map(({target}) => target).filter(target => target !== undefined));
 		this.#updateTargets();
@@ -169,7 +188,7 @@
 	#recordWeights(wereListed: boolean): void {
 		const {formats, telemetry, publishedWeights, rollout} = this.#dependencies;
 		for (const stored of this.#weights.list()) {
-			const weights = formats.decodeWeights(stored);
+			const weights = this.#decode(stored, formats.decodeWeights);
 			if (weights && publishedWeights.record(weights.model, weights.version, wereListed)) {
 				// The age is `null` if it is taken to be above any bound.
 				telemetry.log('new version of weights published', {...weights, ageMs: publishedWeights.get(weights.model)?.at(-1)?.ageMs, wasListedFirst: !wereListed});
@@ -179,6 +198,27 @@
 		rollout.wake();
 	}
 
+	/** Decodes an entry; returns `undefined` for one that cannot be read, of which no other entry suffers. */
+	#decode<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Value | undefined {
+		const decoded = this.#decodeStored(stored, decode);
+		if (decoded.ok) {
+			return decoded.value;
+		}
+
+		this.#unreadable.record(stored, decoded.error);
+		return undefined;
+	}
+
+	/** Decodes an object; an error of the decoder concerns this object alone. */
+	#decodeStored<Value>(stored: StoredObject, decode: (stored: StoredObject) => Result<Value, string>): Result<Value, string> {
+		try {
+			return stored.fault === undefined ? decode(stored) : fail(stored.fault);
+		} catch (error) {
+			recordEscapedError(this.#dependencies.telemetry, 'entry', error, {key: stored.key, revision: stored.revision});
+			return fail(getErrorMessage(error));
+		}
+	}
+
 	#checkReady(): void {
 		if (this.#dependencies.gateway.configuration && this.#targets.revision > 0) {
 			this.#dependencies.handleReady();
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -10,6 +10,7 @@
 import {StoreMirrors} from './_store-mirrors.ts';
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
+import {runTask} from './_run-task.ts';
 import type {Settings} from './settings.ts';
 import {SuspensionMonitor, type Clock} from '#clock';
 import type {
@@ -38,9 +39,9 @@
 	/** Names of the kinds of objects in the store. */
 	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string; software: string}>;
 	decodeConfiguration(stored: StoredObject): Result<RelayConfiguration, string>;
-	/** @returns the target, or `undefined` if the entry does not describe a usable one */
-	decodeTarget(stored: StoredObject): RelayTarget | undefined;
-	decodeWeights(stored: StoredObject): Readonly<{model: string; version: number}> | undefined;
+	/** @returns the target, or why the entry describes none that can be used */
+	decodeTarget(stored: StoredObject): Result<RelayTarget, string>;
+	decodeWeights(stored: StoredObject): Result<Readonly<{model: string; version: number}>, string>;
 	/** Encodes the entry by which other instances find this one. */
 	encodeInstance(address: string, zone: string): string;
 }>;
@@ -263,28 +264,29 @@
 	started.relayedWork = serveRelayedRequests({
 		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
 	});
-	const tasks = [
-		storeMirrors.run(store.configuration, random, signal),
-		rollout.run(signal),
-		runWorkExchange({views: targets, bus, clock}, signal),
-		runPartExchange({cachedParts, bus, clock}, signal),
-		originExchange.run(signal),
-		versionRecord.run(signal),
-		targetReach.run(signal),
-		kvCacheStores.run(signal),
-		runStrikeSync({
+	const tasks: Readonly<Record<string, (signal: AbortSignal) => Promise<void>>> = {
+		mirrors: async () => storeMirrors.run(store.configuration, random, signal),
+		rollout: async () => rollout.run(signal),
+		work: async () => runWorkExchange({views: targets, bus, clock}, signal),
+		parts: async () => runPartExchange({cachedParts, bus, clock}, signal),
+		origins: async () => originExchange.run(signal),
+		versions: async () => versionRecord.run(signal),
+		reach: async () => targetReach.run(signal),
+		kvCacheStores: async () => kvCacheStores.run(signal),
+		strikes: async () => runStrikeSync({
 			clock, telemetry, bus, quarantines: [partStrikes, quarantine],
 		}, signal),
-		runQuarantineArchive({
+		archive: async () => runQuarantineArchive({
 			clock, telemetry, store: store.status, kind: formats.kinds.quarantine, quarantine: partStrikes, getRank: duty => peers.getRank(duty),
 		}, signal),
-		watchEngines({
+		engines: async () => watchEngines({
 			clock, telemetry, targets, cachedParts, bus, targetReach, readEvents: calls.readEvents, isReader: target => isFirstReader(target),
 		}, signal),
-		registerInstance({
+		registration: async () => registerInstance({
 			store: store.status, key: `${formats.kinds.instances}/${settings.name}`, value: formats.encodeInstance(peers.address ?? '', settings.zone), clock,
 		}, signal),
-	];
+	};
+	const running = Object.entries(tasks).map(async ([task, run]) => runTask(task, run, {clock, telemetry}, signal));
 
 	return {
 		gateway, lifecycle, peers, targets, openRequests,
@@ -298,7 +300,7 @@
 			quarantine.close();
 			partStrikes.close();
 			await peers.stop();
-			await Promise.all(tasks);
+			await Promise.all(running);
 			targets.close();
 		},
 	};
