--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -23,7 +23,8 @@
 import {startRawTarget, type RawScript, type RawTarget} from '#standins';
 import {createTelemetry} from '#telemetry';
 
-const forwardedNames: ReadonlySet<string> = new Set(['x-signed', 'content-type', 'content-encoding']);
+/** Names of the headers of answers that reach the caller. */
+export const forwardedNames: ReadonlySet<string> = new Set(['x-signed', 'content-type', 'content-encoding']);
 
 /** A minimal dialect for these tests. */
 const dialect: TargetDialect = {
@@ -126,7 +127,7 @@
 	}
 }
 
-export async function startRelay(t: Test, ...scripts: readonly RawScript[]) {
+export async function startRelay(t: Pick<Test, 'teardown' | 'ok'>, ...scripts: readonly RawScript[]) {
 	await prepareHash();
 	const clock = new ManualClock();
 	const raw: RawTarget[] = [];
