--- a/packages/mirror/sync-mirror.test.ts
+++ b/packages/mirror/sync-mirror.test.ts
@@ -8,14 +8,14 @@
 import {createTelemetry} from '#telemetry';
 
 /** @param wrap wraps the stand-in, to inject faults */
-function start(t: Test, wrap: (platform: PlatformStandin) => ObjectStore = platform => platform, watchers?: Watchers) {
+function start(t: Test, wrap: (platform: PlatformStandin, clock: ManualClock) => ObjectStore = platform => platform, watchers?: Watchers) {
 	const clock = new ManualClock();
 	const platform = new PlatformStandin(clock, {latencyMs: 2});
 	const mirror = new KindMirror('k');
 	const availability: boolean[] = [];
 	const stopController = new AbortController();
 	void syncMirror({
-		mirror, store: wrap(platform), clock, random: createRandom(3), telemetry: createTelemetry({level: 'silent'}),
+		mirror, store: wrap(platform, clock), clock, random: createRandom(3), telemetry: createTelemetry({level: 'silent'}),
 		...(watchers ? {watchers} : {}),
 		handleAvailability(isAvailable) {
 			availability.push(isAvailable);
@@ -38,10 +38,11 @@
 	};
 }
 
-/** Creates a wrapper whose first watches fail with `failures`, in this order; `lists` records the prefixes of list calls. */
-function failWatches(failures: Array<'gone' | 'unavailable'>) {
+/** Creates a wrapper whose first watches fail with `failures`, in this order, the interrupted ones after `watchMs`; `lists` records the prefixes of list calls, `waits` the waiting times of watches. */
+function failWatches(failures: Array<'gone' | 'unavailable' | 'interrupted' | 'none'>, watchMs = 0) {
 	const lists: string[] = [];
-	const wrap = (platform: PlatformStandin): ObjectStore => ({
+	const waits: Array<number | undefined> = [];
+	const wrap = (platform: PlatformStandin, clock: ManualClock): ObjectStore => ({
 		get: async key => platform.get(key),
 		put: async (key, value) => platform.put(key, value),
 		remove: async key => platform.remove(key),
@@ -49,13 +50,19 @@
 			lists.push(prefix);
 			return platform.list(prefix);
 		},
-		async watch(prefix, revision, signal) {
-			const kind = failures.shift();
-			return kind ? fail({kind, detail: 'set by the test'}) : platform.watch(prefix, revision, signal);
+		async watch(prefix, revision, signal, options) {
+			waits.push(options?.waitMs);
+			const kind = failures.shift() ?? 'none';
+			if (kind === 'none') {
+				return platform.watch(prefix, revision, signal, options);
+			}
+
+			await clock.sleep(kind === 'interrupted' ? watchMs : 0);
+			return fail({kind, detail: 'set by the test'});
 		},
 		listInstances: async () => platform.listInstances(),
 	});
-	return {lists, wrap};
+	return {lists, waits, wrap};
 }
 
 t.test('lists the kind first, then applies each of its changes', async t => {
@@ -89,6 +96,65 @@
 	t.strictSame(list(), ['k/a']);
 });
 
+t.test('an interrupted watch is opened again and says nothing about the store', async t => {
+	const {lists, waits, wrap} = failWatches(['interrupted', 'none', 'interrupted', 'none', 'interrupted'], 2000);
+	const {clock, availability, write, list} = start(t, wrap);
+	await clock.advance(6100);
+	t.strictSame(lists, ['k/'], 'the kind is not listed again');
+	t.strictSame(waits, [undefined, 1, undefined, 1, undefined, 1, undefined], 'a watch that returns at once shows whether the store answers');
+	t.notOk(availability.includes(false));
+	await write('k/a');
+	t.strictSame(list(), ['k/a']);
+});
+
+t.test('a store that fails after it has interrupted a watch is unavailable at once', async t => {
+	const {wrap} = failWatches(['interrupted', 'unavailable'], 2000);
+	const {clock, availability} = start(t, wrap);
+	await clock.advance(2010);
+	t.strictSame(availability, [true, false]);
+});
+
+t.test('a store that interrupts every watch, but answers lists, is available and is not called without a pause', async t => {
+	const {lists, waits, wrap} = failWatches(Array.from({length: 200}, () => 'interrupted' as const));
+	const {clock, availability, platform, list} = start(t, wrap);
+	await clock.advance(20_000);
+	t.ok(waits.length < 60, 'calls become less frequent');
+	t.ok(lists.length > 10, 'lists find changes');
+	t.notOk(availability.includes(false));
+	void platform.put('k/a', '1');
+	await clock.advance(2100);
+	t.strictSame(list(), ['k/a']);
+});
+
+t.test('a store that interrupts each watch at once is not called without a pause', async t => {
+	const {lists, waits, wrap} = failWatches(Array.from({length: 200}, (_item, index) => index % 2 === 0 ? 'interrupted' as const : 'none' as const));
+	const {clock, availability, platform, list} = start(t, wrap);
+	await clock.advance(20_000);
+	t.ok(waits.length > 40, 'changes are found within a second');
+	t.ok(waits.length < 100, 'calls become less frequent');
+	t.equal(lists.length, 1);
+	t.notOk(availability.includes(false));
+	void platform.put('k/a', '1');
+	await clock.advance(1100);
+	t.strictSame(list(), ['k/a']);
+});
+
+t.test('a call beyond this instance\'s own share of the rate says nothing about the store', async t => {
+	let refusals = 3;
+	const {clock, availability, write, list} = start(t, platform => ({
+		get: async key => platform.get(key),
+		put: async (key, value) => platform.put(key, value),
+		remove: async key => platform.remove(key),
+		list: async prefix => refusals-- > 0 ? fail({kind: 'rate_limited', detail: 'set by the test', retryAfterMs: 100}) : platform.list(prefix),
+		watch: async (prefix, revision, signal) => platform.watch(prefix, revision, signal),
+		listInstances: async () => platform.listInstances(),
+	}));
+	await clock.advance(310);
+	t.strictSame(availability, [true]);
+	await write('k/a');
+	t.strictSame(list(), ['k/a']);
+});
+
 t.test('keeps the objects during an outage and syncs again within a second of its end', async t => {
 	const {clock, platform, availability, write, list} = start(t);
 	await write('k/a');
--- a/packages/mirror/sync-mirror.ts
+++ b/packages/mirror/sync-mirror.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps a mirror in sync with the object store: lists the kind, then watches it
  * from the list's revision. Lists the kind again if the store no longer has the
- * history after that revision, or if a call failed. In a large fleet, only some
- * instances, the watchers, call the store; the mirrors of the others are updated
- * by peers.
+ * history after that revision, or if a call failed. A watch whose connection ended
+ * says nothing about the store, so a watch that hardly waits follows it, and a list
+ * if that is interrupted, too: their outcome shows whether the store answers. In a large fleet, only some instances,
+ * the watchers, call the store; the mirrors of the others are updated by peers.
  */
 import type {KindMirror} from './kind-mirror.ts';
 import type {Clock} from '#clock';
@@ -59,52 +60,135 @@
 /** Maximum delay between calls while the store does not answer, in milliseconds. After an outage, targets write their expired entries again within two seconds; the delay is half of that. */
 const maxRetryDelayMs = 1000;
 
+/** Wait of the watch that follows an interrupted one, in milliseconds: the least that is more than none. */
+const checkWaitMs = 1;
+
+/** Minimum duration of an interrupted watch that another one may follow without a delay, in milliseconds. */
+const minWatchMs = 1000;
+
+/** The next call: a list, a watch, or a watch that returns at once, after an interrupted one. */
+type Step = 'list' | 'watch' | 'check';
+
+const steps: Readonly<Record<Step, (dependencies: SyncMirrorDependencies, signal: AbortSignal) => Promise<StoreFailure | undefined>>> = {
+	list,
+	watch: async (dependencies, signal) => watch(dependencies, signal, dependencies.watchers?.isLargeFleet ? dependencies.watchers.getPace().waitMs : undefined),
+	check: async (dependencies, signal) => watch(dependencies, signal, checkWaitMs),
+};
+
+/** What the end of a call means for the next one; `over_share` means that this instance has used up its share of the store's rate. */
+type Outcome = 'done' | 'gone' | 'interrupted' | 'over_share' | 'failed';
+
 /** Keeps one mirror in sync until `signal` aborts. One task for each kind. */
 export async function syncMirror(dependencies: SyncMirrorDependencies, signal: AbortSignal): Promise<void> {
-	const {
-		mirror, clock, random, handleAvailability, watchers,
-	} = dependencies;
-	let isListed = false;
-	let failures = 0;
-	while (!signal.aborted) {
-		if (watchers && !watchers.isWatcher()) {
-			handleAvailability?.(!watchers.isStoreUnavailable());
-			await clock.sleep(watcherCheckIntervalMs, signal);
-			// Peers may have filled the mirror meanwhile; a watch can then continue from its revision.
-			isListed = mirror.revision > 0;
-			continue;
-		}
+	await new MirrorSync(dependencies).run(signal);
+}
 
-		const failure = isListed ? await watch(dependencies, signal) : await list(dependencies);
-		if (signal.aborted) {
-			return;
-		}
+/** The calls for one mirror. */
+class MirrorSync {
+	readonly #dependencies: SyncMirrorDependencies;
+	readonly #handlers: Readonly<Record<Outcome, (failure: StoreFailure | undefined) => number>> = {
+		done: () => this.#handleAnswer(),
+		gone: () => this.#handleGone(),
+		interrupted: () => this.#handleInterruption(),
+		over_share: failure => failure?.retryAfterMs ?? minRetryDelayMs,
+		failed: failure => this.#handleFailure(failure),
+	};
+
+	#step: Step = 'list';
+	#startedMs = 0;
+	/** Number of calls that have failed since the last one that was answered. */
+	#failures = 0;
+	/** Number of watches that were interrupted soon after their start since the last one that was answered or lasted. */
+	#interruptions = 0;
+
+	constructor(dependencies: SyncMirrorDependencies) {
+		this.#dependencies = dependencies;
+	}
 
-		const isAnswered = !failure || failure.kind === 'gone';
-		watchers?.recordAnswer(isAnswered);
-		handleAvailability?.(isAnswered);
-		if (!failure) {
-			isListed = true;
-			failures = 0;
-			if (watchers?.isLargeFleet) {
-				await clock.sleep(watchers.getPace().pauseMs, signal);
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, watchers} = this.#dependencies;
+		while (!signal.aborted) {
+			if (watchers && !watchers.isWatcher()) {
+				await this.#waitAsReceiver(watchers, signal);
+				continue;
 			}
 
-			continue;
+			this.#startedMs = clock.now();
+			const failure = await steps[this.#step](this.#dependencies, signal);
+			const delayMs = signal.aborted ? 0 : this.#handlers[classifyOutcome(failure)](failure);
+			if (delayMs > 0) {
+				await clock.sleep(delayMs, signal);
+			}
 		}
+	}
 
-		if (failure.kind === 'gone') {
-			dependencies.telemetry.log('object store no longer has the history after the revision; listing the kind again', {kind: mirror.kind, revision: mirror.revision});
-			isListed = false;
-			continue;
-		}
+	/** Waits while this instance receives the changes from peers. */
+	async #waitAsReceiver(watchers: Watchers, signal: AbortSignal): Promise<void> {
+		const {clock, mirror, handleAvailability} = this.#dependencies;
+		handleAvailability?.(!watchers.isStoreUnavailable());
+		await clock.sleep(watcherCheckIntervalMs, signal);
+		// Peers may have filled the mirror meanwhile; a watch can then continue from its revision.
+		this.#step = mirror.revision > 0 ? 'watch' : 'list';
+	}
+
+	// The handlers choose the next step and return the delay before it, in milliseconds.
+
+	#handleAnswer(): number {
+		const {watchers} = this.#dependencies;
+		this.#recordAvailability(true);
+		const isCheck = this.#step === 'check';
+		this.#interruptions = this.#step === 'watch' ? 0 : this.#interruptions;
+		this.#failures = 0;
+		this.#step = 'watch';
+		return watchers?.isLargeFleet && !isCheck ? watchers.getPace().pauseMs : 0;
+	}
+
+	#handleGone(): number {
+		const {telemetry, mirror} = this.#dependencies;
+		this.#recordAvailability(true);
+		telemetry.log('object store no longer has the history after the revision; listing the kind again', {kind: mirror.kind, revision: mirror.revision});
+		this.#step = 'list';
+		return 0;
+	}
+
+	#handleInterruption(): number {
+		const hasLasted = this.#dependencies.clock.now() - this.#startedMs >= minWatchMs;
+		this.#interruptions = hasLasted ? 0 : this.#interruptions + 1;
+		this.#step = this.#step === 'watch' ? 'check' : 'list';
+		return hasLasted ? 0 : this.#computeRetryDelayMs(this.#interruptions);
+	}
+
+	/** When the store is available again, it answers a list at once, but a watch only after the next change. */
+	#handleFailure(failure: StoreFailure | undefined): number {
+		this.#recordAvailability(false);
+		this.#failures++;
+		this.#step = 'list';
+		return failure?.retryAfterMs ?? this.#computeRetryDelayMs(this.#failures);
+	}
 
-		// When the store is available again, it answers a list at once, but a watch only after the next change.
-		isListed = false;
-		failures++;
-		const retryDelayMs = Math.min(maxRetryDelayMs, minRetryDelayMs * (2 ** Math.min(failures - 1, 10)));
-		await clock.sleep(failure.retryAfterMs ?? retryDelayMs * (0.5 + (random.next() / 2)), signal);
+	#recordAvailability(isAvailable: boolean): void {
+		const {watchers, handleAvailability} = this.#dependencies;
+		watchers?.recordAnswer(isAvailable);
+		handleAvailability?.(isAvailable);
 	}
+
+	/** Returns the delay after the given number of attempts in a row, in milliseconds. */
+	#computeRetryDelayMs(attempts: number): number {
+		const {random} = this.#dependencies;
+		return Math.min(maxRetryDelayMs, minRetryDelayMs * (2 ** Math.min(attempts - 1, 10))) * (0.5 + (random.next() / 2));
+	}
+}
+
+function classifyOutcome(failure: StoreFailure | undefined): Outcome {
+	if (!failure) {
+		return 'done';
+	}
+
+	if (failure.kind === 'gone' || failure.kind === 'interrupted') {
+		return failure.kind;
+	}
+
+	return failure.kind === 'rate_limited' && failure.retryAfterMs !== undefined ? 'over_share' : 'failed';
 }
 
 /** Lists the kind and replaces the mirror's objects. */
@@ -119,9 +203,9 @@
 }
 
 /** Waits for the next changes of the kind and applies them to the mirror. */
-async function watch({mirror, store, watchers}: SyncMirrorDependencies, signal: AbortSignal): Promise<StoreFailure | undefined> {
+async function watch({mirror, store}: SyncMirrorDependencies, signal: AbortSignal, waitMs: number | undefined): Promise<StoreFailure | undefined> {
 	const since = mirror.revision;
-	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs: watchers?.isLargeFleet ? watchers.getPace().waitMs : undefined});
+	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs});
 	if (!batch.ok) {
 		return batch.error;
 	}
--- a/packages/object-store/http-object-store.ts
+++ b/packages/object-store/http-object-store.ts
@@ -1,6 +1,7 @@
 /** Calls the platform's object API over HTTP with `undici`. docs/WIRE.md specifies the format. */
 import {Pool, type Dispatcher} from 'undici';
 import * as z from 'zod';
+import {classifyCallError} from './classify-call-error.ts';
 import type {
 	InstanceEntry, ObjectList, ObjectStore, StoreFailure, StoredObject, WatchBatch,
 } from './object-store.ts';
@@ -61,7 +62,8 @@
 	};
 
 	async function send(method: Dispatcher.HttpMethod, path: string, body?: unknown, signal?: AbortSignal): Promise<Result<HttpResponse, StoreFailure>> {
-		const timeoutSignal = AbortSignal.timeout(path.startsWith('/watch') ? watchMs + timeoutMs : timeoutMs);
+		const isWatch = path.startsWith('/watch');
+		const timeoutSignal = AbortSignal.timeout(isWatch ? watchMs + timeoutMs : timeoutMs);
 		try {
 			const response = await pool.request({
 				method, path, headers,
@@ -73,8 +75,7 @@
 			return succeed({status: response.statusCode, body: json});
 		} catch (error) {
 			const detail = getErrorMessage(error);
-			const isConnectionRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
-			return fail({kind: isConnectionRefused ? 'unavailable' : 'unknown', detail});
+			return fail({kind: classifyCallError(error, isWatch), detail});
 		}
 	}
 
@@ -113,8 +114,8 @@
 		async list(prefix) {
 			return readResponse<ObjectList>(objectListSchema, send('GET', `/list?prefix=${encodeURIComponent(prefix)}`));
 		},
-		async watch(prefix, revision, signal) {
-			const path = `/watch?prefix=${encodeURIComponent(prefix)}&revision=${revision}&waitMs=${watchMs}`;
+		async watch(prefix, revision, signal, {waitMs = watchMs} = {}) {
+			const path = `/watch?prefix=${encodeURIComponent(prefix)}&revision=${revision}&waitMs=${waitMs}`;
 			return readResponse<WatchBatch>(watchBatchSchema, send('GET', path, undefined, signal));
 		},
 		async listInstances() {
--- a/packages/object-store/mod.ts
+++ b/packages/object-store/mod.ts
@@ -4,9 +4,10 @@
  * rates.
  */
 export type {
-	InstanceEntry, ObjectList, ObjectStore, StoreFailure, PutOptions, StoredObject, WatchBatch,
+	InstanceEntry, ObjectList, ObjectStore, StoreFailure, PutOptions, StoredObject, WatchBatch, WatchOptions,
 } from './object-store.ts';
 export {createHttpObjectStore, type HttpObjectStoreOptions} from './http-object-store.ts';
+export {classifyCallError} from './classify-call-error.ts';
 export {commitChange, type Change, type ChangeOutcome} from './commit-change.ts';
 export {
 	createObjectStoreClient, type StoreCallKind, type ObjectStoreClient, type ObjectStoreClientDependencies, type ObjectStoreClientOptions, type StoreRates,
--- a/packages/object-store/object-store-client.test.ts
+++ b/packages/object-store/object-store-client.test.ts
@@ -1,20 +1,20 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {
-	commitChange, createObjectStoreClient, type StoreCallKind, type ObjectStoreClient,
+	commitChange, createObjectStoreClient, type ObjectStore, type StoreCallKind, type ObjectStoreClient,
 } from './mod.ts';
 import {ManualClock} from '#clock';
-import {createRandom} from '#core';
+import {createRandom, fail} from '#core';
 import {PlatformStandin} from '#standins';
 import {createTelemetry} from '#telemetry';
 
-function createClient(options: Readonly<{instances?: number; writes?: number}> = {}) {
+function createClient(options: Readonly<{instances?: number; writes?: number; wrap?: (platform: PlatformStandin) => ObjectStore}> = {}) {
 	const clock = new ManualClock();
 	const platform = new PlatformStandin(clock);
 	const telemetry = createTelemetry({level: 'silent'});
 	const instances = {live: options.instances ?? 1};
 	const client = createObjectStoreClient({
-		platform, clock, random: createRandom(3), telemetry, countInstances: () => instances.live,
+		platform: options.wrap?.(platform) ?? platform, clock, random: createRandom(3), telemetry, countInstances: () => instances.live,
 	}, {rates: {writesPerSecond: options.writes ?? 300, readsPerSecond: 2000}, expectedInstances: 1});
 	return {
 		clock, platform, telemetry, client, instances,
@@ -144,6 +144,27 @@
 	t.ok(await canRead(clock, client));
 });
 
+t.test('interrupted watches neither open the breaker nor close it', async t => {
+	const {clock, platform, client} = createClient({wrap: store => Object.assign(store, {watch: async () => fail({kind: 'interrupted', detail: 'set by the test'})})});
+	const interruptWatches = async () => {
+		for (let index = 0; index < 6; index++) {
+			await client.configuration.watch('x', 0, new AbortController().signal);
+		}
+	};
+
+	await interruptWatches();
+	t.ok(await canRead(clock, client));
+	platform.setDown(true);
+	for (let index = 0; index < 4; index++) {
+		await runUntilDone(clock, client.claims.get('k'));
+	}
+
+	await interruptWatches();
+	await runUntilDone(clock, client.claims.get('k'));
+	platform.setDown(false);
+	t.notOk(await canRead(clock, client), 'the fifth failure in a row has opened it');
+});
+
 t.test('pauses calls after the platform answered rate_limited', async t => {
 	const clock = new ManualClock();
 	const platform = new PlatformStandin(clock, {writesPerSecond: 10});
--- a/packages/object-store/object-store-client.ts
+++ b/packages/object-store/object-store-client.ts
@@ -52,9 +52,9 @@
 /** Share of the instance's read rate that remains for other calls, however many watches run. */
 const minReadShare = 0.25;
 
-/** Whether a failure counts towards opening the breaker: the platform gave no usable answer. */
-const isBreakerFailure: Readonly<Record<StoreFailure['kind'], boolean>> = {
-	conflict: false, gone: false, rate_limited: false, too_large: false, unavailable: true, unknown: true,
+/** What a failure says about the platform, for the breaker: that it answered, that it gave no usable answer, or nothing. */
+const breakerEvidence: Readonly<Record<StoreFailure['kind'], 'answer' | 'failure' | 'none'>> = {
+	conflict: 'answer', gone: 'answer', rate_limited: 'answer', too_large: 'answer', unavailable: 'failure', unknown: 'failure', interrupted: 'none',
 };
 
 /** Description of a call; only watches have a signal. */
@@ -119,11 +119,12 @@
 
 		const result = await send();
 		telemetry.count('platform_calls_total', {kind, result: result.ok ? 'ok' : result.error.kind});
-		if (signal?.aborted) {
+		const evidence = result.ok ? 'answer' : breakerEvidence[result.error.kind];
+		if (evidence === 'none' || signal?.aborted === true) {
 			return result;
 		}
 
-		if (!result.ok && isBreakerFailure[result.error.kind]) {
+		if (evidence === 'failure') {
 			breaker.recordFailure();
 			return result;
 		}
--- a/packages/object-store/object-store.ts
+++ b/packages/object-store/object-store.ts
@@ -1,9 +1,13 @@
 /** The interface of the platform's object store: versioned objects, conditional updates, watches, and a list of instances. */
 import type {Result} from '#core';
 
-/** Why a call failed. Only a call that failed with `unknown` may have taken effect. */
+/**
+ * Why a call failed. Only a call that failed with `unknown` may have taken effect.
+ * `interrupted` means that the connection of a watch ended before its answer; this
+ * does not say whether the store is available.
+ */
 export type StoreFailure = Readonly<{
-	kind: 'conflict' | 'unavailable' | 'unknown' | 'rate_limited' | 'too_large' | 'gone';
+	kind: 'conflict' | 'unavailable' | 'unknown' | 'interrupted' | 'rate_limited' | 'too_large' | 'gone';
 	detail: string;
 	/** Delay before the next call may succeed, in milliseconds; present only if this call was not sent. */
 	retryAfterMs?: number;
--- a/packages/standins/_send-result.ts
+++ b/packages/standins/_send-result.ts
@@ -12,6 +12,7 @@
 	too_large: 413,
 	rate_limited: 429,
 	unavailable: 503,
+	interrupted: undefined,
 	unknown: undefined,
 };
 
--- a/packages/standins/platform-server.ts
+++ b/packages/standins/platform-server.ts
@@ -8,7 +8,7 @@
 const putSchema = z.object({value: z.string(), ifVersion: z.number().optional()});
 const removeSchema = z.object({ifVersion: z.coerce.number().optional()});
 const listSchema = z.object({prefix: z.string()});
-const watchSchema = z.object({prefix: z.string(), revision: z.coerce.number()});
+const watchSchema = z.object({prefix: z.string(), revision: z.coerce.number(), waitMs: z.coerce.number().optional()});
 
 /**
  * Serves the object API on the loopback interface.
@@ -38,8 +38,8 @@
 		sendPlatformResult(res, await platform.list(listSchema.parse(req.query).prefix));
 	});
 	app.get('/watch', async (req, res) => {
-		const {prefix, revision} = watchSchema.parse(req.query);
-		sendPlatformResult(res, await platform.watch(prefix, revision, createCloseSignal(res)));
+		const {prefix, revision, waitMs} = watchSchema.parse(req.query);
+		sendPlatformResult(res, await platform.watch(prefix, revision, createCloseSignal(res), {waitMs}));
 	});
 	app.get('/instances', async (_req, res) => {
 		sendPlatformResult(res, await platform.listInstances());
--- a/packages/standins/platform.ts
+++ b/packages/standins/platform.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '#clock';
 import {fail, succeed, type Result} from '#core';
 import type {
-	InstanceEntry, ObjectList, ObjectStore, StoreFailure, PutOptions, StoredObject, WatchBatch,
+	InstanceEntry, ObjectList, ObjectStore, StoreFailure, PutOptions, StoredObject, WatchBatch, WatchOptions,
 } from '#object-store';
 
 /** Options of {@link PlatformStandin}. */
@@ -137,14 +137,15 @@
 		return succeed({objects, revision: this.#readLagMs > 0 ? Math.max(0, ...objects.map(({revision}) => revision)) : this.#revision});
 	}
 
-	async watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, StoreFailure>> {
+	async watch(prefix: string, revision: number, signal: AbortSignal, {waitMs}: WatchOptions = {}): Promise<Result<WatchBatch, StoreFailure>> {
 		const failure = await this.#admitCall('read');
 		if (failure) {
 			return fail(failure);
 		}
 
 		this.#openWatches++;
-		const batch = await this.#watch(prefix, revision, signal);
+		const watchTimeoutMs = this.#options.watchTimeoutMs ?? 10_000;
+		const batch = await this.#watch(prefix, revision, signal, Math.min(waitMs ?? watchTimeoutMs, watchTimeoutMs));
 		this.#openWatches--;
 		return batch;
 	}
@@ -168,8 +169,8 @@
 
 	// Internals.
 
-	async #watch(prefix: string, revision: number, signal: AbortSignal): Promise<Result<WatchBatch, StoreFailure>> {
-		const deadlineMs = this.#clock.now() + (this.#options.watchTimeoutMs ?? 10_000);
+	async #watch(prefix: string, revision: number, signal: AbortSignal, waitMs: number): Promise<Result<WatchBatch, StoreFailure>> {
+		const deadlineMs = this.#clock.now() + waitMs;
 		for (;;) {
 			if (this.#isDown) {
 				return fail({kind: 'unavailable', detail: 'the platform is down'});
