--- a/packages/lease/lease.ts
+++ b/packages/lease/lease.ts
@@ -189,7 +189,7 @@
 			if (!wasHeld) {
 				this.#recordChange('taken');
 			}
-		} else if (!put.ok && put.error.kind === 'conflict') {
+		} else if (!put.ok && (put.error.kind === 'conflict' || put.error.kind === 'epoch_changed')) {
 			this.invalidate();
 		}
 	}
--- a/packages/mirror/kind-mirror.test.ts
+++ b/packages/mirror/kind-mirror.test.ts
@@ -1,6 +1,7 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import fc from 'fast-check';
 import t from 'tap';
-import {KindMirror} from './kind-mirror.ts';
+import {KindMirror, type MirrorChange} from './kind-mirror.ts';
 import type {StoredObject} from '#object-store';
 
 function createObject(key: string, revision: number): StoredObject {
@@ -95,3 +96,65 @@
 	t.equal(mirror.computeDiff(5), undefined);
 	t.match(mirror.computeDiff(9), {changed: [], deleted: [], revision: 9});
 });
+
+t.test('a list of a later epoch replaces all objects, whatever its revisions', async t => {
+	const mirror = new KindMirror('k');
+	const emitted: MirrorChange[] = [];
+	mirror.events.on('changed', change => {
+		emitted.push(change);
+	});
+	t.ok(mirror.replace([createObject('k/a', 50), createObject('k/b', 60)], 90, 3));
+	t.ok(mirror.replace([createObject('k/a', 50), createObject('k/c', 20)], 55, 4));
+	t.strictSame(listRevisions(mirror), {'k/a': 50, 'k/c': 20});
+	t.equal(mirror.revision, 55);
+	t.equal(mirror.epoch, 4);
+	t.equal(mirror.lastChangeRevision, 55, 'k/b is gone');
+	await nextTurn();
+	t.strictSame(emitted.map(({isNewEpoch}) => isNewEpoch), [false, true], 'the first list starts no new epoch');
+	t.strictSame(emitted[1]?.keys, ['k/a', 'k/c', 'k/b']);
+	t.notOk(mirror.replace([createObject('k/a', 99)], 99, 3), 'a late list of the earlier epoch');
+	t.strictSame(listRevisions(mirror), {'k/a': 50, 'k/c': 20});
+});
+
+t.test('changes of another epoch are not applied', async t => {
+	const mirror = new KindMirror('k');
+	mirror.replace([createObject('k/a', 50)], 90, 3);
+	for (const epoch of [2, 4]) {
+		t.notOk(mirror.apply({
+			changed: [createObject('k/a', 91)], deleted: [], revision: 91, epoch,
+		}, 90));
+	}
+
+	t.strictSame(listRevisions(mirror), {'k/a': 50});
+	t.ok(mirror.apply({
+		changed: [createObject('k/a', 91)], deleted: [], revision: 91, epoch: 3,
+	}, 90));
+});
+
+t.test('changes from a source that names no epoch are corrected by the next list, also one with a lower revision', async t => {
+	const mirror = new KindMirror('k');
+	mirror.replace([createObject('k/a', 5)], 9, 3);
+	t.equal(mirror.certainEpoch, 3);
+	t.ok(mirror.apply({changed: [createObject('k/a', 70)], deleted: [], revision: 70}, 9));
+	t.equal(mirror.certainEpoch, undefined);
+	t.notOk(mirror.apply({
+		changed: [createObject('k/a', 71)], deleted: [], revision: 71, epoch: 3,
+	}, 70), 'it is not known what a difference leads on from');
+	t.ok(mirror.replace([createObject('k/a', 12)], 12, 3));
+	t.strictSame(listRevisions(mirror), {'k/a': 12});
+	t.equal(mirror.certainEpoch, 3);
+});
+
+t.test('a peer that names no epoch is ahead only while the store does not answer', async t => {
+	const mirror = new KindMirror('k');
+	t.ok(mirror.isBehind(7, undefined), 'nothing is known yet');
+	mirror.replace([], 5, 3);
+	mirror.setFollowingStore(true);
+	t.notOk(mirror.isBehind(7, undefined));
+	t.ok(mirror.isBehind(7, 3));
+	t.ok(mirror.isBehind(1, 4));
+	t.notOk(mirror.isBehind(9, 2));
+	mirror.setFollowingStore(false);
+	t.ok(mirror.isBehind(7, undefined));
+	t.notOk(mirror.isBehind(9, 2));
+});
--- a/packages/mirror/kind-mirror.ts
+++ b/packages/mirror/kind-mirror.ts
@@ -1,14 +1,17 @@
 /**
  * A mirror: a copy of all objects of one kind in the object store. It carries
- * the revision of the whole store up to which it is complete. This one number
- * shows which of two mirrors of a kind is newer, and the instance that has the
- * newer one can send the difference to the other.
+ * the revision of the whole store up to which it is complete, and the epoch of the
+ * store to which this revision belongs. These numbers show which of two mirrors of
+ * a kind is newer, and the instance that has the newer one can send the difference
+ * to the other. A store that comes back from an older copy is in a later epoch, in
+ * which it gives revisions out again: what a mirror has of an earlier epoch is
+ * replaced as a whole.
  */
 import Emittery from 'emittery';
 import type {StoredObject, WatchBatch} from '#object-store';
 
-/** Keys of the objects that were added, changed or deleted. */
-export type MirrorChange = Readonly<{keys: readonly string[]}>;
+/** Keys of the objects that were added, changed or deleted, and whether the mirror has passed to a later epoch. */
+export type MirrorChange = Readonly<{keys: readonly string[]; isNewEpoch: boolean}>;
 
 type Tombstone = Readonly<{key: string; revision: number}>;
 
@@ -25,6 +28,10 @@
 	#minDiffRevision = 0;
 	#revision = 0;
 	#lastChangeRevision = 0;
+	#epoch = 0;
+	/** Whether all that the mirror has is known to be of its epoch. */
+	#isEpochCertain = true;
+	#isFollowingStore = false;
 
 	constructor(kind: string) {
 		this.kind = kind;
@@ -40,6 +47,38 @@
 		return this.#lastChangeRevision;
 	}
 
+	/** Epoch of the store to which the revisions belong; 0 as long as no source has named one. */
+	get epoch(): number {
+		return this.#epoch;
+	}
+
+	/** The epoch as told to peers; absent if the store names none, or if the mirror may have changes of another epoch. */
+	get certainEpoch(): number | undefined {
+		return this.#isEpochCertain && this.#epoch > 0 ? this.#epoch : undefined;
+	}
+
+	/** Whether the store itself answers this instance's calls for the kind. */
+	get isFollowingStore(): boolean {
+		return this.#isFollowingStore;
+	}
+
+	setFollowingStore(isFollowing: boolean): void {
+		this.#isFollowingStore = isFollowing;
+	}
+
+	/**
+	 * Returns whether a peer is ahead of this mirror that has changes up to a
+	 * revision. Peers that name no epoch may be in an earlier one; what they have
+	 * counts only while the store itself does not answer.
+	 */
+	isBehind(revision: number, epoch: number | undefined): boolean {
+		if (epoch === undefined) {
+			return revision > this.#revision && (this.#epoch === 0 || !this.#isFollowingStore);
+		}
+
+		return epoch > this.#epoch || (epoch === this.#epoch && (revision > this.#revision || !this.#isEpochCertain));
+	}
+
 	get(key: string): StoredObject | undefined {
 		return this.#objects.get(key);
 	}
@@ -51,15 +90,25 @@
 	/**
 	 * Replaces all objects by those of a list.
 	 *
-	 * @param revision revision of the store at which the list was taken; a list that is older than the mirror is ignored
+	 * @param revision revision of the store at which the list was taken
+	 * @param epoch epoch of the store at that time; absent if the source names none
+	 * @returns `false` if the list is older than the mirror, in which case it is ignored
 	 */
-	replace(objects: readonly StoredObject[], revision: number): void {
-		if (revision < this.#revision) {
-			return;
+	replace(objects: readonly StoredObject[], revision: number, epoch?: number): boolean {
+		const isNewEpoch = epoch !== undefined && epoch > this.#epoch;
+		const isCorrection = epoch === this.#epoch && !this.#isEpochCertain;
+		if ((epoch ?? this.#epoch) < this.#epoch || (revision < this.#revision && !isNewEpoch && !isCorrection)) {
+			return false;
 		}
 
 		const listedKeys = new Set(objects.map(({key}) => key));
 		const deletedKeys = [...this.#objects.keys()].filter(key => !listedKeys.has(key));
+		const hadEpoch = this.#epoch > 0;
+		if (isNewEpoch || isCorrection) {
+			this.#objects.clear();
+			this.#lastChangeRevision = 0;
+		}
+
 		const changedKeys = objects.filter(object => this.#setIfNewer(object)).map(({key}) => key);
 		for (const key of deletedKeys) {
 			this.#objects.delete(key);
@@ -72,16 +121,18 @@
 		this.#tombstones = [];
 		this.#minDiffRevision = revision;
 		this.#revision = revision;
-		this.#emit([...changedKeys, ...deletedKeys]);
+		this.#recordSource(epoch);
+		this.#emit([...changedKeys, ...deletedKeys], isNewEpoch && hadEpoch);
+		return true;
 	}
 
 	/**
 	 * Applies the changes after the revision `since`.
 	 *
-	 * @returns `false` if the mirror is not complete up to `since`, in which case nothing is applied
+	 * @returns `false` if the mirror is not complete up to `since`, or not of the epoch of the changes, in which case nothing is applied
 	 */
 	apply(batch: WatchBatch, since: number): boolean {
-		if (since > this.#revision) {
+		if (since > this.#revision || (batch.epoch !== undefined && (batch.epoch !== this.#epoch || !this.#isEpochCertain))) {
 			return false;
 		}
 
@@ -107,7 +158,8 @@
 		}
 
 		this.#revision = batch.revision;
-		this.#emit(changedKeys);
+		this.#recordSource(batch.epoch);
+		this.#emit(changedKeys, false);
 		return true;
 	}
 
@@ -128,6 +180,12 @@
 		};
 	}
 
+	/** Records the epoch that the source of the newest state has named. */
+	#recordSource(epoch: number | undefined): void {
+		this.#isEpochCertain = epoch !== undefined || this.#epoch === 0;
+		this.#epoch = epoch ?? this.#epoch;
+	}
+
 	/** Stores the object if it is newer than the mirrored one. Returns whether it was stored. */
 	#setIfNewer(object: StoredObject): boolean {
 		const known = this.#objects.get(object.key);
@@ -140,9 +198,9 @@
 		return true;
 	}
 
-	#emit(keys: readonly string[]): void {
-		if (keys.length > 0) {
-			void this.events.emit('changed', {keys});
+	#emit(keys: readonly string[], isNewEpoch: boolean): void {
+		if (keys.length > 0 || isNewEpoch) {
+			void this.events.emit('changed', {keys, isNewEpoch});
 		}
 	}
 }
--- a/packages/mirror/mirror-relay.test.ts
+++ b/packages/mirror/mirror-relay.test.ts
@@ -31,11 +31,24 @@
 	};
 
 	const [ahead, behind] = [join('ahead'), join('behind')];
+	/** Adds an instance of the program before epochs were named: it knows none of their fields. */
+	const joinOld = (objects: readonly StoredObject[], revision: number) => {
+		const peer: Peer = {name: 'old', zone: 'z', incarnation: 'old'};
+		const bus = network.join(peer);
+		bus.setRequestHandler('changes', ({since}) => {
+			const isWhole = since < objects[0]!.revision;
+			return {
+				kind: 'changes', isWhole, changed: isWhole ? [...objects] : objects.filter(object => object.revision > since), deleted: [], revision,
+			};
+		});
+		return {peer, bus};
+	};
+
 	return {
-		clock, network, ahead, behind,
+		clock, network, ahead, behind, joinOld,
 		countFetches: (result = 'fetched') => telemetry.getCounter('mirror_fetches_total', {kind: 'k', result}),
 		sendHeartbeat() {
-			behind.relay.handleHeartbeat(ahead.peer, {...status, revisions: ahead.relay.getRevisions()});
+			behind.relay.handleHeartbeat(ahead.peer, {...status, revisions: ahead.relay.getRevisions(), epochs: ahead.relay.getEpochs()});
 		},
 	};
 }
@@ -124,3 +137,86 @@
 	t.equal(behind.mirror.revision, 11);
 	t.equal(network.deliveredCounts.get('positions'), 11);
 });
+
+function listKeys(mirror: KindMirror): readonly string[] {
+	return mirror.list().map(({key}) => key);
+}
+
+t.test('an instance of an earlier epoch receives all objects of the later one, whatever the revisions', async t => {
+	const {clock, ahead, behind, sendHeartbeat, countFetches} = start();
+	behind.mirror.replace([createObject('k/a', 90), createObject('k/b', 95)], 100, 1);
+	ahead.mirror.replace([createObject('k/a', 90), createObject('k/c', 91)], 92, 2);
+	sendHeartbeat();
+	await clock.advance(200);
+	t.strictSame(listKeys(behind.mirror), ['k/a', 'k/c']);
+	t.equal(behind.mirror.epoch, 2);
+	t.equal(behind.mirror.revision, 92);
+	sendHeartbeat();
+	await clock.advance(200);
+	t.equal(countFetches(), 1);
+});
+
+t.test('nothing is taken from a peer of an earlier epoch, also by an instance that has just started', async t => {
+	const {clock, ahead, behind, sendHeartbeat, countFetches} = start();
+	ahead.mirror.replace([createObject('k/a', 90), createObject('k/b', 95)], 100, 1);
+	behind.mirror.replace([createObject('k/a', 3)], 4, 2);
+	sendHeartbeat();
+	await clock.advance(200);
+	t.strictSame(listKeys(behind.mirror), ['k/a']);
+	t.equal(countFetches(), 0);
+});
+
+t.test('what an instance has taken from a peer of an earlier epoch is replaced by the store\'s list', async t => {
+	const {clock, ahead, behind, sendHeartbeat} = start();
+	ahead.mirror.replace([createObject('k/old', 95)], 100, 1);
+	sendHeartbeat();
+	await clock.advance(200);
+	t.strictSame(listKeys(behind.mirror), ['k/old'], 'the store has not answered yet');
+	behind.mirror.replace([createObject('k/a', 3)], 4, 2);
+	t.strictSame(listKeys(behind.mirror), ['k/a']);
+});
+
+t.test('beside the build before: an instance that the store answers takes nothing from a peer that names no epoch', async t => {
+	const {clock, behind, joinOld, countFetches} = start();
+	const old = joinOld([createObject('k/old', 95)], 100);
+	behind.mirror.replace([createObject('k/a', 3)], 4, 2);
+	behind.mirror.setFollowingStore(true);
+	behind.relay.handleHeartbeat(old.peer, {...status, revisions: {k: 95}});
+	await clock.advance(200);
+	t.strictSame(listKeys(behind.mirror), ['k/a']);
+	t.equal(countFetches(), 0);
+});
+
+t.test('beside the build before: an instance that the store does not answer takes its changes, until the store does', async t => {
+	const {clock, behind, joinOld} = start();
+	const old = joinOld([createObject('k/a', 90), createObject('k/b', 95)], 100);
+	behind.mirror.replace([createObject('k/a', 90)], 93, 2);
+	behind.relay.handleHeartbeat(old.peer, {...status, revisions: {k: 95}});
+	await clock.advance(200);
+	t.strictSame(listKeys(behind.mirror), ['k/a', 'k/b']);
+	t.strictSame(behind.relay.getEpochs(), {}, 'it does not tell them on as of its epoch');
+	behind.mirror.replace([createObject('k/a', 90)], 94, 2);
+	t.strictSame(listKeys(behind.mirror), ['k/a']);
+});
+
+t.test('beside the build before: it gets differences, and all objects after the epoch has changed', async t => {
+	const {clock, ahead, joinOld} = start();
+	const {bus} = joinOld([createObject('k/old', 95)], 100);
+	const request = async () => {
+		const response = bus.request(ahead.peer, {kind: 'changes', objects: 'k', since: 100});
+		await clock.advance(10);
+		return response;
+	};
+
+	ahead.mirror.replace([createObject('k/a', 90)], 100, 1);
+	ahead.mirror.apply({
+		changed: [createObject('k/b', 101)], deleted: [], revision: 101, epoch: 1,
+	}, 100);
+	t.match(await request(), {ok: true, value: {isWhole: false, changed: [{key: 'k/b'}]}});
+	ahead.mirror.replace([createObject('k/a', 90)], 92, 2);
+	ahead.mirror.apply({
+		changed: [createObject('k/c', 102)], deleted: [], revision: 102, epoch: 2,
+	}, 92);
+	await clock.advance(1);
+	t.match(await request(), {ok: true, value: {isWhole: true, changed: [{key: 'k/a'}, {key: 'k/c'}], revision: 102}});
+});
--- a/packages/mirror/mirror-relay.ts
+++ b/packages/mirror/mirror-relay.ts
@@ -1,7 +1,8 @@
 /**
  * Transfers differences between mirrors from peer to peer. Heartbeats carry the
- * revisions of each peer's newest changes; an instance that is behind requests
- * the changes that it lacks from the peer. In this way, changes also reach
+ * revisions of each peer's newest changes, and the epochs of the store to which
+ * they belong; an instance that is behind requests the changes that it lacks from
+ * the peer, and all objects if the peer is in a later epoch. In this way, changes also reach
  * instances that the object store refuses, or whose connection to it has gone
  * silent.
  */
@@ -20,6 +21,9 @@
 	isLargeFleet: () => boolean;
 }>;
 
+/** Revisions that a peer states, and the epochs to which they belong, by kind; programs that do not know of epochs state none. */
+type Statement = Readonly<{revisions?: Readonly<Record<string, number>> | undefined; epochs?: Readonly<Record<string, number>> | undefined}>;
+
 /** Time for which an instance waits for its own watch to receive a change that a peer already has, in milliseconds. */
 const ownWatchGraceMs = 100;
 
@@ -31,8 +35,10 @@
 	readonly #dependencies: MirrorRelayDependencies;
 	readonly #mirrorsByKind: ReadonlyMap<string, KindMirror>;
 	readonly #requestedKinds = new Set<string>();
-	/** Revisions that each neighbour has stated, by its incarnation. */
-	readonly #statedRevisions = new Map<string, Readonly<Record<string, number>>>();
+	/** What each neighbour has stated, by its incarnation. */
+	readonly #statements = new Map<string, Statement>();
+	/** Kinds of which this instance has seen the epoch change: programs that name no epoch may be in an earlier one. */
+	readonly #changedKinds = new Set<string>();
 	/** Whether there were changes since the last broadcast. */
 	#hasPendingChanges = false;
 	/** Whether the last broadcast was less than {@link broadcastIntervalMs} ago. */
@@ -42,15 +48,24 @@
 		this.#dependencies = dependencies;
 		this.#mirrorsByKind = new Map(dependencies.mirrors.map(mirror => [mirror.kind, mirror]));
 		// `objects` is the kind of the requested objects.
-		dependencies.bus.setRequestHandler('changes', ({objects, since}) => {
+		dependencies.bus.setRequestHandler('changes', ({objects, since, epoch}) => {
 			const mirror = this.#mirrorsByKind.get(objects);
-			return mirror && mirror.revision > 0 ? createChangesResponse(mirror, since) : undefined;
+			if (!mirror || mirror.revision === 0) {
+				return undefined;
+			}
+
+			const canDiff = epoch === undefined ? !this.#changedKinds.has(objects) : epoch === mirror.certainEpoch;
+			return createChangesResponse(mirror, canDiff ? since : undefined);
 		});
-		dependencies.bus.subscribe('positions', ({revisions}, from) => {
-			this.#compareRevisions(from, revisions);
+		dependencies.bus.subscribe('positions', (positions, from) => {
+			this.#compareRevisions(from, positions);
 		});
 		for (const mirror of dependencies.mirrors) {
-			mirror.events.on('changed', () => {
+			mirror.events.on('changed', ({isNewEpoch}) => {
+				if (isNewEpoch) {
+					this.#changedKinds.add(mirror.kind);
+				}
+
 				this.#broadcastRevisions();
 			});
 		}
@@ -61,9 +76,14 @@
 		return Object.fromEntries(this.#dependencies.mirrors.map(({kind, lastChangeRevision}) => [kind, lastChangeRevision]));
 	}
 
+	/** Returns the epoch to which the revision of each kind belongs, if known, for heartbeats. */
+	getEpochs(): Readonly<Record<string, number>> {
+		return Object.fromEntries(this.#dependencies.mirrors.flatMap(({kind, certainEpoch}) => certainEpoch === undefined ? [] : [[kind, certainEpoch]]));
+	}
+
 	/** Compares the revisions in a peer's heartbeat with this instance's mirrors. */
-	handleHeartbeat(peer: Peer, {revisions = {}}: PeerStatus): void {
-		this.#compareRevisions(peer, revisions);
+	handleHeartbeat(peer: Peer, status: PeerStatus): void {
+		this.#compareRevisions(peer, status);
 	}
 
 	/** In a large fleet, sends the revisions of the newest changes to the neighbours without waiting for the next heartbeat. */
@@ -76,8 +96,8 @@
 
 		this.#hasPendingChanges = false;
 		this.#isBroadcastPaused = true;
-		const revisions = {...this.getRevisions()};
-		bus.sendToSample({kind: 'positions', revisions}, peer => !this.#isUpToDate(peer, revisions));
+		const statement = {revisions: {...this.getRevisions()}, epochs: {...this.getEpochs()}};
+		bus.sendToSample({kind: 'positions', ...statement}, peer => !this.#isUpToDate(peer, statement));
 		this.#removeUnknownPeers();
 		clock.setTimer(broadcastIntervalMs, () => {
 			this.#isBroadcastPaused = false;
@@ -87,49 +107,59 @@
 		});
 	}
 
-	/** Whether a peer has stated that it has all changes up to these revisions. */
-	#isUpToDate({incarnation}: Peer, revisions: Readonly<Record<string, number>>): boolean {
-		const stated = this.#statedRevisions.get(incarnation);
-		return stated !== undefined && Object.entries(revisions).every(([kind, revision]) => (stated[kind] ?? 0) >= revision);
+	/** Whether a peer has stated that it has all changes of a statement. */
+	#isUpToDate({incarnation}: Peer, {revisions = {}, epochs = {}}: Statement): boolean {
+		const stated = this.#statements.get(incarnation);
+		return stated !== undefined && Object.entries(revisions).every(([kind, revision]) => {
+			const isSameEpoch = stated.epochs === undefined || stated.epochs[kind] === epochs[kind];
+			return isSameEpoch && (stated.revisions?.[kind] ?? 0) >= revision;
+		});
 	}
 
 	/** Forgets what peers have stated to which no link is open any more. */
 	#removeUnknownPeers(): void {
 		const known = new Set(this.#dependencies.bus.listNeighbours().map(({incarnation}) => incarnation));
-		for (const incarnation of this.#statedRevisions.keys()) {
+		for (const incarnation of this.#statements.keys()) {
 			if (!known.has(incarnation)) {
-				this.#statedRevisions.delete(incarnation);
+				this.#statements.delete(incarnation);
 			}
 		}
 	}
 
 	/** Schedules a request to the peer for each kind in which it is ahead, unless one is scheduled or in progress. */
-	#compareRevisions(peer: Peer, revisions: Readonly<Record<string, number>>): void {
-		this.#statedRevisions.set(peer.incarnation, revisions);
+	#compareRevisions(peer: Peer, {revisions = {}, epochs}: Statement): void {
+		this.#statements.set(peer.incarnation, {revisions, epochs});
 		for (const [kind, revision] of Object.entries(revisions)) {
 			const mirror = this.#mirrorsByKind.get(kind);
-			if (mirror && revision > mirror.revision && !this.#requestedKinds.has(kind)) {
+			const epoch = epochs?.[kind];
+			if (mirror?.isBehind(revision, epoch) && !this.#requestedKinds.has(kind)) {
 				this.#requestedKinds.add(kind);
 				this.#dependencies.clock.setTimer(ownWatchGraceMs, () => {
-					void this.#requestChanges(mirror, peer, revision);
+					void this.#requestChanges(mirror, peer, {revision, epoch});
 				});
 			}
 		}
 	}
 
 	/** Requests the changes from the peer, unless this instance's own watch has received them meanwhile. */
-	async #requestChanges(mirror: KindMirror, peer: Peer, revision: number): Promise<void> {
+	async #requestChanges(mirror: KindMirror, peer: Peer, stated: Readonly<{revision: number; epoch: number | undefined}>): Promise<void> {
 		const {bus, telemetry} = this.#dependencies;
-		const since = mirror.revision;
-		if (since < revision) {
-			const response = await bus.request(peer, {kind: 'changes', objects: mirror.kind, since});
+		// Revisions of another epoch cannot be compared; nothing is known of the peer's one.
+		const since = stated.epoch === undefined || stated.epoch === mirror.certainEpoch ? mirror.revision : 0;
+		if (mirror.isBehind(stated.revision, stated.epoch)) {
+			const response = await bus.request(peer, {
+				kind: 'changes', objects: mirror.kind, since, ...(mirror.certainEpoch !== undefined && {epoch: mirror.certainEpoch}),
+			});
 			telemetry.count('mirror_fetches_total', {kind: mirror.kind, result: response.ok ? 'fetched' : response.error});
-			if (response.ok) {
-				const {isWhole, changed, deleted, revision: responseRevision} = response.value;
+			// The store may have answered meanwhile.
+			if (response.ok && mirror.isBehind(response.value.revision, response.value.epoch)) {
+				const {isWhole, changed, deleted, revision, epoch} = response.value;
 				if (isWhole) {
-					mirror.replace(changed, responseRevision);
+					mirror.replace(changed, revision, epoch);
 				} else {
-					mirror.apply({changed, deleted, revision: responseRevision}, since);
+					mirror.apply({
+						changed, deleted, revision, epoch,
+					}, since);
 				}
 			}
 		}
@@ -138,10 +168,11 @@
 	}
 }
 
-function createChangesResponse(mirror: KindMirror, since: number) {
-	const diff = mirror.computeDiff(since);
+/** @param since absent if the changes cannot be told from those of another epoch: the response then has all objects */
+function createChangesResponse(mirror: KindMirror, since: number | undefined) {
+	const diff = since === undefined ? undefined : mirror.computeDiff(since);
 	return {
 		kind: 'changes' as const, isWhole: diff === undefined, changed: [...diff?.changed ?? mirror.list()], deleted: [...diff?.deleted ?? []],
-		revision: mirror.revision,
+		revision: mirror.revision, ...(mirror.certainEpoch !== undefined && {epoch: mirror.certainEpoch}),
 	};
 }
--- a/packages/mirror/sync-mirror.test.ts
+++ b/packages/mirror/sync-mirror.test.ts
@@ -2,8 +2,8 @@
 import {syncMirror, type Watchers} from './sync-mirror.ts';
 import {KindMirror} from './kind-mirror.ts';
 import {ManualClock} from '#clock';
-import {createRandom, fail} from '#core';
-import type {ObjectStore} from '#object-store';
+import {createRandom, fail, succeed} from '#core';
+import type {ObjectStore, StoredObject} from '#object-store';
 import {PlatformStandin} from '#standins';
 import {createTelemetry} from '#telemetry';
 
@@ -196,3 +196,93 @@
 	t.strictSame(lists, [], 'the watch continued from the mirror\'s revision');
 	t.ok(recorded.length > 0 && !recorded.includes(false));
 });
+
+/** A store whose state a test sets; a watch from a later revision than the store's finds no history. */
+class ScriptedStore {
+	epoch: number | undefined;
+	revision = 100;
+	objects: StoredObject[] = [];
+	readonly calls: string[] = [];
+
+	asStore(clock: ManualClock, platform: PlatformStandin): ObjectStore {
+		return {
+			get: async key => platform.get(key),
+			put: async (key, value) => platform.put(key, value),
+			remove: async key => platform.remove(key),
+			list: async () => {
+				this.calls.push('list');
+				return succeed({objects: this.objects, revision: this.revision, epoch: this.epoch});
+			},
+			watch: async (_prefix, revision, _signal, {waitMs = 3000} = {}) => {
+				this.calls.push('watch');
+				if (revision <= this.revision) {
+					await clock.sleep(waitMs);
+				}
+
+				return revision > this.revision
+					? fail({kind: 'gone', detail: 'set by the test'})
+					: succeed({
+						changed: this.objects.filter(object => object.revision > revision), deleted: [], revision: this.revision, epoch: this.epoch,
+					});
+			},
+			listInstances: async () => platform.listInstances(),
+		};
+	}
+}
+
+function createStored(key: string, revision: number): StoredObject {
+	return {
+		key, value: '1', version: revision, revision,
+	};
+}
+
+function startScripted(t: Test, epoch: number | undefined) {
+	const scripted = new ScriptedStore();
+	scripted.epoch = epoch;
+	scripted.objects = [createStored('k/a', 90), createStored('k/b', 95)];
+	return {scripted, ...start(t, (platform, clock) => scripted.asStore(clock, platform))};
+}
+
+t.test('after the store has come back from an older copy, the kind is listed once, then watched from the list', async t => {
+	const {clock, scripted, mirror, availability, list} = startScripted(t, 1);
+	await clock.advance(1000);
+	Object.assign(scripted, {epoch: 2, revision: 92, objects: [createStored('k/a', 90)]});
+	scripted.calls.length = 0;
+	await clock.advance(3000);
+	t.strictSame(scripted.calls, ['list', 'watch']);
+	t.strictSame(list(), ['k/a']);
+	t.equal(mirror.revision, 92);
+	t.notOk(availability.includes(false));
+});
+
+t.test('a watch that goes on in another epoch is not taken: revisions were given out again', async t => {
+	const {clock, scripted, list} = startScripted(t, 1);
+	await clock.advance(1000);
+	Object.assign(scripted, {epoch: 2, revision: 130, objects: [createStored('k/c', 93), createStored('k/d', 120)]});
+	await clock.advance(3000);
+	t.strictSame(list(), ['k/c', 'k/d']);
+});
+
+for (const [name, epoch] of [['of the same epoch', 1], ['of a store that names no epoch', undefined]] as const) {
+	t.test(`a list ${name} with a lower revision is ignored, and is not read without a pause`, async t => {
+		const {clock, scripted, availability, list} = startScripted(t, epoch);
+		await clock.advance(1000);
+		Object.assign(scripted, {revision: 92, objects: [createStored('k/a', 90)]});
+		scripted.calls.length = 0;
+		await clock.advance(20_000);
+		t.ok(scripted.calls.length < 80, `calls become less frequent: ${scripted.calls.length}`);
+		t.strictSame(list(), ['k/a', 'k/b']);
+		t.notOk(availability.includes(false));
+		Object.assign(scripted, {revision: 101, objects: [...scripted.objects, createStored('k/c', 101)]});
+		await clock.advance(4000);
+		t.ok(list().includes('k/c'), 'later changes arrive');
+	});
+}
+
+t.test('a store that forgets its history again and again is not called without a pause', async t => {
+	const {lists, wrap} = failWatches(Array.from({length: 1000}, () => 'gone' as const));
+	const {clock, availability} = start(t, wrap);
+	await clock.advance(20_000);
+	t.ok(lists.length < 60);
+	t.notOk(availability.includes(false));
+});
--- a/packages/mirror/sync-mirror.ts
+++ b/packages/mirror/sync-mirror.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps a mirror in sync with the object store: lists the kind, then watches it
  * from the list's revision. Lists the kind again if the store no longer has the
- * history after that revision, or if a call failed. A watch whose connection ended
+ * history after that revision or has come back from an older copy, which shows in
+ * its epoch, or if a call failed. A watch whose connection ended
  * says nothing about the store, so a watch that hardly waits follows it, and a list
  * if that is interrupted, too: their outcome shows whether the store answers. In a large fleet, only some instances,
  * the watchers, call the store; the mirrors of the others are updated by peers.
@@ -69,14 +70,17 @@
 /** The next call: a list, a watch, or a watch that returns at once, after an interrupted one. */
 type Step = 'list' | 'watch' | 'check';
 
-const steps: Readonly<Record<Step, (dependencies: SyncMirrorDependencies, signal: AbortSignal) => Promise<StoreFailure | undefined>>> = {
+/** Why a step had no effect; `outdated` means that the store answered with a list that is older than the mirror. */
+type StepFailure = StoreFailure | Readonly<{kind: 'outdated'; retryAfterMs?: undefined}>;
+
+const steps: Readonly<Record<Step, (dependencies: SyncMirrorDependencies, signal: AbortSignal) => Promise<StepFailure | undefined>>> = {
 	list,
 	watch: async (dependencies, signal) => watch(dependencies, signal, dependencies.watchers?.isLargeFleet ? dependencies.watchers.getPace().waitMs : undefined),
 	check: async (dependencies, signal) => watch(dependencies, signal, checkWaitMs),
 };
 
 /** What the end of a call means for the next one; `over_share` means that this instance has used up its share of the store's rate. */
-type Outcome = 'done' | 'gone' | 'interrupted' | 'over_share' | 'failed';
+type Outcome = 'done' | 'gone' | 'outdated' | 'interrupted' | 'over_share' | 'failed';
 
 /** Keeps one mirror in sync until `signal` aborts. One task for each kind. */
 export async function syncMirror(dependencies: SyncMirrorDependencies, signal: AbortSignal): Promise<void> {
@@ -86,9 +90,10 @@
 /** The calls for one mirror. */
 class MirrorSync {
 	readonly #dependencies: SyncMirrorDependencies;
-	readonly #handlers: Readonly<Record<Outcome, (failure: StoreFailure | undefined) => number>> = {
+	readonly #handlers: Readonly<Record<Outcome, (failure: StepFailure | undefined) => number>> = {
 		done: () => this.#handleAnswer(),
 		gone: () => this.#handleGone(),
+		outdated: () => this.#handleOutdated(),
 		interrupted: () => this.#handleInterruption(),
 		over_share: failure => failure?.retryAfterMs ?? minRetryDelayMs,
 		failed: failure => this.#handleFailure(failure),
@@ -100,6 +105,8 @@
 	#failures = 0;
 	/** Number of watches that were interrupted soon after their start since the last one that was answered or lasted. */
 	#interruptions = 0;
+	/** Number of watches that the store could not continue since the last one that it answered. */
+	#losses = 0;
 
 	constructor(dependencies: SyncMirrorDependencies) {
 		this.#dependencies = dependencies;
@@ -125,10 +132,11 @@
 	/** Waits while this instance receives the changes from peers. */
 	async #waitAsReceiver(watchers: Watchers, signal: AbortSignal): Promise<void> {
 		const {clock, mirror, handleAvailability} = this.#dependencies;
+		mirror.setFollowingStore(false);
 		handleAvailability?.(!watchers.isStoreUnavailable());
 		await clock.sleep(watcherCheckIntervalMs, signal);
-		// Peers may have filled the mirror meanwhile; a watch can then continue from its revision.
-		this.#step = mirror.revision > 0 ? 'watch' : 'list';
+		// Peers may have filled the mirror meanwhile; a watch can then continue from its revision, unless the store is in another epoch.
+		this.#step = mirror.revision > 0 ? 'check' : 'list';
 	}
 
 	// The handlers choose the next step and return the delay before it, in milliseconds.
@@ -136,19 +144,28 @@
 	#handleAnswer(): number {
 		const {watchers} = this.#dependencies;
 		this.#recordAvailability(true);
-		const isCheck = this.#step === 'check';
-		this.#interruptions = this.#step === 'watch' ? 0 : this.#interruptions;
+		const step = this.#step;
+		this.#interruptions = step === 'watch' ? 0 : this.#interruptions;
+		this.#losses = step === 'list' ? this.#losses : 0;
 		this.#failures = 0;
 		this.#step = 'watch';
-		return watchers?.isLargeFleet && !isCheck ? watchers.getPace().pauseMs : 0;
+		return watchers?.isLargeFleet && step !== 'check' ? watchers.getPace().pauseMs : 0;
 	}
 
 	#handleGone(): number {
 		const {telemetry, mirror} = this.#dependencies;
 		this.#recordAvailability(true);
-		telemetry.log('object store no longer has the history after the revision; listing the kind again', {kind: mirror.kind, revision: mirror.revision});
+		telemetry.log('object store no longer has the history after the revision; listing the kind again', {kind: mirror.kind, revision: mirror.revision, epoch: mirror.epoch});
 		this.#step = 'list';
-		return 0;
+		this.#losses++;
+		return this.#losses > 1 ? this.#computeRetryDelayMs(this.#losses - 1) : 0;
+	}
+
+	/** A late answer, or a store that has lost changes and names no epoch. Changes after the mirror's revision still come by watches. */
+	#handleOutdated(): number {
+		this.#recordAvailability(true);
+		this.#step = 'watch';
+		return this.#computeRetryDelayMs(Math.max(1, this.#losses));
 	}
 
 	#handleInterruption(): number {
@@ -159,7 +176,7 @@
 	}
 
 	/** When the store is available again, it answers a list at once, but a watch only after the next change. */
-	#handleFailure(failure: StoreFailure | undefined): number {
+	#handleFailure(failure: StepFailure | undefined): number {
 		this.#recordAvailability(false);
 		this.#failures++;
 		this.#step = 'list';
@@ -167,7 +184,8 @@
 	}
 
 	#recordAvailability(isAvailable: boolean): void {
-		const {watchers, handleAvailability} = this.#dependencies;
+		const {mirror, watchers, handleAvailability} = this.#dependencies;
+		mirror.setFollowingStore(isAvailable);
 		watchers?.recordAnswer(isAvailable);
 		handleAvailability?.(isAvailable);
 	}
@@ -179,12 +197,12 @@
 	}
 }
 
-function classifyOutcome(failure: StoreFailure | undefined): Outcome {
+function classifyOutcome(failure: StepFailure | undefined): Outcome {
 	if (!failure) {
 		return 'done';
 	}
 
-	if (failure.kind === 'gone' || failure.kind === 'interrupted') {
+	if (failure.kind === 'gone' || failure.kind === 'outdated' || failure.kind === 'interrupted') {
 		return failure.kind;
 	}
 
@@ -192,24 +210,24 @@
 }
 
 /** Lists the kind and replaces the mirror's objects. */
-async function list({mirror, store}: SyncMirrorDependencies): Promise<StoreFailure | undefined> {
+async function list({mirror, store}: SyncMirrorDependencies): Promise<StepFailure | undefined> {
 	const listed = await store.list(`${mirror.kind}/`);
 	if (!listed.ok) {
 		return listed.error;
 	}
 
-	mirror.replace(listed.value.objects, listed.value.revision);
-	return undefined;
+	const {objects, revision, epoch} = listed.value;
+	return mirror.replace(objects, revision, epoch) ? undefined : {kind: 'outdated'};
 }
 
-/** Waits for the next changes of the kind and applies them to the mirror. */
-async function watch({mirror, store}: SyncMirrorDependencies, signal: AbortSignal, waitMs: number | undefined): Promise<StoreFailure | undefined> {
-	const since = mirror.revision;
+/** Waits for the next changes of the kind and applies them to the mirror. Changes of another epoch than the mirror's are not complete after its revision. */
+async function watch({mirror, store}: SyncMirrorDependencies, signal: AbortSignal, waitMs: number | undefined): Promise<StepFailure | undefined> {
+	const {epoch, revision: since} = mirror;
 	const batch = await store.watch(`${mirror.kind}/`, since, signal, {waitMs});
 	if (!batch.ok) {
 		return batch.error;
 	}
 
-	mirror.apply(batch.value, since);
-	return undefined;
+	const isSameEpoch = batch.value.epoch === undefined || batch.value.epoch === epoch;
+	return isSameEpoch && mirror.apply(batch.value, since) ? undefined : {kind: 'gone', detail: 'the object store is in another epoch'};
 }
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -9,7 +9,7 @@
 import type {Random, RelayConfiguration, RelayTarget} from '#core';
 import type {Gateway} from '#gateway';
 import {syncMirror, KindMirror, MirrorRelay} from '#mirror';
-import type {ObjectStore} from '#object-store';
+import type {ObjectStore, StoredObject} from '#object-store';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
 import {TargetListing, type TargetSet, type PublishedWeights} from '#relay';
 import type {WeightsRollout} from '#rollout';
@@ -30,11 +30,11 @@
 	handleConfiguration: (configuration: RelayConfiguration) => void;
 	/** Called when the instance has a configuration and a list of targets; may be called more than once. */
 	handleReady: () => void;
-	/** Called when the store answers again after a call that failed. */
+	/** Called when the store answers again after a call that failed, or has come back from an older copy. */
 	handleStoreReturn: () => void;
 }>;
 
-type DecodedTarget = Readonly<{revision: number; target: RelayTarget | undefined}>;
+type DecodedTarget = Readonly<{stored: StoredObject; target: RelayTarget | undefined}>;
 
 /** Mirrors of the configuration, the targets and the published weights. */
 export class StoreMirrors {
@@ -44,7 +44,7 @@
 	readonly #weights: KindMirror;
 	readonly #mirrorRelay: MirrorRelay;
 	readonly #listing: TargetListing;
-	/** Decoded target entries by key, each with the revision that it was decoded from. */
+	/** Decoded target entries by key, each with the object that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
 
 	constructor(dependencies: StoreMirrorsDependencies) {
@@ -60,12 +60,25 @@
 		this.#configuration.events.on('changed', () => {
 			this.#applyConfigurations();
 		});
-		this.#targets.events.on('changed', () => {
+		this.#targets.events.on('changed', ({isNewEpoch}) => {
+			if (isNewEpoch) {
+				this.#listing.recordRestore();
+				dependencies.handleStoreReturn();
+			}
+
 			this.#decodeTargets();
 		});
 		this.#weights.events.on('changed', () => {
 			this.#recordWeights();
 		});
+		for (const mirror of this.#listMirrors()) {
+			mirror.events.on('changed', ({isNewEpoch}) => {
+				if (isNewEpoch) {
+					telemetry.count('store_restores_total', {kind: mirror.kind});
+					telemetry.log('object store has come back from an older copy; the kind is read anew', {kind: mirror.kind, epoch: mirror.epoch, revision: mirror.revision});
+				}
+			});
+		}
 	}
 
 	/** Returns the revision of the newest known change of each kind. */
@@ -73,6 +86,11 @@
 		return this.#mirrorRelay.getRevisions();
 	}
 
+	/** Returns the epoch to which the revision of each kind belongs, if known. */
+	getEpochs(): Readonly<Record<string, number>> {
+		return this.#mirrorRelay.getEpochs();
+	}
+
 	/** Compares the revisions in a peer's heartbeat with those of the mirrors. */
 	handleHeartbeat(peer: Peer, status: PeerStatus): void {
 		this.#mirrorRelay.handleHeartbeat(peer, status);
@@ -117,14 +135,14 @@
 		// Only changed entries are decoded; otherwise a change to one of hundreds would cost as much as decoding the whole list.
 		this.#decodedTargets = new Map(this.#targets.list().map(stored => {
 			const previous = this.#decodedTargets.get(stored.key);
-			return [stored.key, previous?.revision === stored.revision ? previous : {revision: stored.revision, target: formats.decodeTarget(stored)}];
+			return [stored.key, previous?.stored === stored ? previous : {stored, target: formats.decodeTarget(stored)}];
 		}));
 		this.#listing.update([...this.#decodedTargets.values()].map(({target}) => target).filter(target => target !== undefined));
 		this.#updateTargets();
 		this.#checkReady();
 	}
 
-	/** Updates the target set, and again when the entries that are retained after an outage of the store are dropped. */
+	/** Updates the target set, and again when entries that are retained after an outage of the store are dropped, or held back after its return from a copy are listed. */
 	#updateTargets(): void {
 		const {targets, rollout, clock} = this.#dependencies;
 		targets.update(this.#listing.list());
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -7,6 +7,7 @@
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
 import {MismatchHandler} from './_mismatch-handler.ts';
+import {registerInstance} from './_register-instance.ts';
 import {StoreMirrors} from './_store-mirrors.ts';
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
@@ -122,10 +123,6 @@
 /** Number of instances that may take over reading an engine's events from those that are cut off. */
 const readerCandidates = 6;
 
-/** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
-const minRegisterRetryDelayMs = 500;
-const maxRegisterRetryDelayMs = 10_000;
-
 /** Number of listeners on the signal that stops the background tasks, above which Node.js suspects a leak: each task has one or two. */
 const maxSignalListeners = 32;
 
@@ -151,7 +148,7 @@
 		getStatus: () => ({
 			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
-			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {},
+			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {}, epochs: started.storeMirrors?.getEpochs() ?? {},
 		}),
 		handleHeartbeat(peer, status) {
 			started.storeMirrors?.handleHeartbeat(peer, status);
@@ -309,17 +306,3 @@
 function formatUnreachablePools(pools: readonly string[]): Readonly<{unreachablePools?: string[]}> {
 	return pools.length > 0 ? {unreachablePools: [...pools]} : {};
 }
-
-type Registration = Readonly<{store: ObjectStore; key: string; value: string; clock: Clock}>;
-
-/** Writes the entry of this instance, and retries until the store accepts it. */
-async function registerInstance({store, key, value, clock}: Registration, signal: AbortSignal): Promise<void> {
-	for (let failures = 0; !signal.aborted; failures++) {
-		const put = await store.put(key, value);
-		if (put.ok) {
-			return;
-		}
-
-		await clock.sleep(put.error.retryAfterMs ?? Math.min(maxRegisterRetryDelayMs, minRegisterRetryDelayMs * (2 ** failures)), signal);
-	}
-}
--- a/packages/object-store/commit-change.ts
+++ b/packages/object-store/commit-change.ts
@@ -19,6 +19,9 @@
 
 const maxAttempts = 3;
 
+/** Failures after which the object shows whether the update took effect. */
+const readBackKinds: ReadonlySet<StoreFailure['kind']> = new Set(['unknown', 'conflict', 'epoch_changed']);
+
 /**
  * Commits a conditional update. After a lost answer or a conflict it reads the
  * object back: if the object holds the same text, the update took effect.
@@ -34,11 +37,11 @@
 			return succeed({kind: 'committed', version: put.value.version});
 		}
 
-		if (put.error.kind !== 'unknown' && put.error.kind !== 'conflict') {
+		if (!readBackKinds.has(put.error.kind)) {
 			return fail(isUncertain ? {...put.error, kind: 'unknown'} : put.error);
 		}
 
-		isUncertain ||= put.error.kind === 'unknown';
+		isUncertain ||= put.error.kind !== 'conflict';
 		const stored = await platform.get(key);
 		if (!stored.ok) {
 			return fail(isUncertain ? {...stored.error, kind: 'unknown'} : stored.error);
--- a/packages/object-store/object-store-client.ts
+++ b/packages/object-store/object-store-client.ts
@@ -54,7 +54,7 @@
 
 /** What a failure says about the platform, for the breaker: that it answered, that it gave no usable answer, or nothing. */
 const breakerEvidence: Readonly<Record<StoreFailure['kind'], 'answer' | 'failure' | 'none'>> = {
-	conflict: 'answer', gone: 'answer', rate_limited: 'answer', too_large: 'answer', unavailable: 'failure', unknown: 'failure', interrupted: 'none',
+	conflict: 'answer', epoch_changed: 'answer', gone: 'answer', rate_limited: 'answer', too_large: 'answer', unavailable: 'failure', unknown: 'failure', interrupted: 'none',
 };
 
 /** Description of a call; only watches have a signal. */
@@ -151,6 +151,7 @@
 		list: async prefix => sendCall({kind, operation: 'read'}, async () => platform.list(prefix)),
 		watch: async (prefix, revision, signal, options) => sendCall({kind, operation: 'read', signal}, async () => countWatch(platform.watch(prefix, revision, signal, options))),
 		listInstances: async () => sendCall({kind, operation: 'read'}, async () => platform.listInstances()),
+		getEpoch: () => platform.getEpoch?.(),
 	});
 	return {
 		claims: createStore('claims'), leases: createStore('leases'), configuration: createStore('configuration'), status: createStore('status'),
--- a/packages/object-store/object-store.ts
+++ b/packages/object-store/object-store.ts
@@ -2,12 +2,13 @@
 import type {Result} from '#core';
 
 /**
- * Why a call failed. Only a call that failed with `unknown` may have taken effect.
- * `interrupted` means that the connection of a watch ended before its answer; this
+ * Why a call failed. Only a call that failed with `unknown` or `epoch_changed` may
+ * have taken effect. `epoch_changed` means that the store came back from an older
+ * copy after the version of a conditional change was read. `interrupted` means that the connection of a watch ended before its answer; this
  * does not say whether the store is available.
  */
 export type StoreFailure = Readonly<{
-	kind: 'conflict' | 'unavailable' | 'unknown' | 'interrupted' | 'rate_limited' | 'too_large' | 'gone';
+	kind: 'conflict' | 'epoch_changed' | 'unavailable' | 'unknown' | 'interrupted' | 'rate_limited' | 'too_large' | 'gone';
 	detail: string;
 	/** Delay before the next call may succeed, in milliseconds; present only if this call was not sent. */
 	retryAfterMs?: number;
@@ -18,7 +19,7 @@
 	key: string;
 	/** JSON text. */
 	value: string;
-	/** Starts at 1 and increases with each change of this object. */
+	/** Increases with each change of this object, and differs between epochs of the store; 0 stands for an object that does not exist. Only the client that read the object can use it in a condition. */
 	version: number;
 	/** Revision of the whole store at which this object last changed. */
 	revision: number;
@@ -36,12 +37,16 @@
 	deleted: readonly string[];
 	/** Revision from which the next watch must start. */
 	revision: number;
+	/** See {@link ObjectList.epoch}. */
+	epoch?: number | undefined;
 }>;
 
 /** Objects whose keys start with a prefix, as of a revision of the whole store. */
 export type ObjectList = Readonly<{
 	objects: readonly StoredObject[];
 	revision: number;
+	/** Epoch of the store: a number that rises when the store comes back from an older copy. Revisions are comparable within one epoch only. Absent if the source names none. */
+	epoch?: number | undefined;
 }>;
 
 /** A live or draining instance on the platform's list, which may be out of date. */
@@ -65,6 +70,8 @@
 
 /** The platform's object store. */
 export type ObjectStore = Readonly<{
+	/** Returns the latest epoch that an answer has named; absent or `undefined` if none has. */
+	getEpoch?: () => number | undefined;
 	get(key: string): Promise<Result<StoredObject | undefined, StoreFailure>>;
 	put(key: string, value: string, options?: PutOptions): Promise<Result<StoredObject, StoreFailure>>;
 	remove(key: string, options?: PutOptions): Promise<Result<void, StoreFailure>>;
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -19,6 +19,8 @@
 	running: z.number().int().min(0),
 	/** For each mirrored kind of object, the object store's revision at the newest change known to the sender. */
 	revisions: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
+	/** Epoch of the object store to which the revision of each kind belongs; absent for a kind if it is not known. */
+	epochs: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
 	/** Digest of the membership table. */
 	membersDigest: z.string().max(maxNameLength),
 	/** Pools of which the instance reaches no target; absent if there are none. */
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -103,8 +103,10 @@
 		/** Further steps, in the order in which they were taken; programs that do not know them take the first step only. */
 		more: z.array(z.object(weightsStepFields)).max(maxEntries).optional(),
 	}),
-	/** For each mirrored kind of object, the object store's revision at the newest change known to the sender. */
-	z.object({kind: z.literal('positions'), revisions: z.record(nameSchema, z.number().int().min(0))}),
+	/** For each mirrored kind of object, the object store's revision at the newest change known to the sender, and the epoch to which it belongs, if known. */
+	z.object({
+		kind: z.literal('positions'), revisions: z.record(nameSchema, z.number().int().min(0)), epochs: z.record(nameSchema, z.number().int().min(0)).optional(),
+	}),
 	/** The object store does not answer the sender, which watches it on behalf of other instances. */
 	z.object({kind: z.literal('blind')}),
 	/** A target or instance has begun to drain. */
--- a/packages/peer-protocol/requests.ts
+++ b/packages/peer-protocol/requests.ts
@@ -23,8 +23,10 @@
 	z.object({kind: z.literal('head')}),
 	/** Requests one fragment of the configuration. */
 	z.object({kind: z.literal('fragment'), service: nameSchema, checksum: nameSchema}),
-	/** Requests the changes to a mirrored kind of object after a revision of the object store. */
-	z.object({kind: z.literal('changes'), objects: nameSchema, since: z.number().int().min(0)}),
+	/** Requests the changes to a mirrored kind of object after a revision of the object store, which belongs to `epoch`, if that is known. */
+	z.object({
+		kind: z.literal('changes'), objects: nameSchema, since: z.number().int().min(0), epoch: z.number().int().min(0).optional(),
+	}),
 	/** Requests a size-limited copy of the soft state that a starting instance can reuse. */
 	z.object({kind: z.literal('snapshot')}),
 ]);
@@ -44,6 +46,8 @@
 		changed: z.array(storedObjectSchema).max(maxObjects),
 		deleted: z.array(nameSchema).max(maxObjects),
 		revision: z.number().int().min(0),
+		/** Epoch of the object store to which the revisions belong, if known. */
+		epoch: z.number().int().min(0).optional(),
 	}),
 	z.object({
 		kind: z.literal('snapshot'),
--- a/packages/quarantine/quarantine-archive.test.ts
+++ b/packages/quarantine/quarantine-archive.test.ts
@@ -57,3 +57,20 @@
 	t.equal(third.countStrikes('f'), 0);
 	stopping.abort();
 });
+
+t.test('strikes are written again after the store has come back from an older copy', async t => {
+	const {clock, store, run, stopping} = start();
+	let epoch = 1;
+	Object.assign(store, {getEpoch: () => epoch});
+	const quarantine = run();
+	quarantine.recordCrash('f', 'e1', 'i1');
+	quarantine.recordCrash('f', 'e2', 'i1');
+	await clock.advance(2000);
+	void store.remove('q/f');
+	epoch = 2;
+	await clock.advance(2000);
+	const next = run();
+	await clock.advance(2000);
+	t.equal(next.countStrikes('f'), 2);
+	stopping.abort();
+});
--- a/packages/quarantine/quarantine-archive.ts
+++ b/packages/quarantine/quarantine-archive.ts
@@ -36,7 +36,7 @@
 
 /** Reads the archive, then keeps it up to date until `signal` aborts. */
 export async function runQuarantineArchive(dependencies: QuarantineArchiveDependencies, signal: AbortSignal): Promise<void> {
-	const {clock, quarantine} = dependencies;
+	const {clock, quarantine, store} = dependencies;
 	const pending = new Set<string>();
 	/** Fingerprints whose objects this instance has written or read, and which may therefore exist. */
 	const archived = new Set<string>();
@@ -45,6 +45,7 @@
 			pending.add(fingerprint);
 		}
 	});
+	let epoch = store.getEpoch?.();
 	let isRead = false;
 	let nextReadMs = clock.now();
 	while (!signal.aborted) {
@@ -53,6 +54,14 @@
 			nextReadMs = clock.now() + readRetryDelayMs;
 		}
 
+		// The copy from which the store has come back may lack what was archived.
+		if (store.getEpoch?.() !== epoch) {
+			epoch = store.getEpoch?.();
+			for (const fingerprint of archived) {
+				pending.add(fingerprint);
+			}
+		}
+
 		for (const fingerprint of pending) {
 			if (await writeQuarantine(dependencies, fingerprint, archived)) {
 				pending.delete(fingerprint);
--- a/packages/relay/target-listing.test.ts
+++ b/packages/relay/target-listing.test.ts
@@ -56,3 +56,31 @@
 	listing.update([createTarget('b')]);
 	t.strictSame(listIds(), ['b']);
 });
+
+t.test('after the store has come back from an older copy, entries that it lacks are retained for a while', async t => {
+	const {clock, listing, listIds} = start();
+	listing.recordRestore();
+	listing.update([createTarget('a')]);
+	t.strictSame(listIds(), ['a', 'b']);
+	await clock.advance(listing.computeRetentionMs()! + 1);
+	t.strictSame(listIds(), ['a']);
+});
+
+t.test('a target that has drained or left is not listed again because an older copy has its entry', async t => {
+	const {clock, listing, listIds} = start();
+	listing.update([createTarget('a', true)]);
+	await clock.advance(1000);
+	listing.recordRestore();
+	listing.update([createTarget('a'), createTarget('b')]);
+	t.strictSame(listIds(), ['a'], 'b was removed');
+	t.ok(listing.list()[0]!.isDraining);
+	await clock.advance(listing.computeRetentionMs()! + 1);
+	t.strictSame(listIds(), ['a', 'b'], 'its entry was not removed again');
+});
+
+t.test('a target whose entry is removed and written again without any outage is listed at once', async t => {
+	const {listing, listIds} = start();
+	listing.update([createTarget('a')]);
+	listing.update([createTarget('a'), createTarget('b')]);
+	t.strictSame(listIds(), ['a', 'b']);
+});
--- a/packages/relay/target-listing.ts
+++ b/packages/relay/target-listing.ts
@@ -2,7 +2,9 @@
  * Determines which targets count as listed. If an entry disappears while the
  * store is available, its target no longer serves. Entries also expire during
  * an outage of the store, and live targets write them again soon after it;
- * until then, the expired entries are retained.
+ * until then, the expired entries are retained. A store that comes back from an
+ * older copy also has entries as they were before: of targets that have drained
+ * since then, and of targets that had left.
  */
 import type {Clock} from '#clock';
 import type {RelayTarget} from '#core';
@@ -10,11 +12,22 @@
 /** Time after an outage of the store within which expired entries reappear, in milliseconds: two seconds, as the platform states, plus the time until the entries reach this instance. */
 const relistingMs = 2300;
 
+/** Time after the store has come back from an older copy for which an entry that had been removed is not listed, in milliseconds: by then, the copy's entries of targets that have left are removed again. */
+const reappearanceMs = 5000;
+
+/** Time for which a removed entry is remembered, in milliseconds: longer than the age of any copy. */
+const removalRetentionMs = 60_000;
+
 /** Tracks the entries and the outages of the store. */
 export class TargetListing {
 	readonly #clock: Clock;
 	readonly #retained = new Map<string, RelayTarget>();
 	#listed: ReadonlyMap<string, RelayTarget> = new Map();
+	/** Incarnations of targets that drain or have drained; a process does not end that state before it exits. */
+	#draining: ReadonlySet<string> = new Set();
+	/** Time of removal of entries that have not expired in an outage, by incarnation. */
+	readonly #removedMs = new Map<string, number>();
+	#restoredMs = Number.NEGATIVE_INFINITY;
 	#isStoreDown = false;
 	#storeRecoveredMs = Number.NEGATIVE_INFINITY;
 
@@ -37,15 +50,23 @@
 		return hasRecovered;
 	}
 
+	/** Records that the store has come back from an older copy: what was written since then is missing until it is written again. */
+	recordRestore(): void {
+		this.#restoredMs = this.#clock.now();
+		this.#storeRecoveredMs = this.#restoredMs;
+	}
+
 	/** Replaces the entries with those that the store has now. */
 	update(targets: readonly RelayTarget[]): void {
-		const listed = new Map(targets.map(target => [target.id, target]));
+		const listed = new Map(targets.map(target => [target.id, this.#draining.has(target.incarnation) ? {...target, isDraining: true} : target]));
 		for (const [id, target] of this.#listed) {
-			if (!listed.has(id) && !target.isDraining && this.#isRetaining()) {
-				this.#retained.set(id, target);
+			if (!listed.has(id)) {
+				this.#recordRemoval(id, target);
 			}
 		}
 
+		this.#draining = new Set([...this.#draining, ...targets.filter(({isDraining}) => isDraining).map(({incarnation}) => incarnation)]
+			.filter(incarnation => this.#removedMs.has(incarnation) || targets.some(target => target.incarnation === incarnation)));
 		this.#listed = listed;
 	}
 
@@ -56,12 +77,38 @@
 		}
 
 		const retained = [...this.#retained.values()].filter(({id}) => !this.#listed.has(id));
-		return [...this.#listed.values(), ...retained];
+		return [...[...this.#listed.values()].filter(target => !this.#hasLeft(target)), ...retained];
 	}
 
-	/** Returns the time until retained entries are dropped, in milliseconds, or `undefined` if none is retained or the store is unavailable. */
+	/** Returns the time until {@link TargetListing.list} changes without an update, in milliseconds, or `undefined` if it does not. */
 	computeRetentionMs(): number | undefined {
-		return this.#retained.size > 0 && !this.#isStoreDown ? Math.max(0, this.#storeRecoveredMs + relistingMs - this.#clock.now()) : undefined;
+		const nowMs = this.#clock.now();
+		if (this.#retained.size > 0 && !this.#isStoreDown) {
+			return Math.max(0, this.#storeRecoveredMs + relistingMs - nowMs);
+		}
+
+		return [...this.#listed.values()].some(target => this.#hasLeft(target)) ? this.#restoredMs + reappearanceMs - nowMs : undefined;
+	}
+
+	#recordRemoval(id: string, target: RelayTarget): void {
+		const nowMs = this.#clock.now();
+		if (!target.isDraining && this.#isRetaining()) {
+			this.#retained.set(id, target);
+			return;
+		}
+
+		this.#removedMs.set(target.incarnation, nowMs);
+		for (const [incarnation, removedMs] of this.#removedMs) {
+			if (removedMs < nowMs - removalRetentionMs) {
+				this.#removedMs.delete(incarnation);
+			}
+		}
+	}
+
+	/** Whether an entry is back only because the store came back from a copy that is older than its removal. */
+	#hasLeft({incarnation}: RelayTarget): boolean {
+		const removedMs = this.#removedMs.get(incarnation);
+		return removedMs !== undefined && removedMs < this.#restoredMs && this.#clock.now() < this.#restoredMs + reappearanceMs;
 	}
 
 	#isRetaining(): boolean {
--- a/packages/standins/_send-result.ts
+++ b/packages/standins/_send-result.ts
@@ -8,6 +8,7 @@
 
 const statusByFailureKind: Readonly<Record<StoreFailure['kind'], number | undefined>> = {
 	conflict: 409,
+	epoch_changed: 409,
 	gone: 410,
 	too_large: 413,
 	rate_limited: 429,
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -30,6 +30,7 @@
 	configuration_rejected_total: {help: 'Accepted configuration generations that this instance cannot interpret.', labels: []},
 	configuration_fetches_total: {help: 'Configuration generations requested from other instances, by result.', labels: ['result']},
 	mirror_fetches_total: {help: 'Changes to mirrored kinds of objects requested from other instances, by kind and result.', labels: ['kind', 'result']},
+	store_restores_total: {help: 'Changes of the epoch of the object store, after which a kind of objects was read anew, by kind.', labels: ['kind']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
 	unanswered_requests_total: {help: 'Requests whose connection closed before the whole answer was sent, by what they waited for and by cause.', labels: ['stage', 'cause']},
