--- a/packages/lease/lease.ts
+++ b/packages/lease/lease.ts
@@ -6,6 +6,12 @@
  * observed the object's current version. A lease therefore never expires for a
  * candidate before it expires for its holder (Gray and Cheriton, "Leases",
  * 1989).
+ *
+ * A store that comes back from an older copy has lost the newest terms. The next
+ * token is therefore above every one that the store, this instance, its peers or a
+ * target have seen, and its high part is the epoch of the store, which has then
+ * risen, as in the ids of ZooKeeper's transactions. A lease that is free only in
+ * the copy is acquired after a term and the guard time.
  */
 import * as z from 'zod';
 import type {Clock} from '#clock';
@@ -48,10 +54,17 @@
 	/** Time at which this version was first observed, on this instance's monotonic clock. */
 	observedMs: number;
 	record: LeaseRecord | undefined;
+	/** Epoch of the store at that time. */
+	epoch: number | undefined;
+	/** Whether the store came back from an older copy since the observation before, so that a newer term may be lost. */
+	isRestored: boolean;
 }>;
 
 const renewalsPerTerm = 3;
 
+/** Factor of the epoch of the store in a fencing token. */
+const epochFactor = 65_536;
+
 /** A time-limited right that at most one instance holds. */
 export class Lease {
 	/** Time that a successor waits beyond the term, in milliseconds. */
@@ -62,6 +75,10 @@
 	readonly #key: string;
 	#observation: Observation | undefined;
 	#fencing = 0;
+	/** Highest fencing token that is known to have been given. */
+	#highestFencing = 0;
+	/** Epoch of the store at the last observation, or when this instance first knew it. */
+	#epoch: number | undefined;
 	#validUntilMs = -Infinity;
 
 	/** @param name key of the lease below its kind */
@@ -77,6 +94,11 @@
 		return this.#fencing;
 	}
 
+	/** Highest fencing token that this instance has seen, its own or another's; 0 before the first. */
+	get highestFencing(): number {
+		return this.#highestFencing;
+	}
+
 	/** Remaining time of the term on this instance's monotonic clock, in milliseconds; negative once it has expired. */
 	get remainingMs(): number {
 		return this.#validUntilMs - this.#dependencies.clock.now();
@@ -94,7 +116,7 @@
 
 	/** Whether this instance is the last known holder, even if its term has expired. */
 	get isLastHolder(): boolean {
-		return this.#observation?.record?.holder === this.#dependencies.holder;
+		return this.isHeld || this.#observation?.record?.holder === this.#dependencies.holder;
 	}
 
 	/** Time between calls of {@link Lease.refresh}, in milliseconds. */
@@ -108,13 +130,12 @@
 	 * @param isCandidate whether this instance should acquire an expired lease
 	 */
 	async refresh(isCandidate: boolean): Promise<void> {
-		const isHolder = this.isLastHolder && this.isHeld;
-		if (!isHolder && !isCandidate) {
+		if (this.isHeld) {
+			await this.#renew();
 			return;
 		}
 
-		if (isHolder) {
-			await this.#write(this.#observation!, this.#fencing);
+		if (!isCandidate) {
 			return;
 		}
 
@@ -126,7 +147,7 @@
 		this.#recordObservation(stored.value);
 		const observation = this.#observation!;
 		if (this.#canAcquire(observation)) {
-			await this.#write(observation, (observation.record?.fencing ?? 0) + 1);
+			await this.#write(observation, this.#computeNextFencing());
 		}
 	}
 
@@ -138,6 +159,21 @@
 		}
 	}
 
+	/** Records a fencing token that a peer or a target has seen. */
+	recordFencing(fencing: number): void {
+		this.#highestFencing = Math.max(this.#highestFencing, fencing);
+	}
+
+	/** Reads the lease if the store has come back from an older copy since it was last read: the wait for the end of a term that the store has lost begins then. */
+	async checkEpoch(): Promise<void> {
+		const epoch = this.#dependencies.platform.getEpoch?.();
+		const isChanged = this.#epoch !== undefined && epoch !== this.#epoch;
+		this.#epoch ??= epoch;
+		if (isChanged) {
+			await this.observe();
+		}
+	}
+
 	/**
 	 * Releases the lease, so that a successor need not wait. Also releases a lease
 	 * whose term has expired, if no other instance has acquired it. The caller makes
@@ -148,10 +184,14 @@
 			return;
 		}
 
-		const observation = this.#observation!;
+		const observation = this.#observation;
 		this.#validUntilMs = -Infinity;
 		this.#observation = undefined;
-		const record: LeaseRecord = {holder: '', fencing: this.#fencing, nonce: this.#dependencies.random.createId()};
+		if (!observation) {
+			return;
+		}
+
+		const record: LeaseRecord = {holder: '', fencing: this.#highestFencing, nonce: this.#dependencies.random.createId()};
 		const put = await this.#dependencies.platform.put(this.#key, JSON.stringify(record), {ifVersion: observation.version});
 		this.#recordChange(put.ok ? 'released' : 'not_released');
 	}
@@ -166,13 +206,47 @@
 		this.#observation = undefined;
 	}
 
-	/** Determines whether the lease is free. A term of an earlier process of this instance ended with that process, so the lease can be acquired at once. */
-	#canAcquire(observation: Observation): boolean {
-		if (!observation.record || observation.record.holder === '' || observation.record.holder === this.#dependencies.holder) {
+	/**
+	 * Determines whether the lease is free. A term of an earlier process of this
+	 * instance ended with that process, so the lease can be acquired at once. If the
+	 * store has lost a term, its holder may still use it.
+	 */
+	#canAcquire({record, observedMs, isRestored}: Observation): boolean {
+		if (this.#dependencies.clock.now() - observedMs >= this.termMs + this.guardMs) {
 			return true;
 		}
 
-		return this.#dependencies.clock.now() - observation.observedMs >= this.termMs + this.guardMs;
+		const isLost = isRestored || (record?.fencing ?? 0) < this.#highestFencing;
+		return !isLost && (!record || record.holder === '' || record.holder === this.#dependencies.holder);
+	}
+
+	/** Computes the token of a new holder: above all that are known, and above all of earlier epochs of the store. */
+	#computeNextFencing(): number {
+		const floor = (this.#dependencies.platform.getEpoch?.() ?? 0) * epochFactor;
+		return Math.max(this.#highestFencing, Number.isSafeInteger(floor) ? floor : 0) + 1;
+	}
+
+	/** Renews the lease; if the store has lost the last write of this holder, writes it again unless another instance has acquired the lease. */
+	async #renew(): Promise<void> {
+		const {platform, holder} = this.#dependencies;
+		const known = this.#observation;
+		if (known?.record?.holder === holder && known.record.fencing === this.#fencing && known.epoch === platform.getEpoch?.()) {
+			await this.#write(known, this.#fencing);
+			return;
+		}
+
+		const stored = await platform.get(this.#key);
+		if (!stored.ok) {
+			return;
+		}
+
+		this.#recordObservation(stored.value);
+		const observation = this.#observation!;
+		if ((observation.record?.fencing ?? 0) > this.#fencing) {
+			this.invalidate();
+		} else if (this.isHeld) {
+			await this.#write(observation, this.#fencing);
+		}
 	}
 
 	async #write(observation: Observation, fencing: number): Promise<void> {
@@ -181,15 +255,22 @@
 		const writeStartMs = clock.now();
 		const wasHeld = this.isHeld;
 		const put = await platform.put(this.#key, JSON.stringify({holder, fencing, nonce}), {ifVersion: observation.version});
-		const stored = put.ok ? put.value : await this.#readOwnWrite(nonce);
+		// After a change of the epoch, a write that has taken effect is found by the next read.
+		const isEpochChanged = !put.ok && put.error.kind === 'epoch_changed';
+		const stored = put.ok ? put.value : await (isEpochChanged ? undefined : this.#readOwnWrite(nonce));
 		if (stored) {
-			this.#observation = {version: stored.version, observedMs: clock.now(), record: {holder, fencing, nonce}};
+			this.#observation = {
+				version: stored.version, observedMs: clock.now(), record: {holder, fencing, nonce}, epoch: platform.getEpoch?.(), isRestored: false,
+			};
 			this.#fencing = fencing;
+			this.recordFencing(fencing);
 			this.#validUntilMs = writeStartMs + this.termMs;
 			if (!wasHeld) {
 				this.#recordChange('taken');
 			}
-		} else if (!put.ok && (put.error.kind === 'conflict' || put.error.kind === 'epoch_changed')) {
+		} else if (isEpochChanged) {
+			this.#observation = undefined;
+		} else if (!put.ok && put.error.kind === 'conflict') {
 			this.invalidate();
 		}
 	}
@@ -205,10 +286,17 @@
 	}
 
 	#recordObservation(stored: StoredObject | undefined): void {
+		const {clock, platform} = this.#dependencies;
 		const version = stored?.version ?? 0;
-		if (this.#observation?.version !== version) {
-			this.#observation = {version, observedMs: this.#dependencies.clock.now(), record: stored ? parseRecord(stored) : undefined};
+		const epoch = platform.getEpoch?.();
+		if (this.#observation?.version !== version || this.#observation.epoch !== epoch) {
+			this.#observation = {
+				version, observedMs: clock.now(), record: stored ? parseRecord(stored) : undefined, epoch, isRestored: this.#epoch !== undefined && epoch !== this.#epoch,
+			};
 		}
+
+		this.#epoch = epoch;
+		this.recordFencing(this.#observation.record?.fencing ?? 0);
 	}
 
 	#recordChange(event: string): void {
--- a/packages/node/_instance-rollout.ts
+++ b/packages/node/_instance-rollout.ts
@@ -51,8 +51,8 @@
 
 const dutyName = 'weights';
 
-/** Creates the roll-out of an instance; the caller runs it. */
-export function createInstanceRollout(dependencies: InstanceRolloutDependencies): WeightsRollout {
+/** Creates the roll-out of an instance, which the caller runs, and the lease on weights orders. */
+export function createInstanceRollout(dependencies: InstanceRolloutDependencies): Readonly<{rollout: WeightsRollout; lease: Lease}> {
 	const {
 		name, clock, random, telemetry, targets, targetReach, publishedWeights, bus,
 	} = dependencies;
@@ -69,6 +69,9 @@
 		}
 	}
 
+	const lease = new Lease(dutyName, {
+		platform: dependencies.store, clock, random, telemetry, holder: name,
+	}, {termMs: dependencies.leaseMs, guardMs: leaseGuardMs, kind: dependencies.leaseKind});
 	const listEngines = () => targets.list().filter(({target, isLeaving}) => !isLeaving && target.weights.size > 0);
 	const exchange = new WeightsProgressExchange({
 		bus, clock,
@@ -77,12 +80,14 @@
 			lastHolderProgressMs = clock.now();
 			recordProgress(progress);
 		},
+		getFencing: () => lease.highestFencing,
+		handleFencing(fencing) {
+			lease.recordFencing(fencing);
+		},
 	});
-	return new WeightsRollout({
+	const rollout = new WeightsRollout({
 		name, clock, telemetry, control: dependencies.control, minRemainingTermMs: dependencies.checksFencing ? 0 : minUnfencedRemainingTermMs,
-		lease: new Lease(dutyName, {
-			platform: dependencies.store, clock, random, telemetry, holder: name,
-		}, {termMs: dependencies.leaseMs, guardMs: leaseGuardMs, kind: dependencies.leaseKind}),
+		lease,
 		listEngines: () => listEngines().map(({target, weights}) => ({...target, weights})),
 		countRequests: ({id}) => targets.get(id)?.countRequests(clock.now()) ?? 0,
 		listNewestVersions: () => publishedWeights.listNewest(),
@@ -110,4 +115,5 @@
 			exchange.broadcast(progress);
 		},
 	});
+	return {rollout, lease};
 }
--- a/packages/node/_weights-progress.ts
+++ b/packages/node/_weights-progress.ts
@@ -12,6 +12,10 @@
 	clock: Clock;
 	/** Called with each step of a peer's roll-out. */
 	handleStep: (progress: WeightsProgress, from: Peer) => void;
+	/** Returns the highest fencing token that this instance has seen. */
+	getFencing: () => number;
+	/** Called with the highest fencing token that a peer has seen. */
+	handleFencing: (fencing: number) => void;
 }>;
 
 /** Time after which a step is sent, in milliseconds: an engine takes several times as long to load, and callers do not wait for it. */
@@ -26,7 +30,8 @@
 
 	constructor(dependencies: WeightsProgressDependencies) {
 		this.#dependencies = dependencies;
-		dependencies.bus.subscribe('weights', ({more = [], kind: _kind, ...first}, from) => {
+		dependencies.bus.subscribe('weights', ({more = [], fencing = 0, kind: _kind, ...first}, from) => {
+			dependencies.handleFencing(fencing);
 			for (const step of [first, ...more]) {
 				dependencies.handleStep(step, from);
 			}
@@ -48,7 +53,9 @@
 		this.#unsent = [];
 		for (let start = 0; start < steps.length; start += maxSteps) {
 			const [first, ...more] = steps.slice(start, start + maxSteps);
-			this.#dependencies.bus.broadcast({kind: 'weights', ...first!, ...(more.length > 0 && {more})});
+			this.#dependencies.bus.broadcast({
+				kind: 'weights', ...first!, fencing: this.#dependencies.getFencing(), ...(more.length > 0 && {more}),
+			});
 		}
 	}
 }
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -18,6 +18,7 @@
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {Gateway} from '#gateway';
+import type {Lease} from '#lease';
 import {
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
@@ -128,7 +129,7 @@
 
 /** Components whose state the heartbeats carry. They are created after the peer protocol has started. */
 type StartedComponents = {
-	relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths; relayedWork?: RelayedWork;
+	relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths; relayedWork?: RelayedWork; lease?: Lease;
 };
 
 /** Creates a relay instance and starts its background tasks. */
@@ -148,9 +149,10 @@
 		getStatus: () => ({
 			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
-			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {}, epochs: started.storeMirrors?.getEpochs() ?? {},
+			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {}, epochs: started.storeMirrors?.getEpochs() ?? {}, fencing: started.lease?.highestFencing ?? 0,
 		}),
 		handleHeartbeat(peer, status) {
+			started.lease?.recordFencing(status.fencing ?? 0);
 			started.storeMirrors?.handleHeartbeat(peer, status);
 			started.peerPaths?.recordStatus(peer, status);
 		},
@@ -223,7 +225,7 @@
 		return first === peers.incarnation;
 	};
 
-	const rollout = createInstanceRollout({
+	const {rollout, lease} = createInstanceRollout({
 		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, targetReach, publishedWeights, control: calls, bus,
 		handleReplaced(incarnation) {
 			mismatchHandler.markReplaced(incarnation);
@@ -244,7 +246,7 @@
 		},
 	});
 	Object.assign(started, {
-		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
+		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths, lease,
 	});
 	started.relayedWork = serveRelayedRequests({
 		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
--- a/packages/node/weights-progress.test.ts
+++ b/packages/node/weights-progress.test.ts
@@ -13,14 +13,21 @@
 	const network = new PeerNetworkStandin(clock);
 	const join = (name: string) => {
 		const steps: WeightsProgress[] = [];
+		const tokens: number[] = [];
 		const bus = network.join({name, zone: 'z', incarnation: name});
 		const exchange = new WeightsProgressExchange({
 			bus, clock,
 			handleStep(step) {
 				steps.push(step);
 			},
+			getFencing: () => 7,
+			handleFencing(fencing) {
+				tokens.push(fencing);
+			},
 		});
-		return {bus, exchange, steps};
+		return {
+			bus, exchange, steps, tokens,
+		};
 	};
 
 	return {
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -21,6 +21,8 @@
 	revisions: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
 	/** Epoch of the object store to which the revision of each kind belongs; absent for a kind if it is not known. */
 	epochs: z.record(z.string().max(maxNameLength), z.number().int().min(0)).optional(),
+	/** Highest fencing token of the lease on weights orders that the instance has seen. */
+	fencing: z.number().int().min(0).optional(),
 	/** Digest of the membership table. */
 	membersDigest: z.string().max(maxNameLength),
 	/** Pools of which the instance reaches no target; absent if there are none. */
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -102,6 +102,8 @@
 		kind: z.literal('weights'), ...weightsStepFields,
 		/** Further steps, in the order in which they were taken; programs that do not know them take the first step only. */
 		more: z.array(z.object(weightsStepFields)).max(maxEntries).optional(),
+		/** Highest fencing token of the lease on weights orders that the sender has seen. */
+		fencing: z.number().int().min(0).optional(),
 	}),
 	/** For each mirrored kind of object, the object store's revision at the newest change known to the sender, and the epoch to which it belongs, if known. */
 	z.object({
--- a/packages/rollout/weights-rollout.ts
+++ b/packages/rollout/weights-rollout.ts
@@ -139,6 +139,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, lease} = this.#dependencies;
 		while (!signal.aborted) {
+			await this.#dependencies.lease.checkEpoch();
 			const outdated = this.#listOutdated();
 			if (outdated.length === 0) {
 				this.#outdatedSinceMs = undefined;
@@ -322,6 +323,8 @@
 		});
 		const step = stepsByOutcome[outcome];
 		if (step === 'invalidate') {
+			// The engine has seen a higher token, which it does not name.
+			lease.recordFencing(fencing + 1);
 			lease.invalidate();
 		}
 
