--- a/packages/node/instance-rollout.test.ts
+++ b/packages/node/instance-rollout.test.ts
@@ -22,7 +22,7 @@
 	targets.update([createEngine('1', 1), createEngine('2', 1)]);
 	const publishedWeights = new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)});
 	const versions = new Map<string, number>();
-	const rollout = createInstanceRollout({
+	const {rollout} = createInstanceRollout({
 		name: 'a', clock, random: createRandom(1), telemetry, store: new PlatformStandin(clock), leaseKind: 'leases', targets, publishedWeights, bus: createNoopBus(),
 		targetReach: {
 			isUnreachable: () => false,
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -7,6 +7,7 @@
 import {startPeers, type Peers} from './_peers.ts';
 import {Lifecycle} from './lifecycle.ts';
 import {MismatchHandler} from './_mismatch-handler.ts';
+import {registerInstance} from './_register-instance.ts';
 import {StoreMirrors} from './_store-mirrors.ts';
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
@@ -18,6 +19,7 @@
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {Gateway} from '#gateway';
+import type {Lease} from '#lease';
 import {
 	createObjectStoreClient, InstanceCount, type ObjectStore, type StoredObject, type StoreRates,
 } from '#object-store';
@@ -126,16 +128,12 @@
 /** Number of instances that may take over reading an engine's events from those that are cut off. */
 const readerCandidates = 6;
 
-/** Minimum and maximum delay before the entry of this instance is written again, in milliseconds; the delay doubles with each failure. */
-const minRegisterRetryDelayMs = 500;
-const maxRegisterRetryDelayMs = 10_000;
-
 /** Number of listeners on the signal that stops the background tasks, above which Node.js suspects a leak: each task has one or two. */
 const maxSignalListeners = 32;
 
 /** Components whose state the heartbeats carry. They are created after the peer protocol has started. */
 type StartedComponents = {
-	relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths; relayedWork?: RelayedWork;
+	relay?: Relay; gateway?: Gateway; lifecycle?: Lifecycle; storeMirrors?: StoreMirrors; peers?: Peers; targetReach?: TargetReach; peerPaths?: PeerPaths; relayedWork?: RelayedWork; lease?: Lease;
 };
 
 /** Creates a relay instance and starts its background tasks. */
@@ -157,9 +155,10 @@
 		getStatus: () => ({
 			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []), ...formatPublishedWeights(publishedWeights.listStatements()),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
-			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {},
+			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {}, epochs: started.storeMirrors?.getEpochs() ?? {}, fencing: started.lease?.highestFencing ?? 0,
 		}),
 		handleHeartbeat(peer, status) {
+			started.lease?.recordFencing(status.fencing ?? 0);
 			started.storeMirrors?.handleHeartbeat(peer, status);
 			started.peerPaths?.recordStatus(peer, status);
 		},
@@ -238,7 +237,7 @@
 		return first === peers.incarnation;
 	};
 
-	const rollout = createInstanceRollout({
+	const {rollout, lease} = createInstanceRollout({
 		name: settings.name, clock, random, telemetry, store: store.leases, leaseKind: formats.kinds.leases, targets, targetReach, publishedWeights, control: calls, bus,
 		handleReplaced(incarnation) {
 			mismatchHandler.markReplaced(incarnation);
@@ -259,7 +258,7 @@
 		},
 	});
 	Object.assign(started, {
-		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
+		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths, lease,
 	});
 	started.relayedWork = serveRelayedRequests({
 		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
@@ -325,17 +324,3 @@
 function formatPublishedWeights(statements: readonly WeightsStatement[]): Pick<PeerStatus, 'publishedWeights'> {
 	return statements.length > 0 ? {publishedWeights: statements.map(({model, versions}) => ({model, versions: versions.map(([version, ageMs]) => [version, ageMs])}))} : {};
 }
-
-type Registration = Readonly<{store: ObjectStore; key: string; value: string; clock: Clock}>;
-
-/** Writes the entry of this instance, and retries until the store accepts it. */
-async function registerInstance({store, key, value, clock}: Registration, signal: AbortSignal): Promise<void> {
-	for (let failures = 0; !signal.aborted; failures++) {
-		const put = await store.put(key, value);
-		if (put.ok) {
-			return;
-		}
-
-		await clock.sleep(put.error.retryAfterMs ?? Math.min(maxRegisterRetryDelayMs, minRegisterRetryDelayMs * (2 ** failures)), signal);
-	}
-}
--- a/packages/standins/_send-result.ts
+++ b/packages/standins/_send-result.ts
@@ -8,10 +8,12 @@
 
 const statusByFailureKind: Readonly<Record<StoreFailure['kind'], number | undefined>> = {
 	conflict: 409,
+	epoch_changed: 409,
 	gone: 410,
 	too_large: 413,
 	rate_limited: 429,
 	unavailable: 503,
+	interrupted: undefined,
 	unknown: undefined,
 };
 
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -32,6 +32,7 @@
 	entries_unreadable_total: {help: 'Revisions of entries in the object store that cannot be read, such as those of another writer, and are passed over, by kind.', labels: ['kind']},
 	escaped_errors_total: {help: 'Errors that nobody expected and that have ended one activity, by activity.', labels: ['activity']},
 	mirror_fetches_total: {help: 'Changes to mirrored kinds of objects requested from other instances, by kind and result.', labels: ['kind', 'result']},
+	store_restores_total: {help: 'Changes of the epoch of the object store, after which a kind of objects was read anew, by kind.', labels: ['kind']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
 	unanswered_requests_total: {help: 'Requests whose connection closed before the whole answer was sent, by what they waited for and by cause.', labels: ['stage', 'cause']},
