What callers, targets and writers state does not close links between instances

Cause: an instance closes the link to a peer that sends what its schema does not allow, and part of what is sent comes from others: a request whose id has more than 200 characters, sent through a peer; prompt parts with long keys; an answer to a peer's request for changes with more or larger objects than a frame holds, as another writer can put them into the store, again and again.

Looked at: every message, request and channel part of packages/peer-protocol for fields that come from others; cbor with 200,000 lists inside each other, large stated sizes, big integers, NaN and `__proto__` gives an error or a harmless value (framing.test, passed before too). Left: an answer of a target with more than 512 header lines, sent through a peer, closes the link.

All pass now.

--- a/packages/mirror/mirror-relay.test.ts
+++ b/packages/mirror/mirror-relay.test.ts
@@ -124,3 +124,14 @@
 	t.equal(behind.mirror.revision, 11);
 	t.equal(network.deliveredCounts.get('positions'), 11);
 });
+
+// Guards against links that are closed again and again because of the entries of another writer.
+t.test('changes that do not fit into one message are not sent', async t => {
+	const {clock, ahead, behind, sendHeartbeat, countFetches} = start();
+	ahead.mirror.replace(Array.from({length: 20}, (_item, index) => ({...createObject(`k/${index}`, 3), value: 'x'.repeat(65_536)})), 7);
+	sendHeartbeat();
+	await clock.advance(3000);
+	t.equal(behind.mirror.revision, 0);
+	t.equal(countFetches(), 0);
+	t.equal(countFetches('unanswered'), 1);
+});
--- a/packages/mirror/mirror-relay.ts
+++ b/packages/mirror/mirror-relay.ts
@@ -5,6 +5,7 @@
  * instances that the object store refuses, or whose connection to it has gone
  * silent.
  */
+import {Buffer} from 'node:buffer';
 import type {KindMirror} from './kind-mirror.ts';
 import type {Clock} from '#clock';
 import type {Peer, PeerBus, PeerStatus} from '#peer-protocol';
@@ -26,6 +27,12 @@
 /** Minimum time between broadcasts of revisions in a large fleet, in milliseconds. */
 const broadcastIntervalMs = 200;
 
+/** Maximum number of changed and of deleted objects in a response. */
+const maxChanges = 4096;
+
+/** Maximum size of the keys and values in a response; with the rest it fits into a frame. */
+const maxChangesBytes = 1_150_000;
+
 /** Requests differences from peers and answers their requests. */
 export class MirrorRelay {
 	readonly #dependencies: MirrorRelayDependencies;
@@ -138,10 +145,17 @@
 	}
 }
 
+/** Returns `undefined` for changes that do not fit into one message, such as those of another writer; the peer would close the link on them. */
 function createChangesResponse(mirror: KindMirror, since: number) {
 	const diff = mirror.computeDiff(since);
-	return {
-		kind: 'changes' as const, isWhole: diff === undefined, changed: [...diff?.changed ?? mirror.list()], deleted: [...diff?.deleted ?? []],
-		revision: mirror.revision,
-	};
+	const changed = [...diff?.changed ?? mirror.list()].map(({key, value, version, revision}) => ({
+		key, value, version, revision,
+	}));
+	const deleted = [...diff?.deleted ?? []];
+	const bytes = changed.reduce((sum, {key, value}) => sum + Buffer.byteLength(key) + Buffer.byteLength(value), Buffer.byteLength(deleted.join('')));
+	return Math.max(changed.length, deleted.length) > maxChanges || bytes > maxChangesBytes
+		? undefined
+		: {
+			kind: 'changes' as const, isWhole: diff === undefined, changed, deleted, revision: mirror.revision,
+		};
 }
--- a/packages/peer-protocol/channel.ts
+++ b/packages/peer-protocol/channel.ts
@@ -78,6 +78,11 @@
 
 /** A request that a peer runs for its caller. */
 export type RelayedRequest = Readonly<z.infer<typeof relayedRequestSchema>>;
+/** Whether a peer would take a request; one that it cannot read, such as one with an id of any length, would make it close the link. */
+export function canRelay(request: RelayedRequest): boolean {
+	return relayedRequestSchema.safeParse(request).success;
+}
+
 /** What the ends of a channel send each other. */
 export type ChannelPart = Readonly<z.infer<typeof channelPartSchema>>;
 export type ChannelPartKind = ChannelPart['kind'];
--- a/packages/peer-protocol/framing.test.ts
+++ b/packages/peer-protocol/framing.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import fc from 'fast-check';
 import t from 'tap';
 import {decodeValue, encodeValue} from './codec.ts';
@@ -77,3 +78,19 @@
 	t.same([queue.removeFirst()?.length, queue.removeFirst()?.length, queue.removeFirst()], [12, 13, undefined]);
 	t.end();
 });
+
+// Guards against a few bytes that take much memory or the whole stack.
+t.test('nesting, sizes and numbers that are out of range give an error or a harmless value', t => {
+	const deep = Buffer.alloc(200_001, 0x81);
+	deep[200_000] = 0;
+	t.match(decodeValue(deep), {ok: false});
+	for (const bytes of [[0x9A, 0x06, 0, 0, 0], [0xBA, 0, 0xFF, 0xFF, 0xFF], [0x5A, 0x7F, 0xFF, 0xFF, 0xFF], [0x9B, 0, 0, 0, 1, 0, 0, 0, 0]]) {
+		const before = process.memoryUsage().rss;
+		t.match(decodeValue(Buffer.from(bytes)), {ok: false}, bytes.join(' '));
+		t.ok(process.memoryUsage().rss - before < 100_000_000, `memory after ${bytes.join(' ')}`);
+	}
+
+	const named = decodeValue(Buffer.from([0xA1, 0x69, ...Buffer.from('__proto__'), 0xA1, 0x61, 0x78, 0x01]));
+	t.equal(named.ok && (named.value as Readonly<{x?: number}>).x, undefined); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- any property may be read
+	t.end();
+});
--- a/packages/peer-protocol/mod.ts
+++ b/packages/peer-protocol/mod.ts
@@ -13,7 +13,7 @@
 	ChannelHandler, ChannelReceiver, Peer, PeerChannel, PeerRequestHandler, PeerBus, PeerMessageHandler, PeerRequestFailure,
 } from './bus.ts';
 export {
-	maxRelayedBodyBytes, type ChannelPart, type ChannelPartKind, type ChannelPartHandlers, type RelayedRequest,
+	canRelay, maxRelayedBodyBytes, type ChannelPart, type ChannelPartKind, type ChannelPartHandlers, type RelayedRequest,
 } from './channel.ts';
 export type {Envelope, PeerStatus} from './envelope.ts';
 export type {PeerIdentity} from './identity.ts';
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -15,7 +15,7 @@
 import type {Clock} from '#clock';
 import type {Refusal, RelayPool, RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
-import type {Peer, PeerBus} from '#peer-protocol';
+import {canRelay, type Peer, type PeerBus} from '#peer-protocol';
 
 export type PeerAttemptDependencies = Readonly<{
 	clock: Clock;
@@ -68,8 +68,8 @@
 	const relayed = encodeRelayedRequest(request, pool, {
 		maxTargets, softwareVersion, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
 	});
-	if (!exchange.start(bus, peer, relayed)) {
-		return {failure: {cause: 'not_sent', detail: 'no link to the peer is open'}, canRetry: true, targets: []};
+	if (!canRelay(relayed) || !exchange.start(bus, peer, relayed)) {
+		return {failure: {cause: 'not_sent', detail: 'no link to the peer is open, or the request is not one that it takes'}, canRetry: true, targets: []};
 	}
 
 	const recordEnd = peerPaths.recordStart(peer, request.body?.length ?? 0);
