--- a/packages/mirror/mirror-relay.test.ts
+++ b/packages/mirror/mirror-relay.test.ts
@@ -220,3 +220,14 @@
 	await clock.advance(1);
 	t.match(await request(), {ok: true, value: {isWhole: true, changed: [{key: 'k/a'}, {key: 'k/c'}], revision: 102}});
 });
+
+// Guards against links that are closed again and again because of the entries of another writer.
+t.test('changes that do not fit into one message are not sent', async t => {
+	const {clock, ahead, behind, sendHeartbeat, countFetches} = start();
+	ahead.mirror.replace(Array.from({length: 20}, (_item, index) => ({...createObject(`k/${index}`, 3), value: 'x'.repeat(65_536)})), 7);
+	sendHeartbeat();
+	await clock.advance(3000);
+	t.equal(behind.mirror.revision, 0);
+	t.equal(countFetches(), 0);
+	t.equal(countFetches('unanswered'), 1);
+});
