--- a/packages/relay/target-listing.test.ts
+++ b/packages/relay/target-listing.test.ts
@@ -84,3 +84,16 @@
 	listing.update([createTarget('a'), createTarget('b')]);
 	t.strictSame(listIds(), ['a', 'b']);
 });
+
+t.test('an entry of a target that had left is not retained when it is removed from the copy, too', async t => {
+	const {clock, listing, listIds} = start();
+	listing.update([createTarget('a')]);
+	await clock.advance(1000);
+	listing.recordRestore();
+	listing.update([createTarget('a'), createTarget('b')]);
+	await clock.advance(500);
+	listing.update([createTarget('a')]);
+	t.strictSame(listIds(), ['a']);
+	await clock.advance(10_000);
+	t.strictSame(listIds(), ['a']);
+});
--- a/packages/relay/target-listing.ts
+++ b/packages/relay/target-listing.ts
@@ -92,7 +92,7 @@
 
 	#recordRemoval(id: string, target: RelayTarget): void {
 		const nowMs = this.#clock.now();
-		if (!target.isDraining && this.#isRetaining()) {
+		if (!target.isDraining && !this.#hasLeft(target) && this.#isRetaining()) {
 			this.#retained.set(id, target);
 			return;
 		}
