Target listing: draining outlasts an entry only after a return from a copy

A target that has drained was taken as draining for good, whatever its entry says. That is needed only where the store has come back from an older copy since then; otherwise its entry holds, as it did before.

--- a/packages/relay/target-listing.test.ts
+++ b/packages/relay/target-listing.test.ts
@@ -97,3 +97,14 @@
 	await clock.advance(10_000);
 	t.strictSame(listIds(), ['a']);
 });
+
+t.test('without a return from an older copy, a target is as its entry says', async t => {
+	const {clock, listing} = start();
+	listing.update([createTarget('a', true)]);
+	await clock.advance(1000);
+	listing.update([createTarget('a')]);
+	t.notOk(listing.list()[0]!.isDraining);
+	listing.recordRestore();
+	listing.update([createTarget('a')]);
+	t.notOk(listing.list()[0]!.isDraining, 'it drained no more before the return');
+});
--- a/packages/relay/target-listing.ts
+++ b/packages/relay/target-listing.ts
@@ -23,8 +23,8 @@
 	readonly #clock: Clock;
 	readonly #retained = new Map<string, RelayTarget>();
 	#listed: ReadonlyMap<string, RelayTarget> = new Map();
-	/** Incarnations of targets that drain or have drained; a process does not end that state before it exits. */
-	#draining: ReadonlySet<string> = new Set();
+	/** Time since which targets drain, by incarnation. */
+	readonly #drainingMs = new Map<string, number>();
 	/** Time of removal of entries that have not expired in an outage, by incarnation. */
 	readonly #removedMs = new Map<string, number>();
 	#restoredMs = Number.NEGATIVE_INFINITY;
@@ -58,15 +58,14 @@
 
 	/** Replaces the entries with those that the store has now. */
 	update(targets: readonly RelayTarget[]): void {
-		const listed = new Map(targets.map(target => [target.id, this.#draining.has(target.incarnation) ? {...target, isDraining: true} : target]));
+		const listed = new Map(targets.map(target => [target.id, this.#hasDrained(target) ? {...target, isDraining: true} : target]));
 		for (const [id, target] of this.#listed) {
 			if (!listed.has(id)) {
 				this.#recordRemoval(id, target);
 			}
 		}
 
-		this.#draining = new Set([...this.#draining, ...targets.filter(({isDraining}) => isDraining).map(({incarnation}) => incarnation)]
-			.filter(incarnation => this.#removedMs.has(incarnation) || targets.some(target => target.incarnation === incarnation)));
+		this.#recordDraining([...listed.values()]);
 		this.#listed = listed;
 	}
 
@@ -90,6 +89,19 @@
 		return [...this.#listed.values()].some(target => this.#hasLeft(target)) ? this.#restoredMs + reappearanceMs - nowMs : undefined;
 	}
 
+	#recordDraining(targets: readonly RelayTarget[]): void {
+		const listed = new Map(targets.map(target => [target.incarnation, target]));
+		for (const incarnation of this.#drainingMs.keys()) {
+			if (listed.get(incarnation)?.isDraining === false || (!listed.has(incarnation) && !this.#removedMs.has(incarnation))) {
+				this.#drainingMs.delete(incarnation);
+			}
+		}
+
+		for (const {incarnation} of targets.filter(({isDraining}) => isDraining)) {
+			this.#drainingMs.set(incarnation, this.#drainingMs.get(incarnation) ?? this.#clock.now());
+		}
+	}
+
 	#recordRemoval(id: string, target: RelayTarget): void {
 		const nowMs = this.#clock.now();
 		if (!target.isDraining && !this.#hasLeft(target) && this.#isRetaining()) {
@@ -105,6 +117,11 @@
 		}
 	}
 
+	/** Whether a target drained before the store came back from an older copy, which may have its entry as it was before. */
+	#hasDrained({incarnation}: RelayTarget): boolean {
+		return (this.#drainingMs.get(incarnation) ?? Number.POSITIVE_INFINITY) < this.#restoredMs;
+	}
+
 	/** Whether an entry is back only because the store came back from a copy that is older than its removal. */
 	#hasLeft({incarnation}: RelayTarget): boolean {
 		const removedMs = this.#removedMs.get(incarnation);
