Platform: a bound on the bytes of request bodies that an instance holds

Change: HeldBodies (packages/admission) reserves room for bodies that arrive and for those of requests in progress, also of peers' requests. Bodies over 64 KiB may use three quarters of it, so that small ones always find room; a body longer than the room is held if it is alone. Retry-After follows the time for which bodies are held and the bytes that were refused lately, and is at most a third of the time that the caller has left. The gauge is request_body_bytes.

The own interface (packages/entry) has no such bound yet.

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -6,3 +6,6 @@
 export {
 	Shares, type LimitAmount, type SharesDependencies, type SharesOptions,
 } from './shares.ts';
+export {
+	HeldBodies, type HeldBodiesDependencies, type HeldBodiesOptions, type HeldBody,
+} from './held-bodies.ts';
--- a/packages/core/refusal.ts
+++ b/packages/core/refusal.ts
@@ -43,6 +43,7 @@
 	stale_weights: {status: 503, ran: 'unknown', message: 'No target serves the configured weights version.'},
 	answer_too_long: {status: 502, ran: 'ran', message: 'The target\'s answer is longer than this instance accepts.'},
 	instance_overloaded: {status: 503, ran: 'not_run', message: 'This instance is overloaded and cannot start the request in time.'},
+	body_memory_full: {status: 503, ran: 'not_run', message: 'This instance holds as many bytes of request bodies as it may.'},
 	not_configured: {status: 503, ran: 'not_run', message: 'This instance has no configuration yet.'},
 	stopped: {status: 502, ran: 'unknown', message: 'This instance stopped before the target had answered; the request may have run.'},
 	stopping: {status: 503, ran: 'not_run', message: 'This instance is stopping.'},
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -11,6 +11,7 @@
 import {StoreWatchers} from './_store-watchers.ts';
 import {createInstanceRollout} from './_instance-rollout.ts';
 import type {Settings} from './settings.ts';
+import {HeldBodies} from '#admission';
 import type {Clock} from '#clock';
 import type {
 	Random, RelayConfiguration, RelayTarget, Result,
@@ -61,6 +62,8 @@
 	leaseMs: number;
 	/** Maximum time for which requests may still start on older weights after a version is published, in milliseconds. */
 	maxStaleWeightsMs: number;
+	/** Maximum number of bytes of request bodies that the instance holds. */
+	maxHeldBodyBytes: number;
 	/** Whether engines refuse orders with an old fencing token. */
 	checksFencing: boolean;
 }>;
@@ -91,6 +94,7 @@
 	peers: Peers;
 	targets: TargetSet;
 	openRequests: OpenRequests;
+	heldBodies: HeldBodies;
 	/** Counts the requests in progress. */
 	countRunning(): number;
 	/** Replaces the addresses of the peers to connect to first; see {@link Peers.setSeeds}. */
@@ -160,6 +164,7 @@
 	});
 	const {bus} = peers;
 	const openRequests = new OpenRequests();
+	const heldBodies = new HeldBodies({clock, random, telemetry}, {maxBytes: bounds.maxHeldBodyBytes});
 	const targets = new TargetSet(clock, dependencies.connections);
 	const calls = dependencies.createCalls(targets);
 	const publishedWeights = new PublishedWeights(clock);
@@ -250,7 +255,7 @@
 		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths,
 	});
 	started.relayedWork = serveRelayedRequests({
-		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
+		clock, telemetry, bus, relay, heldBodies, isReady: () => lifecycle.isReady,
 	});
 	const stopping = new AbortController();
 	const {signal} = stopping;
@@ -279,7 +284,7 @@
 	];
 
 	return {
-		gateway, lifecycle, peers, targets, openRequests,
+		gateway, lifecycle, peers, targets, openRequests, heldBodies,
 		countRunning,
 		setSeeds(addresses) {
 			peers.setSeeds(addresses);
--- a/packages/relay/head-endings.test.ts
+++ b/packages/relay/head-endings.test.ts
@@ -4,7 +4,7 @@
 import {encodeRelayedRequest, PeerExchange} from './peer-exchange.ts';
 import {serveRelayedRequests} from './peer-relay-server.ts';
 import {
-	formatChunk, onceRoute, pool, runRequest, safeRoute, sendText, sendTextAndClose, startRelay, streamRoute,
+	createHeldBodies, formatChunk, onceRoute, pool, runRequest, safeRoute, sendText, sendTextAndClose, startRelay, streamRoute,
 } from './testing/relay.ts';
 import type {RelayRequest, RelayRoute} from '#core';
 import {PeerNetworkStandin, type RawReply, type RawScript} from '#standins';
@@ -252,7 +252,7 @@
 	const bus = network.join({name: 'here', zone: 'z', incarnation: 'here'});
 	const peer = {name: 'there', zone: 'z', incarnation: 'there'};
 	serveRelayedRequests({
-		clock, telemetry: createTelemetry({level: 'silent'}), bus: network.join(peer), relay, isReady: () => true,
+		clock, telemetry: createTelemetry({level: 'silent'}), bus: network.join(peer), relay, heldBodies: createHeldBodies(clock), isReady: () => true,
 	});
 	const request: RelayRequest = {
 		id: 'a', method: 'POST', path: '/x', headers: [], body: new Uint8Array(4), route, customer: undefined, prompt: undefined, cacheScope: undefined, lastEventId,
--- a/packages/relay/peer-relay-server.test.ts
+++ b/packages/relay/peer-relay-server.test.ts
@@ -2,6 +2,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import t from 'tap';
 import {serveRelayedRequests} from './peer-relay-server.ts';
+import {createHeldBodies} from './testing/relay.ts';
 import type {RelayCaller} from './caller.ts';
 import {ManualClock} from '#clock';
 import type {
@@ -19,10 +20,11 @@
 };
 
 /** Starts the server for peers with a relay whose runs the test writes. */
-function startServer(run: (caller: RelayCaller) => Promise<void>, isReady = () => true) {
+function startServer(run: (caller: RelayCaller) => Promise<void>, isReady = () => true, maxBodyBytes?: number) {
+	const clock = new ManualClock();
 	const handlers: ChannelHandler[] = [];
 	const work = serveRelayedRequests({
-		clock: new ManualClock(), telemetry: createTelemetry({level: 'silent'}), isReady,
+		clock, telemetry: createTelemetry({level: 'silent'}), isReady, heldBodies: createHeldBodies(clock, maxBodyBytes),
 		bus: {
 			setChannelHandler(next) {
 				handlers.push(next);
@@ -102,3 +104,31 @@
 	t.match(sent, [{kind: 'refusal', ran: 'not_run'}]);
 	t.equal(work.countPending(), 0);
 });
+
+// Guards against bodies of peers' requests that fill the memory beside those of this instance's own callers.
+t.test('a request of a peer whose body does not fit is refused as not run, and a small one runs', async t => {
+	let finish = () => undefined as void;
+	const {receiver, sent, work} = startServer(async caller => {
+		await new Promise<void>(resolve => {
+			finish = resolve;
+		});
+		caller.finish();
+	}, undefined, 1_000_000);
+	const send = (bytes: number) => {
+		receiver.handlePart({kind: 'request', request: {...request, body: new Uint8Array(bytes)}});
+	};
+
+	send(700_000);
+	send(100_000);
+	t.match(sent, [{
+		kind: 'refusal', reason: 'body_memory_full', status: 503, ran: 'not_run',
+	}]);
+	send(50_000);
+	t.equal(work.countPending(), 2);
+	t.equal(sent.length, 1);
+	for (let turn = 0; turn < 5; turn++) {
+		await nextTurn();
+	}
+
+	finish();
+});
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -6,6 +6,7 @@
 import type {RelayCaller} from './caller.ts';
 import type {HeaderLines} from './exchange.ts';
 import type {Relay} from './relay.ts';
+import type {HeldBodies} from '#admission';
 import type {Cancel, Clock} from '#clock';
 import {
 	createRefusal, readArrivedInput, type Refusal, type RelayTarget,
@@ -20,6 +21,7 @@
 	telemetry: Telemetry;
 	bus: Pick<PeerBus, 'setChannelHandler'>;
 	relay: Pick<Relay, 'run'>;
+	heldBodies: Pick<HeldBodies, 'create'>;
 	/** Whether this instance takes requests. */
 	isReady: () => boolean;
 }>;
@@ -41,7 +43,7 @@
 
 /** Runs the requests that peers send on channels. */
 export function serveRelayedRequests(dependencies: PeerRelayDependencies): RelayedWork {
-	const {bus, isReady} = dependencies;
+	const {bus, isReady, heldBodies} = dependencies;
 	let running = 0;
 	let inRelay = 0;
 	const relay: PeerRelayDependencies['relay'] = {
@@ -59,9 +61,17 @@
 				return;
 			}
 
+			const held = heldBodies.create();
+			const retryAfterMs = held.admit(request.body?.length ?? 0, request.remainingMs);
+			if (retryAfterMs !== undefined) {
+				caller.refuse(createRefusal('body_memory_full', {retryAfterMs}));
+				return;
+			}
+
 			running++;
 			void runRequest({...dependencies, relay}, caller, request).finally(() => {
 				running--;
+				held.release();
 			});
 		});
 		return caller;
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -13,7 +13,8 @@
 import {TargetReach} from '../target-reach.ts';
 import {TargetSet} from '../target-set.ts';
 import {PublishedWeights} from '../published-weights.ts';
-import {ManualClock} from '#clock';
+import {HeldBodies} from '#admission';
+import {ManualClock, type Clock} from '#clock';
 import {
 	createRandom, prepareHash, type Prompt, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
 } from '#core';
@@ -127,6 +128,11 @@
 	}
 }
 
+/** Creates room for request bodies; by default, for all that a test sends. */
+export function createHeldBodies(clock: Clock, maxBytes = 1_000_000_000): HeldBodies {
+	return new HeldBodies({clock, random: createRandom(6), telemetry}, {maxBytes});
+}
+
 export async function startRelay(t: Pick<Test, 'teardown' | 'ok'>, ...scripts: readonly RawScript[]) {
 	await prepareHash();
 	const clock = new ManualClock();
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -62,6 +62,7 @@
 	platform_breaker_open: {help: 'Whether the circuit breaker blocks calls to the platform (1) or not (0).', labels: []},
 	pools_unreachable: {help: 'Pools of which this instance reaches no target.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
+	request_body_bytes: {help: 'Bytes for which room is reserved for request bodies: arriving ones, and those of requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
 
 /** Histograms, by name without the prefix `apricotdoor_`. */
