--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -13,6 +13,7 @@
 import {createInstanceRollout} from './_instance-rollout.ts';
 import {runTask} from './_run-task.ts';
 import type {Settings} from './settings.ts';
+import {HeldBodies} from '#admission';
 import {SuspensionMonitor, type Clock} from '#clock';
 import type {
 	Random, RelayConfiguration, RelayTarget, Result,
@@ -65,6 +66,8 @@
 	leaseMs: number;
 	/** Maximum time for which requests may still start on older weights after a version is published, in milliseconds. */
 	maxStaleWeightsMs: number;
+	/** Maximum number of bytes of request bodies that the instance holds. */
+	maxHeldBodyBytes: number;
 	/** Whether engines refuse orders with an old fencing token. */
 	checksFencing: boolean;
 }>;
@@ -97,6 +100,7 @@
 	peers: Peers;
 	targets: TargetSet;
 	openRequests: OpenRequests;
+	heldBodies: HeldBodies;
 	/** Counts the requests in progress. */
 	countRunning(): number;
 	/** Replaces the addresses of the peers to connect to first; see {@link Peers.setSeeds}. */
@@ -165,6 +169,7 @@
 	});
 	const {bus} = peers;
 	const openRequests = new OpenRequests();
+	const heldBodies = new HeldBodies({clock, random, telemetry}, {maxBytes: bounds.maxHeldBodyBytes});
 	const targets = new TargetSet(clock, dependencies.connections);
 	const calls = dependencies.createCalls(targets);
 	const cachedParts = new CachedParts();
@@ -261,7 +266,7 @@
 		relay, gateway, lifecycle, storeMirrors, peers, targetReach, peerPaths, lease,
 	});
 	started.relayedWork = serveRelayedRequests({
-		clock, telemetry, bus, relay, isReady: () => lifecycle.isReady,
+		clock, telemetry, bus, relay, heldBodies, isReady: () => lifecycle.isReady,
 	});
 	const tasks: Readonly<Record<string, (signal: AbortSignal) => Promise<void>>> = {
 		mirrors: async () => storeMirrors.run(store.configuration, random, signal),
@@ -288,7 +293,7 @@
 	const running = Object.entries(tasks).map(async ([task, run]) => runTask(task, run, {clock, telemetry}, signal));
 
 	return {
-		gateway, lifecycle, peers, targets, openRequests,
+		gateway, lifecycle, peers, targets, openRequests, heldBodies,
 		countRunning,
 		setSeeds(addresses) {
 			peers.setSeeds(addresses);
