Store mirrors: a return from an older copy counts before its targets are decoded

Cause: the joined parts decoded the targets at once when versions are confirmed for a stream, before the mirror's event that the store has come back from a copy; targets that had left were then listed again. Change: the epoch of the decoded targets is compared where they are decoded. Result: by reading; store-mirrors, store-drills and drill-load tests pass with it.

--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -53,6 +53,8 @@
 	/** Decoded target entries by key, each with the object that it was decoded from. */
 	#decodedTargets: ReadonlyMap<string, DecodedTarget> = new Map();
 	#isStoreAnswering = true;
+	/** Epoch of the targets that were decoded last; 0 before the first. */
+	#targetsEpoch = 0;
 
 	constructor(dependencies: StoreMirrorsDependencies) {
 		const {formats: {kinds}, clock, telemetry, bus} = dependencies;
@@ -68,12 +70,7 @@
 		this.#subscribe(this.#configuration, () => {
 			this.#applyConfigurations();
 		});
-		this.#subscribe(this.#targets, ({isNewEpoch}) => {
-			if (isNewEpoch) {
-				this.#listing.recordRestore();
-				dependencies.handleStoreReturn();
-			}
-
+		this.#subscribe(this.#targets, () => {
 			this.#decodeTargets();
 		});
 		this.#subscribe(this.#weights, ({isFirstList}) => {
@@ -179,7 +176,14 @@
 	}
 
 	#decodeTargets(): void {
-		const {formats} = this.#dependencies;
+		const {formats, handleStoreReturn} = this.#dependencies;
+		const {epoch} = this.#targets;
+		if (epoch !== this.#targetsEpoch && this.#targetsEpoch > 0) {
+			this.#listing.recordRestore();
+			handleStoreReturn();
+		}
+
+		this.#targetsEpoch = epoch;
 		// Only changed entries are decoded; otherwise a change to one of hundreds would cost as much as decoding the whole list.
 		this.#decodedTargets = new Map(this.#targets.list().map(stored => {
 			const previous = this.#decodedTargets.get(stored.key);
