Relay: instances tell each other the bounds of a publication's time

Change: a version has the earliest and the latest time of its publication, peers state both, also where the earliest is not known, and each keeps the narrowest bounds. What an instance only hears from peers is not stated, and gives way to the bounds of one that the store answers. The field of the heartbeat has a new name and a bound.

--- a/packages/clock/suspension-monitor.ts
+++ b/packages/clock/suspension-monitor.ts
@@ -6,7 +6,7 @@
  */
 import type {Cancel, Clock} from './clock.ts';
 
-/** A time in which the process did not run, on its monotonic clock. */
+/** A time in which the process did not run, on its monotonic clock; pauses that follow each other closely are one. */
 export type Suspension = Readonly<{
 	/** Time at which the process was last known to run, in milliseconds. It lies before the end by the length of the suspension, also if the monotonic clock stood still. */
 	startMs: number;
@@ -20,6 +20,9 @@
 /** Time without a tick from which on the process counts as suspended, in milliseconds; a busy event loop delays ticks, too. */
 const minGapMs = 700;
 
+/** Time between two suspensions within which they are one, in milliseconds: after a long one, the event loop is busy with what has arrived meanwhile. */
+const mergeMs = 1000;
+
 export class SuspensionMonitor {
 	readonly #clock: Clock;
 	readonly #cancel: Cancel;
@@ -51,7 +54,8 @@
 		const wallMs = this.#clock.getWallTimeMs();
 		const gapMs = Math.max(nowMs - this.#tickMs, wallMs - this.#tickWallMs);
 		if (gapMs >= minGapMs) {
-			this.#last = {startMs: nowMs - gapMs, endMs: nowMs};
+			const startMs = nowMs - gapMs;
+			this.#last = {startMs: this.#last && startMs - this.#last.endMs < mergeMs ? Math.min(this.#last.startMs, startMs) : startMs, endMs: nowMs};
 		}
 
 		this.#tickMs = nowMs;
--- a/packages/node/_store-mirrors.ts
+++ b/packages/node/_store-mirrors.ts
@@ -105,7 +105,7 @@
 	handleHeartbeat(peer: Peer, status: PeerStatus): void {
 		const {telemetry, publishedWeights, rollout} = this.#dependencies;
 		this.#mirrorRelay.handleHeartbeat(peer, status);
-		const newer = (status.publishedWeights ?? []).filter(statement => publishedWeights.merge(statement));
+		const newer = (status.weightsAges ?? []).filter(statement => publishedWeights.merge(statement));
 		for (const {model, versions} of newer) {
 			const [version, ageMs] = versions.at(-1)!;
 			telemetry.log('new version of weights published', {
@@ -211,7 +211,7 @@
 		const {formats, telemetry, publishedWeights, rollout} = this.#dependencies;
 		for (const stored of this.#weights.list()) {
 			const weights = this.#decode(stored, formats.decodeWeights);
-			if (weights && publishedWeights.record(weights.model, weights.version, wereListed)) {
+			if (weights && publishedWeights.record(weights.model, weights.version, {wasListed: wereListed, isWatching: this.#weights.isFollowingStore})) {
 				// The age is `null` if it is taken to be above any bound.
 				telemetry.log('new version of weights published', {...weights, ageMs: publishedWeights.get(weights.model)?.at(-1)?.ageMs, wasListedFirst: !wereListed});
 			}
--- a/packages/node/instance-rollout.test.ts
+++ b/packages/node/instance-rollout.test.ts
@@ -73,7 +73,7 @@
 		targets.applyPeerWork('peer', [{
 			target: '1', requests: 0, tokens: 0, ...report,
 		}], clock.now());
-		publishedWeights.record('m', 2, true);
+		publishedWeights.record('m', 2, {wasListed: true, isWatching: true});
 		await clock.advance(8000);
 		t.same([...versions].toSorted(([a], [b]) => a < b ? -1 : 1), [['1', 2], ['2', 2]]);
 		t.equal(targets.get('1')!.weights.get('m'), 2);
@@ -85,7 +85,7 @@
 	const {clock, targets, publishedWeights, versions, stop} = start();
 	await clock.advance(1000);
 	targets.get('1')!.statements.recordAnswer({isLeaving: true}, 900, 1000);
-	publishedWeights.record('m', 2, true);
+	publishedWeights.record('m', 2, {wasListed: true, isWatching: true});
 	await clock.advance(8000);
 	t.same([...versions], [['2', 2]]);
 	await stop();
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -157,7 +157,7 @@
 	const peers = await startPeers({
 		settings, clock, random, telemetry, platform: store.status, transport: dependencies.peerTransport, listIntervalMs,
 		getStatus: () => ({
-			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []), ...formatPublishedWeights(publishedWeights.listStatements()),
+			...formatUnreachablePools(started.targetReach?.listUnreachablePools() ?? []), ...formatWeightsAges(publishedWeights.listStatements()),
 			generation: started.gateway?.configuration?.version ?? 0, ready: started.lifecycle?.isReady ?? false,
 			running: started.relay?.running ?? 0, revisions: started.storeMirrors?.getRevisions() ?? {}, epochs: started.storeMirrors?.getEpochs() ?? {}, fencing: started.lease?.highestFencing ?? 0,
 		}),
@@ -326,6 +326,6 @@
 }
 
 /** Returns the field of a heartbeat's status that states the ages of published weights; none if none were published lately. */
-function formatPublishedWeights(statements: readonly WeightsStatement[]): Pick<PeerStatus, 'publishedWeights'> {
-	return statements.length > 0 ? {publishedWeights: statements.map(({model, versions}) => ({model, versions: versions.map(([version, ageMs]) => [version, ageMs])}))} : {};
+function formatWeightsAges(statements: readonly WeightsStatement[]): Pick<PeerStatus, 'weightsAges'> {
+	return statements.length > 0 ? {weightsAges: statements.map(({model, versions}) => ({model, versions: versions.map(([version, maxAgeMs, minAgeMs]) => [version, maxAgeMs, minAgeMs])}))} : {};
 }
--- a/packages/peer-protocol/envelope.ts
+++ b/packages/peer-protocol/envelope.ts
@@ -29,9 +29,9 @@
 	membersDigest: z.string().max(maxNameLength),
 	/** Pools of which the instance reaches no target; absent if there are none. */
 	unreachablePools: z.array(z.string().max(maxNameLength)).max(maxUnreachablePools).optional(),
-	/** Models whose weights were published lately, with the published versions and the time since then, in milliseconds; absent if there are none. */
-	publishedWeights: z.array(z.object({
-		model: z.string().max(maxNameLength), versions: z.array(z.tuple([z.number().int().min(0), z.number().min(0)])).max(maxVersions),
+	/** Models whose weights were published lately, with the published versions and the most and the least time since then, in milliseconds; absent if there are none. */
+	weightsAges: z.array(z.object({
+		model: z.string().max(maxNameLength), versions: z.array(z.tuple([z.number().int().min(0), z.number().min(0), z.number().min(0)])).max(maxVersions),
 	})).max(maxModels).optional(),
 });
 
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -101,14 +101,14 @@
 	const prompt = createPrompt([['a', 100], ['own', 100]]);
 	const targets = [createState(0, {weights: new Map([['m', 3]])}), createState(1, {weights: new Map([['m', 4]])})];
 	const query = () => createQuery(targets, {prompt, publishedVersions: published.get('m')});
-	published.record('m', 4, true);
+	published.record('m', 4, {wasListed: true, isWatching: true});
 	await clock.advance(7000);
-	published.record('m', 5, true);
+	published.record('m', 5, {wasListed: true, isWatching: true});
 	targets[1]!.pendingTokens.add(0, 20_000);
 	t.equal(choose(query()).state.target.id, 'e1', 'version 3 has been stale for 7 s, version 4 becomes stale now');
 	await clock.advance(7000);
 	t.equal(chooseRelayTarget(query()), 'old_weights');
-	t.notOk(published.record('m', 4, true), 'versions only rise');
+	t.notOk(published.record('m', 4, {wasListed: true, isWatching: true}), 'versions only rise');
 });
 
 t.test('during a long roll-out, stale weights are not used if the wait would exceed their time limit', async t => {
