--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -95,6 +95,16 @@
 	t.equal(chooseRelayTarget(createQuery([targets[0]!], {prompt, publishedVersions: [{version: 2, ageMs: 5600}]})), 'old_weights');
 });
 
+// Guards against a request that waits for a slot and then begins on weights that are too old.
+t.test('the wait for a slot counts toward the time limit of stale weights', async t => {
+	const prompt = createPrompt([['own', 100]]);
+	const state = createState(0);
+	const query = () => createQuery([state], {prompt, publishedVersions: [{version: 2, ageMs: 5400}]});
+	t.equal(choose(query()).state, state);
+	state.setPeerWork('peer', {requests: 100, byUrgency: []}, 0);
+	t.equal(chooseRelayTarget(query()), 'old_weights');
+});
+
 t.test('a later published version does not reset the staleness of older weights', async t => {
 	const clock = new ManualClock();
 	const published = new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)});
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -200,8 +200,13 @@
 		return false;
 	}
 
-	const waitMs = state.sumWork(query.nowMs, query.urgency).tokens * state.msPerToken;
-	return stalenessMs + waitMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
+	const queueMs = computeQueueMs(state, state.sumWork(query.nowMs, query.urgency), query.engine);
+	return stalenessMs + queueMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
+}
+
+/** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
+function computeQueueMs({msPerToken}: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, engine: EngineTraits | undefined): number {
+	return (tokens * msPerToken) + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs);
 }
 
 /** Creates the choice of a plain service; its queue, its service time and its availability zone determine the cost. */
@@ -251,12 +256,12 @@
 		const unreadTokens = Math.max(0, prompt.inputTokens - cachedTokens - fetchedTokens);
 		// A home that others may fetch parts from is as likely to have them for its own requests.
 		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
-		const {requests, tokens} = state.sumWork(query.nowMs, query.urgency);
-		const queueMs = (tokens * state.msPerToken) + (Math.max(0, requests + 1 - engine.slots) * slotWaitMs);
+		const work = state.sumWork(query.nowMs, query.urgency);
+		const queueMs = computeQueueMs(state, work, engine);
 		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
 		const waitMs = queueMs + ((unreadTokens - likelyTokens) * state.msPerToken) + fetchMs;
 		const costMs = waitMs
-			+ (requests * concurrentRequestMs)
+			+ (work.requests * concurrentRequestMs)
 			+ (cachedCount === layout.parts.length || isHome ? 0 : duplicateCacheMs)
 			+ computeZoneCostMs(query.zone, state)
 			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
