Relay: a stream that has begun is not cut because its target is silent

Cause: an exchange that may be repeated was aborted when its target fell silent, whether or not another attempt could follow. Where none could (route, retry budget, no other target or none of the software version, all others suspected), the answer was cut. Change: an answer that has begun is given up for silence only if it can go on elsewhere: at a target that is not suspected, loading weights or refusing, or through a peer. Else it stays until its deadline, and its silence makes the instance check its links once. What has not begun is answered as before, so that the caller can try again at once. The same holds for attempts through a peer that falls silent.

--- a/packages/dispatch/retry-budget.ts
+++ b/packages/dispatch/retry-budget.ts
@@ -53,8 +53,7 @@
 	 * @returns `false` when the budget is spent
 	 */
 	acquire(pool: string, hasBegun: boolean): boolean {
-		const reserved = hasBegun ? 0 : this.#computeSlack() / 2;
-		if (this.getRemaining(pool) - 1 < reserved) {
+		if (!this.canAcquire(pool, hasBegun)) {
 			return false;
 		}
 
@@ -62,6 +61,12 @@
 		return true;
 	}
 
+	/** Whether {@link RetryBudget.acquire} would succeed now. */
+	canAcquire(pool: string, hasBegun: boolean): boolean {
+		const reserved = hasBegun ? 0 : this.#computeSlack() / 2;
+		return this.getRemaining(pool) - 1 >= reserved;
+	}
+
 	/** Number of retries left in the current window. */
 	getRemaining(pool: string): number {
 		const slots = this.#pools.get(pool) ?? [];
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -12,6 +12,7 @@
 import type {OpenRequests} from './open-requests.ts';
 import type {PeerPaths} from './peer-paths.ts';
 import type {StreamOrigins} from './stream-origins.ts';
+import type {ReachedTargets} from './_target-chooser.ts';
 import type {Clock} from '#clock';
 import type {Refusal, RelayPool, RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
@@ -37,6 +38,8 @@
 	softwareVersion: string | undefined;
 	caller: RelayCaller;
 	delivery: AnswerDelivery;
+	/** Whether the attempt may be aborted because the peer is silent: the caller loses nothing by that. */
+	canGiveUp: (reached: ReachedTargets) => boolean;
 }>;
 
 /** The outcome of such an attempt; there is neither a failure nor a refusal if the caller was sent its complete answer. */
@@ -63,7 +66,7 @@
 /** Runs one attempt through a peer until it has finished. */
 export async function runPeerAttempt(dependencies: PeerAttemptDependencies, attempt: PeerAttempt): Promise<PeerAttemptResult> {
 	const {clock, bus, peerPaths, openRequests} = dependencies;
-	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery} = attempt;
+	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery, canGiveUp} = attempt;
 	const exchange = new PeerExchange(() => clock.now());
 	const relayed = encodeRelayedRequest(request, pool, {
 		maxTargets, softwareVersion, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
@@ -84,7 +87,7 @@
 			exchange.abort('stopped');
 		}),
 		clock.subscribe(checkIntervalMs, () => {
-			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs) {
+			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs && canGiveUp(exchange)) {
 				exchange.abort('silent');
 			}
 		}),
--- a/packages/relay/_progress.ts
+++ b/packages/relay/_progress.ts
@@ -139,12 +139,11 @@
 	}
 
 	/** Records a finished attempt through a peer. */
-	recordPeerAttempt({name, incarnation}: Peer, startMs: number, endMs: number, {failure, refusal, targets, body}: PeerAttemptResult): void {
+	recordPeerAttempt({name}: Peer, startMs: number, endMs: number, {failure, refusal, targets, body}: PeerAttemptResult): void {
 		this.attempts.push({
 			peer: name, targets: [...targets], fromMs: Math.round(startMs - this.request.arrivedMs), toMs: Math.round(endMs - this.request.arrivedMs),
 			end: failure?.cause ?? refusal?.reason ?? 'answered', ...(failure ? {detail: failure.detail} : {}), ...(body ? {body} : {}),
 		});
-		this.triedPeers.add(incarnation);
 		this.peerRefusal = refusal;
 		if (failure) {
 			this.cause = failure.cause;
--- a/packages/relay/_silence.ts
+++ b/packages/relay/_silence.ts
@@ -2,6 +2,8 @@
  * Aborts exchanges on which nothing arrives any more, if the request may be
  * sent again. If the target still answers other requests or, as an engine, a
  * probe, the exchange is aborted later: the request may still be queued there.
+ * A sound target may pause for a second, so an answer that has begun is only
+ * given up if it can go on elsewhere.
  */
 import type {TargetChoice} from './choose-target.ts';
 import type {Exchange} from './exchange.ts';
@@ -19,7 +21,14 @@
 }>;
 
 /** An exchange in progress, its request and the chosen target. */
-export type WatchedExchange = Readonly<{request: RelayRequest; pool: RelayPool; choice: TargetChoice; exchange: Exchange}>;
+export type WatchedExchange = Readonly<{
+	request: RelayRequest;
+	pool: RelayPool;
+	choice: TargetChoice;
+	exchange: Exchange;
+	/** Whether the exchange may be aborted: see {@link Attempt.canGiveUp}. */
+	canGiveUp: () => boolean;
+}>;
 
 /**
  * Silence after which an exchange is checked, as a multiple of the expected time
@@ -51,7 +60,7 @@
 }
 
 /** Watches an exchange for silence until the returned function is called. */
-export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {request, pool, choice, exchange}: WatchedExchange): Cancel {
+export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {request, pool, choice, exchange, canGiveUp}: WatchedExchange): Cancel {
 	const {state, waitMs} = choice;
 	const probeAfterMs = Math.max(getMinSilenceMs(request), probeFactor * waitMs);
 	const startedMs = clock.now();
@@ -65,6 +74,15 @@
 	}
 
 	let isProbing = false;
+	let hasCheckedLinks = false;
+	/** Has this instance's links checked, once: the silence may be the first sign that they are cut. */
+	const checkLinks = () => {
+		if (!hasCheckedLinks) {
+			hasCheckedLinks = true;
+			targetReach.recordFailure(pool.name);
+		}
+	};
+
 	const computeSilenceMs = () => clock.now() - Math.max(startedMs, exchange.lastReceivedMs);
 	const probeTarget = async () => {
 		isProbing = true;
@@ -72,14 +90,14 @@
 		isProbing = false;
 		if (isAlive) {
 			state.lastReceivedMs = clock.now();
-		} else if (computeSilenceMs() >= probeAfterMs) {
+		} else if (computeSilenceMs() >= probeAfterMs && canGiveUp()) {
 			exchange.abort('silent');
 		}
 	};
 
 	/** Aborts the exchange without a probe if the target is suspected meanwhile, for example after a peer's report. */
 	const handleSuspicion = () => {
-		if (computeSilenceMs() >= responsiveMs) {
+		if (computeSilenceMs() >= responsiveMs && canGiveUp()) {
 			exchange.abort('silent');
 		}
 	};
@@ -87,9 +105,13 @@
 	state.suspicionHandlers.add(handleSuspicion);
 	const cancel = clock.subscribe(checkIntervalMs, () => {
 		const silenceMs = computeSilenceMs();
-		if (silenceMs >= Math.max(maxSilenceMs, probeAfterMs)) {
+		const isTooLong = silenceMs >= Math.max(maxSilenceMs, probeAfterMs);
+		const shouldProbe = silenceMs >= probeAfterMs && clock.now() - state.lastReceivedMs >= responsiveMs && !isProbing;
+		if ((isTooLong || shouldProbe) && !canGiveUp()) {
+			checkLinks();
+		} else if (isTooLong) {
 			exchange.abort('silent');
-		} else if (silenceMs >= probeAfterMs && clock.now() - state.lastReceivedMs >= responsiveMs && !isProbing) {
+		} else if (shouldProbe) {
 			void probeTarget();
 		}
 	});
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -50,6 +50,9 @@
 /** The least urgent priority that engines accept. */
 const lowestUrgency = 9;
 
+/** The ids of the targets that an attempt may have reached, and the version of the last one's software if it is known. */
+export type ReachedTargets = Readonly<{targets: readonly string[]; softwareVersion: string | undefined}>;
+
 /** The target chosen for a request, and the urgency of the request there. */
 export type ChoiceWithUrgency = Readonly<{choice: TargetChoice; urgency: number}>;
 
@@ -99,27 +102,42 @@
 		return {choice: this.#limitKeeping(lowestChoice, request), urgency: lowestUrgency};
 	}
 
+	/** Whether a request that is in progress on some targets could move to another one, which is not known to be silent, to load weights or to refuse. */
+	canMove(progress: RelayProgress, {targets, softwareVersion}: ReachedTargets): boolean {
+		const query = this.#createQuery(progress, getUrgency(progress.request));
+		const choice = chooseRelayTarget({
+			...query, excluded: new Set([...query.excluded, ...targets]), softwareVersion: query.softwareVersion ?? softwareVersion,
+		});
+		if (typeof choice === 'string') {
+			return false;
+		}
+
+		const {suspectUntilMs, loadingUntilMs, statements} = choice.state;
+		return Math.max(suspectUntilMs, loadingUntilMs) <= query.nowMs && statements.computeAvoidanceMs(query.nowMs) === 0;
+	}
+
 	/** Lets the store keep the prompt only if the budget allows it. */
 	#limitKeeping(choice: TargetChoice, {prompt}: RelayRequest): TargetChoice {
 		const {keeper} = choice;
 		return keeper && !this.#keepBudget.acquire(keeper, prompt?.inputTokens ?? 0) ? {...choice, keeper: undefined} : choice;
 	}
 
-	/** Chooses the next target of a request at an urgency; if there is none, records the retry time in `progress`, and the cause unless an attempt has failed before. */
-	#chooseAt(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
-		const {
-			request, pool, excluded, softwareVersion,
-		} = progress;
+	#createQuery({request, pool, excluded, softwareVersion}: RelayProgress, urgency: number): TargetQuery {
 		const {
 			targets, zone, clock, random, publishedWeights, maxStaleWeightsMs, cachedParts, listKvCacheStores, countInstances, getLimitSharing,
 		} = this.#dependencies;
-		const poolTargets = targets.listPool(pool.name);
-		const nowMs = clock.now();
-		const choice = chooseRelayTarget({
-			targets: poolTargets, getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
+		return {
+			targets: targets.listPool(pool.name), getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
 			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, kvCacheStores: listKvCacheStores(), zone,
-			nowMs, random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
-		});
+			nowMs: clock.now(), random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
+		};
+	}
+
+	/** Chooses the next target of a request at an urgency; if there is none, records the retry time in `progress`, and the cause unless an attempt has failed before. */
+	#chooseAt(progress: RelayProgress, urgency: number): TargetChoice | NoTarget {
+		const query = this.#createQuery(progress, urgency);
+		const {targets: poolTargets, nowMs} = query;
+		const choice = chooseRelayTarget(query);
 		if (typeof choice === 'string') {
 			progress.cause = progress.attempts.length === 0 ? noTargetRules[choice].cause : progress.cause;
 			progress.sharedTargets = choice === 'limits_reached' ? poolTargets.filter(({isLeaving, statements}) => !isLeaving && !statements.isResting(nowMs)).map(({target}) => target.id) : [];
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -13,7 +13,7 @@
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
 import {createRelayRefusal} from './_relay-refusal.ts';
 import type {TargetReach} from './target-reach.ts';
-import {TargetChooser, type TargetChooserDependencies} from './_target-chooser.ts';
+import {TargetChooser, type ReachedTargets, type TargetChooserDependencies} from './_target-chooser.ts';
 import type {RelayPool, RelayRequest, RunState} from '#core';
 import {
 	causeRules, decideRetry, type AttemptCause, type RetryBudget,
@@ -137,6 +137,7 @@
 		progress.isSending = true;
 		const result = await runAttempt(this.#dependencies, {
 			request, pool: progress.pool, choice, urgency, caller, delivery,
+			canGiveUp: () => this.#canGiveUp(progress, delivery, {targets: [target.id], softwareVersion: target.softwareVersion}),
 		});
 		const {failure} = result;
 		progress.recordAttempt(choice, startMs, clock.now(), result);
@@ -193,8 +194,10 @@
 		const {request, pool, softwareVersion, possibleRuns} = progress;
 		const startMs = clock.now();
 		progress.isSending = true;
+		progress.triedPeers.add(peer.incarnation);
 		const result = await runPeerAttempt(this.#dependencies, {
 			request, pool, peer, softwareVersion, caller, delivery, maxTargets: request.route.maxTargets - possibleRuns,
+			canGiveUp: reached => this.#canGiveUp(progress, delivery, reached),
 		});
 		const {failure, refusal, canRetry} = result;
 		progress.recordPeerAttempt(peer, startMs, clock.now(), result);
@@ -235,6 +238,14 @@
 			: undefined;
 	}
 
+	/** Whether the attempt in progress may be aborted because nothing arrives: the answer has not begun, so that the caller can be told, or it can go on elsewhere. */
+	#canGiveUp(progress: RelayProgress, {hasStarted, canContinue}: AnswerDelivery, reached: ReachedTargets): boolean {
+		const {pool, possibleRuns, request: {route}} = progress;
+		const runs = possibleRuns + Math.max(1, reached.targets.length);
+		const mayRetry = canContinue && runs < route.maxTargets && this.#dependencies.budget.canAcquire(pool.name, true);
+		return !hasStarted || (mayRetry && (this.#choosePeer(progress) !== undefined || this.#chooser.canMove(progress, reached)));
+	}
+
 	/** Whether another attempt may follow. Such an attempt is charged to the pool's retry budget, unless no earlier attempt reached a target. */
 	#canRetry({request, pool, possibleRuns, sentAttempts, unsentMs}: RelayProgress, cause: AttemptCause, {hasStarted, canContinue}: AnswerDelivery): boolean {
 		const {clock, budget, telemetry} = this.#dependencies;
