Relay: streams through a peer that stops go on through another one

Seen: while an instance reaches no target itself, its callers' streams run through peers. When such a peer ended its planned stop, all of them were cut, though other peers served, and safe requests got the peer's 502 (LOST: the instance that took them was neither stopped nor cut off). A peer that stops has not. Change: the abort of a channel says whether the peer stops (optional, builds before ignore it); after that, and after the refusal of a stopping peer, the request is tried elsewhere by the usual rules. A refused request that may have run is no longer taken for one that was not sent.

--- a/packages/peer-protocol/channel.ts
+++ b/packages/peer-protocol/channel.ts
@@ -67,8 +67,8 @@
 	z.object({kind: z.literal('credit'), bytes: countSchema}),
 	/** The answer is complete. */
 	z.object({kind: z.literal('end')}),
-	/** The answer that has begun stays incomplete, or the caller has left. */
-	z.object({kind: z.literal('abort')}),
+	/** The answer that has begun stays incomplete, as the instance that relays it stops or for another reason, or the caller has left. */
+	z.object({kind: z.literal('abort'), isStopping: z.boolean().optional()}),
 	/** The peer refuses the request. */
 	z.object({
 		kind: z.literal('refusal'), reason: z.string().max(maxKindLength), status: countSchema, ran: z.enum(['not_run', 'unknown', 'ran']), message: textSchema,
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -107,7 +107,8 @@
 	const {targets} = exchange;
 	if (read.kind === 'refusal') {
 		const {refusal} = read;
-		return {refusal, canRetry: refusal.ran === 'not_run' && targets.length === 0, targets};
+		const isUntried = refusal.ran === 'not_run' && targets.length === 0;
+		return {refusal, canRetry: isUntried || refusal.reason === 'stopped', targets};
 	}
 
 	if (read.kind === 'fault') {
@@ -133,7 +134,7 @@
 	};
 }
 
-/** Classifies a fault. After an answer that the peer itself left incomplete, there is no retry: the peer has used up what the rules allow. */
+/** Classifies a fault. After an answer that the peer itself left incomplete, there is no retry, unless it stops: the peer has used up what the rules allow. */
 function classifyFault(detail: string): Pick<PeerAttemptResult, 'canRetry'> & Readonly<{failure: AttemptFailure}> {
 	return {failure: {cause: abortCauses.get(detail) ?? 'lost', detail}, canRetry: detail !== brokenOffDetail};
 }
--- a/packages/relay/caller.ts
+++ b/packages/relay/caller.ts
@@ -27,8 +27,12 @@
 	waitForDrain(): Promise<void>;
 	/** Finishes a complete answer. */
 	finish(): void;
-	/** Aborts an incomplete answer so that the caller cannot take it for a complete one. */
-	abort(): void;
+	/**
+	 * Aborts an incomplete answer so that the caller cannot take it for a complete one.
+	 *
+	 * @param isStopping whether the reason is that this instance stops. Default: no.
+	 */
+	abort(isStopping?: boolean): void;
 	/** Answers with a refusal by the router itself. */
 	refuse(refusal: Refusal): void;
 }>;
--- a/packages/relay/peer-exchange.ts
+++ b/packages/relay/peer-exchange.ts
@@ -18,6 +18,9 @@
 /** Detail of the fault if the peer leaves its answer incomplete. */
 export const brokenOffDetail = 'the peer left its answer incomplete';
 
+/** Detail of the fault if the peer leaves its answer incomplete because it stops. */
+const peerStoppedDetail = 'the peer stopped before its answer was complete';
+
 const endRead: BodyRead = {kind: 'end'};
 
 export class PeerExchange implements ChannelReceiver {
@@ -64,8 +67,8 @@
 			end: () => {
 				this.#finish();
 			},
-			abort: () => {
-				this.#fail(brokenOffDetail);
+			abort: ({isStopping = false}) => {
+				this.#fail(isStopping ? peerStoppedDetail : brokenOffDetail);
 			},
 			refusal: part => {
 				if (this.#head) {
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -183,9 +183,9 @@
 		this.#sendLast({kind: 'end'});
 	}
 
-	abort(): void {
+	abort(isStopping = false): void {
 		this.#waiting.length = 0;
-		this.#sendLast({kind: 'abort'});
+		this.#sendLast({kind: 'abort', ...(isStopping && {isStopping})});
 	}
 
 	refuse({reason, status, ran, message, retryAfterMs}: Refusal): void {
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -8,7 +8,7 @@
 import {runAttempt, type AttemptDependencies} from './_attempt.ts';
 import type {RelayCaller} from './caller.ts';
 import type {TargetChoice} from './choose-target.ts';
-import {runPeerAttempt, type PeerAttemptDependencies} from './_peer-attempt.ts';
+import {runPeerAttempt, type PeerAttemptDependencies, type PeerAttemptResult} from './_peer-attempt.ts';
 import {RelayProgress} from './_progress.ts';
 import {QuarantineGuard, type QuarantineGuardDependencies} from './_quarantine-guard.ts';
 import {createRelayRefusal} from './_relay-refusal.ts';
@@ -218,7 +218,7 @@
 			return {kind: 'answered'};
 		}
 
-		return canRetry && this.#canRetry(progress, failure?.cause ?? 'not_sent', delivery) ? undefined : this.#finishUnanswered(progress, delivery, caller);
+		return canRetry && this.#canRetry(progress, getPeerCause(result), delivery) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 	}
 
 	/** Chooses a peer for the next attempt of a request that this instance has accepted itself, if it reaches no target of the pool, or has no share in what the targets take. */
@@ -286,7 +286,7 @@
 	/** Finishes a request without a complete answer: aborts an answer that has started, else delivers a stored error answer, else refuses the request. */
 	#finishUnanswered(progress: RelayProgress, delivery: AnswerDelivery, caller: RelayCaller): RelayOutcome {
 		if (delivery.hasStarted) {
-			caller.abort();
+			caller.abort(progress.cause === 'stopped');
 			return {kind: 'cut', reason: progress.cause};
 		}
 
@@ -329,3 +329,8 @@
 		});
 	}
 }
+
+/** Returns the cause for which an attempt through a peer may be followed by another one. A request that the peer has refused may have run all the same. */
+function getPeerCause({failure, refusal}: PeerAttemptResult): AttemptCause {
+	return failure?.cause ?? (refusal?.ran === 'not_run' ? 'not_sent' : 'lost');
+}
