Membership: a link stays open while requests of peers run on it

Seen: instances that join or leave, a reload of the settings, or a changed list of seeds move the neighbours of a large fleet. A link to an instance that was no longer a neighbour was closed at once, and the requests on it were cut or answered as possibly run (LOST). Cause: links were taken for carriers of messages that are repeated; since requests go through peers, they carry answers too. Change: a surplus link closes once no channel on it is open. Measured: membership.test, eight instances with a request on each link while sixteen join: the new test failed on, passes now.

--- a/packages/membership/_channels.ts
+++ b/packages/membership/_channels.ts
@@ -36,6 +36,12 @@
 		receiver?.handlePart(part);
 	}
 
+	/** Whether any channel on a link is open, whichever end has opened it. */
+	hasOpen(link: PeerLink): boolean {
+		const channels = this.#links.get(link);
+		return channels !== undefined && channels.opened.size + channels.accepted.size > 0;
+	}
+
 	/** Ends all channels of a link that has closed. */
 	abortAll(link: PeerLink): void {
 		const channels = this.#links.get(link);
--- a/packages/membership/links.ts
+++ b/packages/membership/links.ts
@@ -51,6 +51,11 @@
 		return link?.isOpen ? link : undefined;
 	}
 
+	/** Returns whether channels are open on a link, so that closing it would cut the requests on them. */
+	hasOpenChannels(link: PeerLink): boolean {
+		return this.#channels.hasOpen(link);
+	}
+
 	/** Returns whether a link to the instance at this address is open. */
 	hasLinkTo(address: string): boolean {
 		return this.list().some(link => link.peer?.address === address);
--- a/packages/membership/membership.test.ts
+++ b/packages/membership/membership.test.ts
@@ -2,7 +2,7 @@
 import {Membership} from './membership.ts';
 import {ManualClock} from '#clock';
 import {createRandom, prepareHash} from '#core';
-import type {PeerMessage} from '#peer-protocol';
+import type {ChannelPart, ChannelReceiver, PeerMessage} from '#peer-protocol';
 import {PeerTransportStandin} from '#standins';
 import {createTelemetry} from '#telemetry';
 
@@ -107,6 +107,60 @@
 	t.ok(members.every((member, index) => member.received.length === (index === 5 ? 0 : 1)));
 });
 
+const request: ChannelPart = {
+	kind: 'request',
+	request: {
+		id: 'a', method: 'GET', path: '/x', headers: [], body: undefined, configurationVersion: 1, remainingMs: 100_000,
+		route: {
+			name: 'r', host: 'h', pathPrefix: '/', pools: [{pool: 'p', weight: 1}], isStream: false, retryPolicy: 'once', maxTargets: 1, timeoutMs: 100_000, promisedMs: 100,
+			promisedGapMs: 0, priority: 2, isPublic: true,
+		},
+		pool: {name: 'p', healthPath: '/health', maxConnections: 10},
+	},
+};
+
+// Guards against requests through a peer that are cut because its instance is no longer among the neighbours (LOST).
+t.test('a link to an instance that is no longer a neighbour stays until the requests on it have ended', async t => {
+	const fleet = createFleet();
+	const members = await startMany(fleet, 8);
+	t.ok(await fleet.clock.advanceUntil(() => members.every(({membership}) => membership.bus.listChannelPeers().length === 7), 5000, 10));
+	let lost = 0;
+	const createReceiver = (handlePart: (part: ChannelPart) => void): ChannelReceiver => ({
+		handlePart,
+		handleLost() {
+			lost++;
+		},
+	});
+	for (const {membership: {bus}} of members) {
+		bus.setChannelHandler(channel => createReceiver(part => {
+			if (part.kind === 'abort') {
+				channel.close();
+			}
+		}));
+	}
+
+	const channels = members.flatMap(({membership: {bus}}) => bus.listChannelPeers().map(peer => bus.openChannel(peer, createReceiver(() => undefined))!));
+	for (const channel of channels) {
+		channel.send(request);
+	}
+
+	for (let index = 9; index <= 24; index++) {
+		await fleet.start(index, ['10.0.0.1:1']);
+	}
+
+	await fleet.clock.advance(15_000);
+	t.equal(lost, 0);
+	const countLinks = () => members.reduce((sum, {membership}) => sum + membership.bus.listNeighbours().length, 0);
+	const linksInUse = countLinks();
+	for (const channel of channels) {
+		channel.send({kind: 'abort'});
+		channel.close();
+	}
+
+	await fleet.clock.advance(5000);
+	t.ok(countLinks() < linksInUse, 'links that are no longer needed close after that');
+});
+
 t.test('a connection that has gone silent is replaced', async t => {
 	const fleet = createFleet();
 	const [a, b] = await startMany(fleet, 2);
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -236,7 +236,7 @@
 		}
 
 		for (const link of this.#links.list()) {
-			if (link.role === 'opener' && !desiredAddresses.has(link.peer!.address)) {
+			if (link.role === 'opener' && !desiredAddresses.has(link.peer!.address) && !this.#links.hasOpenChannels(link)) {
 				link.close('surplus');
 			}
 		}
