Relay: a request that cannot be tried elsewhere waits longer for its silent target

Cause: an exchange that may be repeated was aborted after a silence of twice the expected time, 250 ms at least, even where no other attempt could follow: the route allows one target, the retry budget is used up, or there is no other. Change: such an exchange is aborted after 1.7 s, so that the caller can still be told and try again; before that only if the request can go on elsewhere. Measured: silent-targets.test, the tests of requests that wait fail on.

--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -51,8 +51,8 @@
 	caller: RelayCaller;
 	/** Delivers the answers of all attempts of the request. */
 	delivery: AnswerDelivery;
-	/** Whether the attempt may be aborted because its target is silent: the caller loses nothing by that. */
-	canGiveUp: () => boolean;
+	/** Whether the request could go on elsewhere if the attempt were aborted. */
+	canMove: () => boolean;
 }>;
 
 /** Why an attempt gave the caller no complete answer. */
@@ -112,7 +112,7 @@
 			exchange.abort('stopped');
 		}),
 		watchSilence(dependencies, {
-			request, pool: attempt.pool, choice, exchange, canGiveUp: attempt.canGiveUp,
+			request, pool: attempt.pool, choice, exchange, canMove: attempt.canMove, hasBegun: () => attempt.delivery.hasStarted,
 		}),
 	];
 	try {
--- a/packages/relay/_peer-attempt.ts
+++ b/packages/relay/_peer-attempt.ts
@@ -38,8 +38,8 @@
 	softwareVersion: string | undefined;
 	caller: RelayCaller;
 	delivery: AnswerDelivery;
-	/** Whether the attempt may be aborted because the peer is silent: the caller loses nothing by that. */
-	canGiveUp: (reached: ReachedTargets) => boolean;
+	/** Whether the request could go on elsewhere if the attempt were aborted. */
+	canMove: (reached: ReachedTargets) => boolean;
 }>;
 
 /** The outcome of such an attempt; there is neither a failure nor a refusal if the caller was sent its complete answer. */
@@ -66,7 +66,7 @@
 /** Runs one attempt through a peer until it has finished. */
 export async function runPeerAttempt(dependencies: PeerAttemptDependencies, attempt: PeerAttempt): Promise<PeerAttemptResult> {
 	const {clock, bus, peerPaths, openRequests} = dependencies;
-	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery, canGiveUp} = attempt;
+	const {request, pool, peer, maxTargets, softwareVersion, caller, delivery, canMove} = attempt;
 	const exchange = new PeerExchange(() => clock.now());
 	const relayed = encodeRelayedRequest(request, pool, {
 		maxTargets, softwareVersion, remainingMs: request.deadlineMs - clock.now(), lastEventId: delivery.lastEventId ?? request.lastEventId,
@@ -87,7 +87,7 @@
 			exchange.abort('stopped');
 		}),
 		clock.subscribe(checkIntervalMs, () => {
-			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs && canGiveUp(exchange)) {
+			if (request.route.retryPolicy !== 'once' && exchange.getPeerSilenceMs() > maxPeerSilenceMs && (!delivery.hasStarted || canMove(exchange))) {
 				exchange.abort('silent');
 			}
 		}),
--- a/packages/relay/_silence.ts
+++ b/packages/relay/_silence.ts
@@ -2,8 +2,9 @@
  * Aborts exchanges on which nothing arrives any more, if the request may be
  * sent again. If the target still answers other requests or, as an engine, a
  * probe, the exchange is aborted later: the request may still be queued there.
- * A sound target may pause for a second, so an answer that has begun is only
- * given up if it can go on elsewhere.
+ * A sound target may pause for a second. So a request that cannot go on elsewhere
+ * stays longer, until its caller should be told and can try again, and an answer
+ * that has begun until its deadline.
  */
 import type {TargetChoice} from './choose-target.ts';
 import type {Exchange} from './exchange.ts';
@@ -26,8 +27,10 @@
 	pool: RelayPool;
 	choice: TargetChoice;
 	exchange: Exchange;
-	/** Whether the exchange may be aborted: see {@link Attempt.canGiveUp}. */
-	canGiveUp: () => boolean;
+	/** Whether the request can go on elsewhere; see {@link Attempt.canMove}. */
+	canMove: () => boolean;
+	/** Whether the caller has been sent a part of the answer. */
+	hasBegun: () => boolean;
 }>;
 
 /**
@@ -42,7 +45,7 @@
 const minEngineSilenceMs = 600;
 const minServiceSilenceMs = 250;
 
-/** Silence after which an exchange is aborted even if its target answers on other connections, in milliseconds: a single connection can stall, and callers leave soon after that time. */
+/** Silence after which an exchange is aborted even if its target answers on other connections, or if the request cannot go on elsewhere, in milliseconds: a single connection can stall, and callers leave soon after that time. */
 const maxSilenceMs = 1700;
 
 /** Time for which a target or an exchange counts as responsive after something arrived from it, in milliseconds. */
@@ -60,7 +63,9 @@
 }
 
 /** Watches an exchange for silence until the returned function is called. */
-export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {request, pool, choice, exchange, canGiveUp}: WatchedExchange): Cancel {
+export function watchSilence({clock, probe, targetReach}: SilenceDependencies, {
+	request, pool, choice, exchange, canMove, hasBegun,
+}: WatchedExchange): Cancel {
 	const {state, waitMs} = choice;
 	const probeAfterMs = Math.max(getMinSilenceMs(request), probeFactor * waitMs);
 	const startedMs = clock.now();
@@ -90,14 +95,14 @@
 		isProbing = false;
 		if (isAlive) {
 			state.lastReceivedMs = clock.now();
-		} else if (computeSilenceMs() >= probeAfterMs && canGiveUp()) {
+		} else if (computeSilenceMs() >= probeAfterMs && canMove()) {
 			exchange.abort('silent');
 		}
 	};
 
 	/** Aborts the exchange without a probe if the target is suspected meanwhile, for example after a peer's report. */
 	const handleSuspicion = () => {
-		if (computeSilenceMs() >= responsiveMs && canGiveUp()) {
+		if (computeSilenceMs() >= responsiveMs && canMove()) {
 			exchange.abort('silent');
 		}
 	};
@@ -107,12 +112,17 @@
 		const silenceMs = computeSilenceMs();
 		const isTooLong = silenceMs >= Math.max(maxSilenceMs, probeAfterMs);
 		const shouldProbe = silenceMs >= probeAfterMs && clock.now() - state.lastReceivedMs >= responsiveMs && !isProbing;
-		if ((isTooLong || shouldProbe) && !canGiveUp()) {
-			checkLinks();
-		} else if (isTooLong) {
+		if (!isTooLong && !shouldProbe) {
+			return;
+		}
+
+		const canLeave = canMove();
+		if (isTooLong && (canLeave || !hasBegun())) {
 			exchange.abort('silent');
-		} else if (shouldProbe) {
+		} else if (canLeave) {
 			void probeTarget();
+		} else {
+			checkLinks();
 		}
 	});
 	return () => {
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -137,7 +137,7 @@
 		progress.isSending = true;
 		const result = await runAttempt(this.#dependencies, {
 			request, pool: progress.pool, choice, urgency, caller, delivery,
-			canGiveUp: () => this.#canGiveUp(progress, delivery, {targets: [target.id], softwareVersion: target.softwareVersion}),
+			canMove: () => this.#canMove(progress, delivery, {targets: [target.id], softwareVersion: target.softwareVersion}),
 		});
 		const {failure} = result;
 		progress.recordAttempt(choice, startMs, clock.now(), result);
@@ -197,7 +197,7 @@
 		progress.triedPeers.add(peer.incarnation);
 		const result = await runPeerAttempt(this.#dependencies, {
 			request, pool, peer, softwareVersion, caller, delivery, maxTargets: request.route.maxTargets - possibleRuns,
-			canGiveUp: reached => this.#canGiveUp(progress, delivery, reached),
+			canMove: reached => this.#canMove(progress, delivery, reached),
 		});
 		const {failure, refusal, canRetry} = result;
 		progress.recordPeerAttempt(peer, startMs, clock.now(), result);
@@ -238,12 +238,12 @@
 			: undefined;
 	}
 
-	/** Whether the attempt in progress may be aborted because nothing arrives: the answer has not begun, so that the caller can be told, or it can go on elsewhere. */
-	#canGiveUp(progress: RelayProgress, {hasStarted, canContinue}: AnswerDelivery, reached: ReachedTargets): boolean {
+	/** Whether a request could go on at another target or through a peer if the attempt in progress were aborted. */
+	#canMove(progress: RelayProgress, {hasStarted, canContinue}: AnswerDelivery, reached: ReachedTargets): boolean {
 		const {pool, possibleRuns, request: {route}} = progress;
 		const runs = possibleRuns + Math.max(1, reached.targets.length);
-		const mayRetry = canContinue && runs < route.maxTargets && this.#dependencies.budget.canAcquire(pool.name, true);
-		return !hasStarted || (mayRetry && (this.#choosePeer(progress) !== undefined || this.#chooser.canMove(progress, reached)));
+		const mayRetry = canContinue && runs < route.maxTargets && this.#dependencies.budget.canAcquire(pool.name, hasStarted);
+		return mayRetry && (this.#choosePeer(progress) !== undefined || this.#chooser.canMove(progress, reached));
 	}
 
 	/** Whether another attempt may follow. Such an attempt is charged to the pool's retry budget, unless no earlier attempt reached a target. */
--- a/packages/relay/silent-streams.test.ts
+++ b/packages/relay/silent-targets.test.ts
@@ -1,7 +1,7 @@
-/** Streams that have begun and whose target falls silent for a time, though it is sound. */
+/** Requests whose target falls silent for a time, though it is sound. */
 import t, {type Test} from 'tap';
 import {
-	formatEvent, silent, startRelay, streamHead, streamRoute,
+	formatEvent, ok, runRequest, safeRoute, silent, startRelay, streamHead, streamRoute,
 } from './testing/relay.ts';
 import type {RelayRoute} from '#core';
 import type {RawReply, RawScript} from '#standins';
@@ -131,3 +131,45 @@
 	t.ok(wasEndedEarly);
 	t.strictSame([caller.records, caller.text, counts], [['200 s3', 'end'], wholeText, [1, 1]]);
 });
+
+/** Answers a request late, but before its deadline. */
+async function runLateAnswer(t: Test, others: readonly RawScript[], route: RelayRoute, prepare: (setup: Awaited<ReturnType<typeof startRelay>>) => void = () => undefined) {
+	const replies: RawReply[] = [];
+	const setup = await startRelay(t, (_request, reply) => {
+		replies.push(reply);
+	}, ...others);
+	prepare(setup);
+	const {caller, isDone} = setup.startRequest(route);
+	await setup.waitUntil(() => replies.length > 0);
+	const untilMs = setup.clock.now() + route.timeoutMs - 100;
+	await setup.waitUntil(() => setup.clock.now() >= untilMs || isDone());
+	replies[0]!.write(ok);
+	await setup.waitUntil(isDone);
+	return caller;
+}
+
+// Guards against a request that is ended as possibly run while its sound target works on it, although it cannot be tried elsewhere: neither an answer nor a refusal.
+t.test('a request that may be tried at one target only waits for its answer', async t => {
+	const caller = await runLateAnswer(t, [silent], {...safeRoute, maxTargets: 1});
+	t.strictSame([caller.records, caller.text], [['200 s1', 'end'], 'ok']);
+});
+
+t.test('a request waits for its answer if the retry budget is used up', async t => {
+	const caller = await runLateAnswer(t, [silent], safeRoute, ({budget}) => {
+		while (budget.acquire('p', false)) {
+			// Uses it up.
+		}
+	});
+	t.strictSame(caller.records, ['200 s1', 'end']);
+});
+
+t.test('a request waits for its answer if there is no other target', async t => {
+	const caller = await runLateAnswer(t, [], safeRoute);
+	t.strictSame(caller.records, ['200 s1', 'end']);
+});
+
+t.test('a request that cannot be tried elsewhere is answered before its deadline, so that its caller can try again', async t => {
+	const {caller, clock} = await runRequest(t, {...safeRoute, maxTargets: 1, timeoutMs: 5000}, silent);
+	t.strictSame(caller.records, ['refused 502 target_lost unknown']);
+	t.ok(clock.now() < 2500);
+});
