Callers: one account of the memory of small parts and pipelined requests

Cause: bytes were counted, but not the objects and buffers that carry them. A chunk of one byte cost an object of its own, from callers, targets and peers alike. The HTTP parser takes all requests of one read at once, over a thousand in 64 KB, and each waited as several kilobytes of objects.

- ByteBlocks (packages/http) copies small parts into blocks.
It carries chunked bodies of callers, answers in Exchange and PeerExchange, collected and error answers, and answers to the router's own calls.
A chunked body is admitted by the memory of its blocks.
- PipelineLimit (platform) gives the parser one request head at a time, does not read a connection with 8 open requests, accounts for waiting requests in HeldBodies (a quarter of the room at most), and closes a connection without room, with 32 pipelined invalid requests in a row, or whose caller reads nothing for IdleTimeoutMs.
New counter caller_connections_closed_total.

Processor time was not measured.

--- a/packages/admission/held-bodies.ts
+++ b/packages/admission/held-bodies.ts
@@ -1,6 +1,7 @@
 /**
- * Bounds the bytes of request bodies that an instance holds: those that are still
- * arriving, and those of requests in progress, as another attempt may need them.
+ * Bounds the memory of what an instance holds for callers: request bodies that are
+ * still arriving, those of requests in progress, as another attempt may need them,
+ * and requests that wait on their connection for the responses before them.
  * A part of the room is kept for small bodies, which would otherwise be refused
  * whenever a few large ones are in progress.
  */
@@ -35,6 +36,9 @@
 /** Fraction of the room that larger bodies may use. */
 const largeShare = 0.75;
 
+/** Fraction of the room that requests may use that wait on their connections. */
+const waitingShare = 0.25;
+
 /** Time for which a body is expected to be held before any was released, in milliseconds. */
 const initialHoldMs = 1000;
 
@@ -52,6 +56,8 @@
 	readonly #dependencies: HeldBodiesDependencies;
 	readonly #maxBytes: number;
 	#bytes = 0;
+	/** Bytes of {@link HeldBodies.bytes} for requests that wait on their connections. */
+	#waitingBytes = 0;
 	/** Average time for which large bodies are held, in milliseconds. */
 	#holdMs = initialHoldMs;
 
@@ -104,6 +110,27 @@
 		};
 	}
 
+	/**
+	 * Reserves room for requests that wait on their connection for the responses before them.
+	 *
+	 * @returns whether there is room
+	 */
+	acquireWaiting(bytes: number): boolean {
+		if (this.#waitingBytes > 0 && (this.#waitingBytes + bytes > this.#maxBytes * waitingShare || this.#bytes + bytes > this.#maxBytes)) {
+			return false;
+		}
+
+		this.#waitingBytes += bytes;
+		this.#add(bytes);
+		return true;
+	}
+
+	/** Frees room that was reserved for waiting requests. */
+	releaseWaiting(bytes: number): void {
+		this.#waitingBytes -= bytes;
+		this.#add(-bytes);
+	}
+
 	/** Estimates the time until a body has room, if bodies go on being held for as long as lately and those that were refused come first. */
 	#estimateRetryAfterMs(excessBytes: number, bytes: number, leftMs: number): number {
 		const nowMs = this.#dependencies.clock.now();
--- a/packages/relay/_answer-delivery.ts
+++ b/packages/relay/_answer-delivery.ts
@@ -12,6 +12,7 @@
 import {findHeader, type HeaderLines} from './exchange.ts';
 import type {Clock} from '#clock';
 import type {RelayRequest} from '#core';
+import {ByteBlocks} from '#http';
 
 /** Maximum size of an answer that is collected whole, in bytes; a longer one is forwarded as it arrives. */
 const maxCollectedBytes = 262_144;
@@ -158,7 +159,7 @@
 	}
 
 	async #sendCollected(answer: TargetAnswer, body: AnswerBody): Promise<string | undefined> {
-		const chunks: Uint8Array[] = [];
+		const collected = new ByteBlocks();
 		let length = 0;
 		for (;;) {
 			const read = await body.read();
@@ -170,16 +171,16 @@
 				break;
 			}
 
-			chunks.push(read.bytes);
+			collected.add(read.bytes);
 			length += read.bytes.length;
 			if (length > maxCollectedBytes) {
 				this.#sendHead(answer, undefined);
-				await this.#write(Buffer.concat(chunks.splice(0)));
+				await this.#write(collected.takeAll());
 			}
 		}
 
 		this.#sendHead(answer, length);
-		await this.#write(Buffer.concat(chunks));
+		await this.#write(collected.takeAll());
 		this.#caller.finish();
 		return undefined;
 	}
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -4,7 +4,6 @@
  * aborted at the request's deadline, when the caller leaves, or when the target
  * falls silent.
  */
-import {Buffer} from 'node:buffer';
 import {AnswerBody, type BodyRecord} from './_answer-body.ts';
 import type {AnswerDelivery} from './_answer-delivery.ts';
 import type {RelayCaller} from './caller.ts';
@@ -21,6 +20,7 @@
 import type {Clock} from '#clock';
 import {getErrorMessage, type RelayPool, type RelayRequest} from '#core';
 import type {AttemptCause} from '#dispatch';
+import {ByteBlocks} from '#http';
 import {recordEscapedError, type Telemetry} from '#telemetry';
 
 export type AttemptDependencies = Readonly<{
@@ -311,8 +311,7 @@
 
 /** Reads a refusal or error answer to its end, so that its connection can be reused. Returns `undefined` if it is incomplete or too long. */
 async function readErrorBody(body: AnswerBody): Promise<Uint8Array | undefined> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
+	const received = new ByteBlocks();
 	for (;;) {
 		const read = await body.read();
 		if (read.kind === 'fault') {
@@ -320,12 +319,11 @@
 		}
 
 		if (read.kind === 'end') {
-			return Buffer.concat(chunks);
+			return received.takeAll();
 		}
 
-		chunks.push(read.bytes);
-		length += read.bytes.length;
-		if (length > maxErrorBodyBytes) {
+		received.add(read.bytes);
+		if (received.length > maxErrorBodyBytes) {
 			body.abort('the body of the refusal or error answer is too long');
 		}
 	}
--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -5,7 +5,7 @@
  */
 import type {Dispatcher} from 'undici';
 import {getErrorMessage} from '#core';
-import {decodeHeaderLines, explainHeadFault} from '#http';
+import {ByteBlocks, decodeHeaderLines, explainHeadFault} from '#http';
 
 /** Alternating header names and values, as sent or received. */
 export type HeaderLines = readonly string[];
@@ -77,8 +77,7 @@
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
 	readonly #method: string;
 	readonly #callbacks: ExchangeCallbacks;
-	readonly #chunks: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #chunks = new ByteBlocks();
 	/** Bytes that the connection had received at the last head or part of a body. */
 	#progressBytes = 0;
 	#interimAnswers = 0;
@@ -128,7 +127,6 @@
 
 		const bytes = this.#chunks.shift();
 		if (bytes) {
-			this.#bufferedBytes -= bytes.length;
 			return {kind: 'data', bytes};
 		}
 
@@ -206,9 +204,8 @@
 
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
-		this.#chunks.push(bytes);
-		this.#bufferedBytes += bytes.length;
-		if (this.#bufferedBytes > maxBufferedBytes) {
+		this.#chunks.add(bytes);
+		if (this.#chunks.length > maxBufferedBytes) {
 			controller.pause();
 		}
 
--- a/packages/relay/peer-exchange.ts
+++ b/packages/relay/peer-exchange.ts
@@ -8,6 +8,7 @@
 import {
 	refusalRules, type Refusal, type RefusalReason, type RelayPool, type RelayRequest,
 } from '#core';
+import {ByteBlocks} from '#http';
 import type {
 	ChannelPart, ChannelPartHandlers, ChannelReceiver, Peer, PeerBus, PeerChannel, RelayedRequest,
 } from '#peer-protocol';
@@ -31,7 +32,7 @@
 	/** Targets to which the peer has sent the request, or may have. */
 	readonly targets: string[] = [];
 	readonly #getNowMs: () => number;
-	readonly #chunks: Uint8Array[] = [];
+	readonly #chunks = new ByteBlocks();
 	readonly #handlers: ChannelPartHandlers;
 	#channel: PeerChannel | undefined;
 	#head: HeadRead | undefined;
@@ -62,7 +63,7 @@
 				this.#framing = bodyBytes === undefined ? 'chunked' : 'length';
 			},
 			data: ({bytes}) => {
-				this.#chunks.push(bytes);
+				this.#chunks.add(bytes);
 			},
 			end: () => {
 				this.#finish();
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -35,6 +35,7 @@
 	store_restores_total: {help: 'Changes of the epoch of the object store, after which a kind of objects was read anew, by kind.', labels: ['kind']},
 	snapshots_total: {help: 'Snapshots requested from other instances at start-up, by result.', labels: ['result']},
 	drain_cut_requests_total: {help: 'Requests still running when the drain time limit expired.', labels: []},
+	caller_connections_closed_total: {help: 'Connections of callers that were closed as pipelined requests piled up on them, by cause.', labels: ['cause']},
 	unanswered_requests_total: {help: 'Requests whose connection closed before the whole answer was sent, by what they waited for and by cause.', labels: ['stage', 'cause']},
 	attempts_via_peers_total: {help: 'Attempts through peers, as this instance reaches no target itself, by outcome.', labels: ['outcome']},
 	relayed_requests_total: {help: 'Requests run for peers that reach no target themselves, by pool.', labels: ['pool']},
@@ -65,7 +66,7 @@
 	platform_breaker_open: {help: 'Whether the circuit breaker blocks calls to the platform (1) or not (0).', labels: []},
 	pools_unreachable: {help: 'Pools of which this instance reaches no target.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
-	request_body_bytes: {help: 'Bytes for which room is reserved for request bodies: arriving ones, and those of requests in progress.', labels: []},
+	request_body_bytes: {help: 'Bytes for which room is reserved for request bodies (arriving ones, and those of requests in progress) and for requests that wait on their connections.', labels: []},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
 
 /** Histograms, by name without the prefix `apricotdoor_`. */
