Relay: a status outside 100 to 599 is an invalid answer

Cause: nothing checked the status. An answer with status 600 or 999 to a request that must not be repeated was passed on to its caller.

Change: Exchange treats such a head as a fault, like other invalid heads: a request that may be repeated is tried at another target, any other gets 502.

Result: packages/relay/invalid-statuses.test.ts and platform/invalid-statuses.test.ts fail before the change for 600 and 999 (requests that run once; 20 of 150 cases and 1 of 3) and pass with it. Status 000 and 099 pass before it too, in all cases tried, also on the built program: the HTTP client refuses them, and no caller's connection was closed without a response. packages/relay/early-answers.test.ts (200 without a length, a part and a reset while an upload of 16 MB is being written, 18 ways of 30 runs) passes with the change; it guards behaviour that was right before and was not run without it.

--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -65,6 +65,10 @@
 /** Maximum number of interim answers (RFC 9110, section 15.2) before the final one. */
 const maxInterimAnswers = 16;
 
+/** Bounds of a status (RFC 9110, section 15). */
+const minStatus = 100;
+const maxStatus = 599;
+
 /** Maximum number of bytes buffered for the caller before the connection is paused. */
 const maxBufferedBytes = 65_536;
 
@@ -168,7 +172,7 @@
 		}
 
 		const headers = decodeHeaderLines(controller.rawHeaders);
-		const headFault = explainHeadFault(reason, headers);
+		const headFault = status < minStatus || status > maxStatus ? `the answer has the status ${status}, which HTTP does not define` : explainHeadFault(reason, headers);
 		if (headFault !== undefined) {
 			this.abort(headFault);
 			return;
