--- a/packages/relay/exchange.ts
+++ b/packages/relay/exchange.ts
@@ -5,7 +5,7 @@
  */
 import type {Dispatcher} from 'undici';
 import {getErrorMessage} from '#core';
-import {decodeHeaderLines, explainHeadFault} from '#http';
+import {ByteBlocks, decodeHeaderLines, explainHeadFault} from '#http';
 
 /** Alternating header names and values, as sent or received. */
 export type HeaderLines = readonly string[];
@@ -65,6 +65,10 @@
 /** Maximum number of interim answers (RFC 9110, section 15.2) before the final one. */
 const maxInterimAnswers = 16;
 
+/** Bounds of a status (RFC 9110, section 15). */
+const minStatus = 100;
+const maxStatus = 599;
+
 /** Maximum number of bytes buffered for the caller before the connection is paused. */
 const maxBufferedBytes = 65_536;
 
@@ -77,8 +81,7 @@
 	lastReceivedMs = Number.NEGATIVE_INFINITY;
 	readonly #method: string;
 	readonly #callbacks: ExchangeCallbacks;
-	readonly #chunks: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #chunks = new ByteBlocks();
 	/** Bytes that the connection had received at the last head or part of a body. */
 	#progressBytes = 0;
 	#interimAnswers = 0;
@@ -128,7 +131,6 @@
 
 		const bytes = this.#chunks.shift();
 		if (bytes) {
-			this.#bufferedBytes -= bytes.length;
 			return {kind: 'data', bytes};
 		}
 
@@ -170,7 +172,7 @@
 		}
 
 		const headers = decodeHeaderLines(controller.rawHeaders);
-		const headFault = explainHeadFault(reason, headers);
+		const headFault = status < minStatus || status > maxStatus ? `the answer has the status ${status}, which HTTP does not define` : explainHeadFault(reason, headers);
 		if (headFault !== undefined) {
 			this.abort(headFault);
 			return;
@@ -206,9 +208,8 @@
 
 		this.lastReceivedMs = this.#callbacks.recordReceived();
 		this.#progressBytes = this.#callbacks.countReceivedBytes();
-		this.#chunks.push(bytes);
-		this.#bufferedBytes += bytes.length;
-		if (this.#bufferedBytes > maxBufferedBytes) {
+		this.#chunks.add(bytes);
+		if (this.#chunks.length > maxBufferedBytes) {
 			controller.pause();
 		}
 
