Admission: rate limits of customers over all instances

Cause: a customer's RatePerS, Burst, Unit and PlainTokens in the stored configuration were not read, and nothing limited what a customer sends.

Change: CustomerLimits gives each instance its part of the demand that all instances state in an optional field of the peer message `demand`. A request is refused with 429 before its body is read, and its cost is refunded if the relay ends it without having run it. The last valid limit stays in force when a new one cannot be parsed. Bounds.QuotaWindowS, QuotaOver and QuotaSlack set the tolerance.

--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -9,3 +9,4 @@
 export {
 	HeldBodies, type HeldBodiesDependencies, type HeldBodiesOptions, type HeldBody,
 } from './held-bodies.ts';
+export {CustomerLimits, type CustomerLimitsDependencies, type LimitTolerance} from './customer-limits.ts';
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -19,7 +19,7 @@
 } from './target.ts';
 export type {
 	CallerLimits, EngineTraits, KvCacheStore, PoolShare, Prompt, PromptPart, RelayConfiguration, RelayCustomer, RelayPool, RelayRequest,
-	RelayRoute, RelayTarget, RetryPolicy,
+	RelayRoute, RelayTarget, RetryPolicy, WorkLimit,
 } from './relay.ts';
 export {attemptOutcomes, type AttemptOutcome} from './outcome.ts';
 export {
--- a/packages/core/relay.ts
+++ b/packages/core/relay.ts
@@ -72,6 +72,18 @@
 	engine?: EngineTraits;
 }>;
 
+/** Limit on the work of a customer over all instances. */
+export type WorkLimit = Readonly<{
+	/** What is counted: the tokens that requests state, or requests. */
+	unit: 'tokens' | 'requests';
+	/** Units per second; always positive. */
+	perSecond: number;
+	/** Units that may be used at once beyond the rate. */
+	burst: number;
+	/** Cost of a request that states no tokens, if tokens are counted. */
+	plainTokens: number;
+}>;
+
 /** The customer that sends a request. */
 export type RelayCustomer = Readonly<{
 	name: string;
@@ -79,6 +91,10 @@
 	priority?: number;
 	/** Whether cache entries of this customer must not serve other customers. */
 	isIsolated: boolean;
+	/** Absent if the customer has no limit. */
+	limit?: WorkLimit;
+	/** Whether the configuration states a limit that cannot be parsed; the last valid one stays in force. */
+	isLimitMalformed?: boolean;
 }>;
 
 /** Limits on callers' requests and connections. */
@@ -98,7 +114,7 @@
 	/** Customers by API key; absent if no request needs a key. */
 	customers?: ReadonlyMap<string, RelayCustomer>;
 	limits: CallerLimits;
-	/** What is wrong with the routes, pools and customers that could not be read and are left out; absent if there are none. */
+	/** What is wrong with the routes, pools, customers and limits of customers that could not be read and are left out; absent if there are none. */
 	omitted?: readonly string[];
 }>;
 
--- a/packages/gateway/gateway.test.ts
+++ b/packages/gateway/gateway.test.ts
@@ -195,3 +195,78 @@
 	t.match(refusedWith, [{reason: 'no_target', ran: 'not_run'}]);
 	t.equal(runs.length, 0);
 });
+
+/** A gateway before a stub of the limits, which refuses costs above 50 and records what it is given. */
+function createLimitedGateway(runState: string) {
+	const clock = new ManualClock();
+	const calls: Array<readonly unknown[]> = [];
+	const gateway = new Gateway({
+		clock, telemetry: createTelemetry({level: 'silent'}), random: createRandom(4), resolveOrigin: async () => runAnywhere, relay: {run: async () => runState},
+		customerLimits: {
+			setLimits(limits) {
+				calls.push(['limits', ...limits.keys()]);
+			},
+			admit(customer, cost) {
+				calls.push(['admit', customer, cost]);
+				return cost > 50 ? 700 : undefined;
+			},
+			refund(customer, cost) {
+				calls.push(['refund', customer, cost]);
+			},
+		},
+	});
+	const limit = {
+		unit: 'tokens', perSecond: 10, burst: 20, plainTokens: 7,
+	} as const;
+	gateway.applyConfiguration(createConfiguration(1, {customers: new Map([['k1', {name: 'ann', isIsolated: false, limit}], ['k2', {name: 'bo', isIsolated: false}]])}));
+	return {gateway, calls, limit};
+}
+
+// Guards against a cost that is not that of the header, or a customer without a limit that is asked for one.
+t.test('a request costs its stated tokens or those of a plain one, and is refused with 429 over the limit', async t => {
+	const {gateway, calls} = createLimitedGateway('ran');
+	t.match(gateway.accept({...head, statedTokens: 51}), {
+		ok: false, error: {
+			reason: 'rate_limited', status: 429, ran: 'not_run', retryAfterMs: 700,
+		},
+	});
+	t.match(gateway.accept({...head, statedTokens: 50}), {ok: true});
+	t.match(gateway.accept(head), {ok: true});
+	t.match(gateway.accept({...head, apiKey: 'k2', statedTokens: 51}), {ok: true});
+	t.strictSame(calls, [['limits', 'ann'], ['admit', 'ann', 51], ['admit', 'ann', 50], ['admit', 'ann', 7]]);
+});
+
+// Guards against a customer that pays for what has not run, or does not pay for what may have.
+t.test('a request that has not run is refunded once, and no other', async t => {
+	for (const [runState, refunds] of [['not_run', 1], ['unknown', 0], ['ran', 0]] as const) {
+		const {gateway, calls} = createLimitedGateway(runState);
+		const accepted = gateway.accept(head);
+		if (accepted.ok) {
+			await gateway.run(accepted.value, undefined, caller);
+			gateway.finish(accepted.value);
+			gateway.finish(accepted.value);
+		}
+
+		t.equal(calls.filter(([call]) => call === 'refund').length, refunds, runState);
+	}
+
+	const {gateway, calls} = createLimitedGateway('ran');
+	const accepted = gateway.accept(head);
+	if (accepted.ok) {
+		gateway.finish(accepted.value);
+	}
+
+	t.strictSame(calls.at(-1), ['refund', 'ann', 7], 'a request whose body did not arrive');
+});
+
+// Guards against a limit that falls away because a new one cannot be parsed.
+t.test('a malformed limit leaves the one in force, also in later configurations', async t => {
+	const {gateway, calls, limit} = createLimitedGateway('ran');
+	for (const version of [2, 3]) {
+		gateway.applyConfiguration(createConfiguration(version, {customers: new Map([['k9', {name: 'ann', isIsolated: false, isLimitMalformed: true}]])}));
+		t.strictSame(gateway.configuration?.customers?.get('k9')?.limit, limit);
+	}
+
+	gateway.applyConfiguration(createConfiguration(4));
+	t.strictSame(calls.slice(-3), [['limits', 'ann'], ['limits', 'ann'], ['limits']]);
+});
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -4,10 +4,11 @@
  * limits and sets the deadline.
  */
 import {OverloadGuard} from './overload-guard.ts';
+import type {CustomerLimits} from '#admission';
 import type {Clock} from '#clock';
 import {
 	fail, hash64, createRefusal, readArrivedInput, succeed, type Prompt, type Random, type Refusal, type RefusalOptions, type RefusalReason, type RelayConfiguration, type RelayCustomer,
-	type RelayRoute, type Result,
+	type RelayRoute, type Result, type WorkLimit,
 } from '#core';
 import type {
 	OriginDecision, Relay, RelayCaller, ResumedStream,
@@ -21,7 +22,10 @@
 	clock: Clock;
 	random: Random;
 	telemetry: Telemetry;
-	relay: Pick<Relay, 'run'>;
+	/** The result of `run` is a {@link RunState}; only `not_run` is looked at. */
+	relay: Readonly<{run: (...parameters: Parameters<Relay['run']>) => Promise<unknown>}>;
+	/** Enforces the limits of customers. Default: none are enforced. */
+	customerLimits?: Pick<CustomerLimits, 'setLimits' | 'admit' | 'refund'>;
 	/** Decides where a stream that its caller resumes may go on. */
 	resolveOrigin: (stream: ResumedStream) => Promise<OriginDecision>;
 }>;
@@ -41,6 +45,8 @@
 	/** Id of the request that brought the first event of that stream, if the caller states it. */
 	resumedRequestId: string | undefined;
 	prompt: Prompt | undefined;
+	/** Tokens of the prompt and of the longest answer that the caller states, added up; absent if not stated. */
+	statedTokens?: number | undefined;
 	/** Alternating header names and values that are forwarded to a target. */
 	forwardedHeaders: readonly string[];
 	/** Size of all header lines, in bytes. */
@@ -71,6 +77,9 @@
 	sharedScope: string;
 }>;
 
+/** What a request costs of its customer's limit. */
+type Charge = Readonly<{customer: string; cost: number}>;
+
 /** Retry time of a refusal while the configuration or the route's pool is missing, in milliseconds; a starting instance reads its configuration in less. */
 const notConfiguredRetryAfterMs = 500;
 
@@ -87,6 +96,8 @@
 export class Gateway {
 	readonly #dependencies: GatewayDependencies;
 	readonly #overloadGuard: OverloadGuard;
+	/** What accepted requests cost that have not run yet; it is given back if they end without having run. */
+	readonly #charges = new WeakMap<AcceptedRequest, Charge>();
 	#active: ActiveConfiguration | undefined;
 	#resolving = 0;
 
@@ -110,11 +121,13 @@
 	 *
 	 * @returns `false` if the active configuration has the same or a higher version
 	 */
-	applyConfiguration(configuration: RelayConfiguration): boolean {
-		if (configuration.version <= (this.#active?.configuration.version ?? 0)) {
+	applyConfiguration(received: RelayConfiguration): boolean {
+		if (received.version <= (this.#active?.configuration.version ?? 0)) {
 			return false;
 		}
 
+		const configuration = keepValidLimits(received, this.#active?.configuration);
+		this.#dependencies.customerLimits?.setLimits(listLimits(configuration));
 		this.#active = {configuration, routeTable: createRouteTable(configuration.routes), sharedScope: computeSharedScope(configuration)};
 		this.#dependencies.telemetry.set('configuration_generation', configuration.version);
 		this.#dependencies.telemetry.log('configuration in force', {version: configuration.version, routes: configuration.routes.length});
@@ -154,15 +167,36 @@
 			return fail(this.refuse(head, 'instance_overloaded', {retryAfterMs, detail: `Input waits ${delayMs} ms until it is read.`}));
 		}
 
+		const charge = createCharge(head, customer);
+		const limitedMs = charge && this.#dependencies.customerLimits?.admit(charge.customer, charge.cost);
+		if (limitedMs !== undefined) {
+			return fail(this.refuse(head, 'rate_limited', {retryAfterMs: limitedMs}));
+		}
+
 		const arrivedMs = this.#dependencies.clock.now();
 		const deadlineMs = arrivedMs + Math.min(head.remainingMs ?? Infinity, route.timeoutMs);
-		return succeed({
+		const accepted: AcceptedRequest = {
 			head, configuration, route, customer, arrivedMs, deadlineMs, maxBodyBytes, cacheScope: head.prompt && (customer?.isIsolated ? `only ${customer.name}` : sharedScope),
-		});
+		};
+		if (charge) {
+			this.#charges.set(accepted, charge);
+		}
+
+		return succeed(accepted);
+	}
+
+	/** Ends an accepted request. If it has not run, its customer gets back what it has cost. */
+	finish(accepted: AcceptedRequest): void {
+		const charge = this.#charges.get(accepted);
+		if (charge) {
+			this.#charges.delete(accepted);
+			this.#dependencies.customerLimits?.refund(charge.customer, charge.cost);
+		}
 	}
 
 	/** Runs an accepted request on a pool of its route: where the stream that the caller resumes began, else chosen at random by weight. */
-	async run({head, configuration, route, customer, arrivedMs, deadlineMs, cacheScope}: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
+	async run(accepted: AcceptedRequest, body: Uint8Array | undefined, caller: RelayCaller): Promise<void> {
+		const {head, configuration, route, customer, arrivedMs, deadlineMs, cacheScope} = accepted;
 		const {random, relay, resolveOrigin} = this.#dependencies;
 		this.#resolving++;
 		// The caller may have left before its request was read; the end of its connection then lies behind the request.
@@ -190,11 +224,17 @@
 			return;
 		}
 
-		await relay.run({
+		// Until the relay says otherwise, the request counts as run.
+		const charge = this.#charges.get(accepted);
+		this.#charges.delete(accepted);
+		const runState = await relay.run({
 			id: head.requestId, method: head.method, path: head.path, headers: head.forwardedHeaders, body, route, customer, prompt: head.prompt, cacheScope,
 			lastEventId: head.lastEventId, resumedRequestId: head.resumedRequestId, softwareVersion: origin?.softwareVersion ?? onlyVersions?.get(pool.name),
 			configurationVersion: configuration.version, arrivedMs, deadlineMs,
 		}, pool, caller);
+		if (charge && runState === 'not_run') {
+			this.#charges.set(accepted, charge);
+		}
 	}
 
 	/** Creates, counts and logs the refusal of a request that reached no target. */
@@ -210,6 +250,45 @@
 	}
 }
 
+/** Creates the charge for a request; `undefined` if its customer has no limit. */
+function createCharge({statedTokens}: RequestHead, customer: RelayCustomer | undefined): Charge | undefined {
+	if (!customer?.limit) {
+		return undefined;
+	}
+
+	const {unit, plainTokens} = customer.limit;
+	return {customer: customer.name, cost: unit === 'tokens' ? statedTokens ?? plainTokens : 1};
+}
+
+/** Keeps the limits in force of customers whose new limit cannot be parsed. */
+function keepValidLimits(received: RelayConfiguration, previous: RelayConfiguration | undefined): RelayConfiguration {
+	const customers = [...received.customers ?? []];
+	if (!customers.some(([, {isLimitMalformed}]) => isLimitMalformed)) {
+		return received;
+	}
+
+	const limits = previous ? listLimits(previous) : new Map<string, WorkLimit>();
+	return {
+		...received,
+		customers: new Map(customers.map(([key, customer]) => {
+			const limit = limits.get(customer.name);
+			return [key, customer.isLimitMalformed && limit ? {...customer, limit} : customer];
+		})),
+	};
+}
+
+/** Lists the limits of customers, by name. */
+function listLimits({customers}: RelayConfiguration): ReadonlyMap<string, WorkLimit> {
+	const limits = new Map<string, WorkLimit>();
+	for (const {name, limit} of customers?.values() ?? []) {
+		if (limit) {
+			limits.set(name, limit);
+		}
+	}
+
+	return limits;
+}
+
 /**
  * Computes the cache scope of the customers that are not isolated. Each set of
  * isolated customers gives another scope, so that entries which a customer
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -13,7 +13,7 @@
 import {createInstanceRollout} from './_instance-rollout.ts';
 import {runTask} from './_run-task.ts';
 import type {Settings} from './settings.ts';
-import {HeldBodies} from '#admission';
+import {CustomerLimits, HeldBodies} from '#admission';
 import {SuspensionMonitor, type Clock} from '#clock';
 import type {
 	Random, RelayConfiguration, RelayTarget, Result,
@@ -70,6 +70,12 @@
 	maxHeldBodyBytes: number;
 	/** Whether engines refuse orders with an old fencing token. */
 	checksFencing: boolean;
+	/** Window in which the work of a customer is compared with its limit, in milliseconds. */
+	quotaWindowMs: number;
+	/** Part of a customer's limit by which its work may exceed it within a window, over all instances. */
+	quotaOver: number;
+	/** Units by which it may exceed that. */
+	quotaSlack: number;
 }>;
 
 /** Calls to targets other than callers' requests. */
@@ -222,8 +228,12 @@
 			ratio: bounds.retryRatio * retryRatioShare, slack: bounds.retrySlack * retrySlackShare, windowMs: bounds.retryWindowMs, countInstances: countSharingInstances,
 		}),
 	});
+	const customerLimits = new CustomerLimits({
+		clock, random, telemetry, bus, incarnation: peers.incarnation, countInstances: countSharingInstances,
+		tolerance: {windowMs: bounds.quotaWindowMs, ratio: bounds.quotaOver, slack: bounds.quotaSlack},
+	});
 	const gateway = new Gateway({
-		clock, random, telemetry, relay, resolveOrigin: async stream => resolveOrigin({
+		clock, random, telemetry, relay, customerLimits, resolveOrigin: async stream => resolveOrigin({
 			origins, exchange: originExchange, refresh, targets, versionRecord, telemetry,
 		}, stream),
 	});
@@ -301,6 +311,7 @@
 		async stop() {
 			stopping.abort();
 			suspensions.close();
+			customerLimits.close();
 			quarantine.close();
 			partStrikes.close();
 			await peers.stop();
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -9,6 +9,7 @@
 const maxUrgencies = 10;
 const maxPools = 256;
 const maxVersionsPerPool = 64;
+const maxStatementsBytes = 65_536;
 
 const nameSchema = z.string().max(maxNameLength);
 
@@ -76,6 +77,8 @@
 	z.object({
 		kind: z.literal('demand'), sentMs: z.number(),
 		limits: z.array(z.object({key: nameSchema, requestsPerSecond: z.number(), concurrent: z.number()})).max(maxEntries),
+		/** What instances state about customers with a limit; `#admission` encodes it. Programs that do not know the field pass nothing on. */
+		customers: z.custom<Uint8Array>(value => value instanceof Uint8Array && value.length <= maxStatementsBytes).optional(),
 	}),
 	/** Parts of the sender's shares that other instances may use for a limited time, which starts when they sent their demand (`askedMs`). `to` is the incarnation of the borrower. */
 	z.object({
--- a/packages/relay/peer-relay-server.ts
+++ b/packages/relay/peer-relay-server.ts
@@ -20,7 +20,7 @@
 	clock: Clock;
 	telemetry: Telemetry;
 	bus: Pick<PeerBus, 'setChannelHandler'>;
-	relay: Pick<Relay, 'run'>;
+	relay: Readonly<{run: (...parameters: Parameters<Relay['run']>) => Promise<unknown>}>;
 	heldBodies: Pick<HeldBodies, 'create'>;
 	/** Whether this instance takes requests. */
 	isReady: () => boolean;
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -72,8 +72,9 @@
 	 * Relays one request; runs until the caller has its answer, is refused or has left.
 	 *
 	 * @param pool pool that serves the request
+	 * @returns whether the request has run
 	 */
-	async run(request: RelayRequest, pool: RelayPool, caller: RelayCaller): Promise<void> {
+	async run(request: RelayRequest, pool: RelayPool, caller: RelayCaller): Promise<RunState> {
 		this.#running++;
 		if (request.relayedBy === undefined) {
 			this.#dependencies.budget.recordFirstAttempt(pool.name);
@@ -84,6 +85,7 @@
 			const delivery = new AnswerDelivery(request, caller, this.#dependencies.clock);
 			const outcome = await this.#runAttempts(progress, delivery, caller).catch((error: unknown) => this.#finishEscaped(error, progress, delivery, caller));
 			this.#recordOutcome(progress, delivery, outcome);
+			return classifyEnd(progress, delivery, outcome);
 		} finally {
 			this.#running--;
 		}
@@ -330,6 +332,15 @@
 	}
 }
 
+/** Returns whether a request has run that has ended. One whose caller left during an attempt may have. */
+function classifyEnd({runState, attempts}: RelayProgress, {hasStarted}: AnswerDelivery, {kind, ran}: RelayOutcome): RunState {
+	if (kind === 'answered' || hasStarted) {
+		return 'ran';
+	}
+
+	return kind === 'caller_left' && attempts.at(-1)?.end === 'answered' ? 'unknown' : ran ?? runState;
+}
+
 /** Returns the cause for which an attempt through a peer may be followed by another one. A request that the peer has refused may have run all the same. */
 function getPeerCause({failure, refusal}: PeerAttemptResult): AttemptCause {
 	return failure?.cause ?? (refusal?.ran === 'not_run' ? 'not_sent' : 'lost');
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -50,6 +50,7 @@
 	capacity_orders_total: {help: 'Orders to engines, by pool, kind and result.', labels: ['pool', 'kind', 'result']},
 	weights_orders_total: {help: 'Orders to load weights, by outcome.', labels: ['outcome']},
 	lease_changes_total: {help: 'Leases taken, released and superseded, by lease.', labels: ['lease', 'event']},
+	customer_limit_units_total: {help: 'Units of requests of customers with a limit, by customer and outcome; `refunded` ones have not run.', labels: ['customer', 'outcome']},
 	claim_removals_total: {help: 'Removals of expired claim records, by result.', labels: ['result']},
 	platform_calls_total: {help: 'Calls to the platform, by kind and result.', labels: ['kind', 'result']},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
@@ -64,6 +65,9 @@
 	admission_waiting: {help: 'Requests waiting for a pool on this instance.', labels: ['pool']},
 	platform_breaker_open: {help: 'Whether the circuit breaker blocks calls to the platform (1) or not (0).', labels: []},
 	pools_unreachable: {help: 'Pools of which this instance reaches no target.', labels: []},
+	customer_limit_share: {help: 'Share of this instance in the limit of a customer, by customer.', labels: ['customer']},
+	customer_limit_level: {help: 'Units that this instance may still use of the limit of a customer at once, by customer; negative if it has used units of later.', labels: ['customer']},
+	customer_limit_statements: {help: 'Statements of instances about customers with a limit that this instance holds.', labels: []},
 	requests_running: {help: 'Requests in progress.', labels: []},
 	request_body_bytes: {help: 'Bytes for which room is reserved for request bodies: arriving ones, and those of requests in progress.', labels: []},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
