Relay: urgency from the customer's priority first, then the route's

A customer's priority replaced that of the route, so all requests of one customer had the same urgency at engines, whatever their kind. The levels 0 to 9 are now derived from the priorities that the configuration in force holds: each customer priority has its own range of levels, in which the route decides. Where all customers have the same priority, or none, the urgency is the route's priority as before.

--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -213,7 +213,7 @@
 		bus, targetReach, peerPaths, openRequests, listSharers: target => peers.listFirst(formatShareDuty(target), sharersPerTarget),
 		clock, random, telemetry, targets, cachedParts, listKvCacheStores: () => kvCacheStores.listAnswering(), streamOrigins: origins, quarantine,
 		partQuarantine, dialect: dependencies.dialect, zone: settings.zone,
-		publishedWeights, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
+		publishedWeights, getConfiguration: () => started.gateway?.configuration, probe: calls.probe, maxStaleWeightsMs: bounds.maxStaleWeightsMs, countInstances: countSharingInstances,
 		getLimitSharing: ({id}) => ({instances: countLiveInstances(), rank: peers.getRank(formatShareDuty(id))}),
 		handleMismatch(state, mismatch) {
 			mismatchHandler.handle(state, mismatch);
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -11,8 +11,9 @@
 import type {PublishedWeights} from './published-weights.ts';
 import type {TargetSet} from './target-set.ts';
 import type {TargetState} from './target-state.ts';
+import {lowestUrgency, UrgencyScale} from './urgency.ts';
 import type {Clock} from '#clock';
-import type {Random, RelayRequest} from '#core';
+import type {Random, RelayConfiguration, RelayRequest} from '#core';
 
 export type TargetChooserDependencies = Readonly<{
 	clock: Clock;
@@ -29,6 +30,8 @@
 	/** Counts the instances that share the connections to the targets. */
 	countInstances: () => number;
 	getLimitSharing: TargetQuery['getLimitSharing'];
+	/** Returns the configuration in force, whose priorities determine the urgency levels. */
+	getConfiguration: () => Pick<RelayConfiguration, 'customers' | 'routes'> | undefined;
 }>;
 
 /** Time for which a caller is expected to wait for the first event, as a multiple of the promised time. */
@@ -47,9 +50,6 @@
 	limits_reached: {cause: 'limited', retryAfterMs: 1000},
 } as const satisfies Readonly<Record<NoTarget, Readonly<{cause: RelayProgress['cause']; retryAfterMs: number}>>>;
 
-/** The least urgent priority that engines accept. */
-const lowestUrgency = 9;
-
 /** The ids of the targets that an attempt may have reached, and the version of the last one's software if it is known. */
 export type ReachedTargets = Readonly<{targets: readonly string[]; softwareVersion: string | undefined}>;
 
@@ -59,6 +59,8 @@
 export class TargetChooser {
 	readonly #dependencies: TargetChooserDependencies;
 	readonly #keepBudget: KeepBudget;
+	#scaleConfiguration: ReturnType<TargetChooserDependencies['getConfiguration']>;
+	#scale = new UrgencyScale(undefined);
 
 	constructor(dependencies: TargetChooserDependencies) {
 		this.#dependencies = dependencies;
@@ -75,7 +77,7 @@
 	 */
 	choose(progress: RelayProgress): ChoiceWithUrgency | undefined {
 		const {request} = progress;
-		const urgency = getUrgency(request);
+		const urgency = this.#getUrgency(request);
 		const choice = this.#chooseAt(progress, urgency);
 		if (typeof choice === 'string') {
 			return undefined;
@@ -104,7 +106,7 @@
 
 	/** Whether a request that is in progress on some targets could move to another one, which is not known to be silent, to load weights or to refuse. */
 	canMove(progress: RelayProgress, {targets, softwareVersion}: ReachedTargets): boolean {
-		const query = this.#createQuery(progress, getUrgency(progress.request));
+		const query = this.#createQuery(progress, this.#getUrgency(progress.request));
 		const choice = chooseRelayTarget({
 			...query, excluded: new Set([...query.excluded, ...targets]), softwareVersion: query.softwareVersion ?? softwareVersion,
 		});
@@ -116,6 +118,17 @@
 		return Math.max(suspectUntilMs, loadingUntilMs) <= query.nowMs && statements.computeAvoidanceMs(query.nowMs) === 0;
 	}
 
+	/** Returns the urgency of a request by the priorities of the configuration in force. */
+	#getUrgency({customer, route}: RelayRequest): number {
+		const configuration = this.#dependencies.getConfiguration();
+		if (configuration !== this.#scaleConfiguration) {
+			this.#scaleConfiguration = configuration;
+			this.#scale = new UrgencyScale(configuration);
+		}
+
+		return this.#scale.get(customer, route);
+	}
+
 	/** Lets the store keep the prompt only if the budget allows it. */
 	#limitKeeping(choice: TargetChoice, {prompt}: RelayRequest): TargetChoice {
 		const {keeper} = choice;
@@ -156,8 +169,3 @@
 		return Math.min(maxRetryAfterMs, firstMs) * (1 + (random.next() / 4));
 	}
 }
-
-/** Returns the customer's priority, or else the route's, within the range 0 to 9 that engines accept. */
-function getUrgency({customer, route}: RelayRequest): number {
-	return Math.min(lowestUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
-}
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -181,7 +181,7 @@
 			},
 		}, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)}),
-		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
+		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getConfiguration: () => undefined, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
 			await onProbe();
 			return alive.has(id);
 		},
--- /dev/null
+++ b/packages/relay/urgency.test.ts
@@ -0,0 +1,57 @@
+import t from 'tap';
+import {UrgencyScale} from './urgency.ts';
+import type {RelayCustomer, RelayRoute} from '#core';
+
+function createRoute(priority: number, isPublic = false): RelayRoute {
+	return {
+		name: `r${priority}`, host: 'h', pathPrefix: '/', pools: [], isStream: true, retryPolicy: 'once', maxTargets: 1, timeoutMs: 1, promisedMs: 1, promisedGapMs: 0, priority, isPublic,
+	};
+}
+
+function createCustomer(priority: number | undefined, index: number): RelayCustomer {
+	return {name: `c${index}`, isIsolated: false, ...(priority === undefined ? {} : {priority})};
+}
+
+function createScale(customers: ReadonlyArray<number | undefined> | undefined, routes: readonly number[], isPublic = false): UrgencyScale {
+	return new UrgencyScale({
+		...(customers && {customers: new Map(customers.map((priority, index) => [`k${index}`, createCustomer(priority, index)]))}),
+		routes: routes.map(priority => createRoute(priority, isPublic)),
+	});
+}
+
+const get = (scale: UrgencyScale, customer: number | undefined, route: number) => scale.get(customer === undefined ? undefined : {priority: customer}, {priority: route});
+
+// Guards against a change of urgency in deployments that state no priorities of customers.
+t.test('if all customers have the same priority, the urgency is the priority of the route', async t => {
+	for (const scale of [createScale(undefined, [0, 2]), createScale([undefined, undefined], [0, 2]), createScale([3, 3], [0, 2]), new UrgencyScale(undefined)]) {
+		t.strictSame([0, 2, 12, -1].map(route => get(scale, 3, route)), [0, 2, 9, 0]);
+	}
+});
+
+// Guards against a route's priority hidden by the customer's when customers compete for engines.
+t.test('scarce capacity: the customer decides first, the route between customers of equal priority', async t => {
+	const scale = createScale([0, 1, 4], [0, 2]);
+	const levels = [0, 1, 4].flatMap(customer => [0, 2].map(route => get(scale, customer, route)));
+	t.strictSame(levels, [0, 1, 3, 4, 6, 7]);
+	t.equal(get(scale, undefined, 2), 1, 'a customer without a priority has priority 0, as a route has');
+});
+
+t.test('with many priorities, the order of customers is kept and all levels are accepted by engines', async t => {
+	for (const count of [4, 9, 10, 11, 25]) {
+		const priorities = Array.from({length: count}, (_item, index) => index * 3);
+		const scale = createScale(priorities, [0, 1, 2, 3]);
+		const ranks = priorities.flatMap(customer => [0, 1, 2, 3].map(route => get(scale, customer, route)));
+		t.strictSame(ranks, ranks.toSorted((a, b) => a - b));
+		t.ok(ranks.every(level => Number.isInteger(level) && level >= 0 && level <= 9), `${count} priorities`);
+		t.ok(count > 10 || get(scale, 0, 3) < get(scale, 3, 0), 'no less urgent customer shares a level while there are enough levels');
+	}
+});
+
+// Guards against an urgency outside the levels while instances have different configurations in force.
+t.test('a priority that the configuration does not hold gets the level of the next less urgent one', async t => {
+	const scale = createScale([1, 4], [0, 2]);
+	t.equal(get(scale, 0, 0), 0);
+	t.equal(get(scale, 3, 1), 6);
+	t.equal(get(scale, 99, 99), 6);
+	t.equal(createScale([1, 1], [0], true).get(undefined, {priority: 0}), 0);
+});
