Relay: prompts are refused at once by their expected wait, and memory of engines counts

Cause: a prompt whose wait exceeded its promised time was sent with urgency 9, so a kind with a short promise fell behind a less urgent one, and only waits of four times the promise were refused. Requests waited at engines until their deadline. The memory of engines was not known, and homes of shared parts that were down or served other weights were not replaced, so their parts were read at any engine.

Change: late requests stand behind those as urgent that are in time and before less urgent ones. A prompt is refused at its first attempt if it cannot start within its promise (the wait for prompts to read, a slot and memory, longer by what more urgent prompts take), unless fewer than half of the slots are in use and nothing waits. Callers return spread over a part of the time they have, up to six times. Engines with memory for a prompt beside requests as urgent are preferred; instances tell each other what their requests hold in an optional field of the message sent. Homes are the first engines in rendezvous order that answer and serve the weights. Reading a part again costs more the longer the queues are.

--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -7,6 +7,7 @@
 const maxCrashes = 16;
 const maxFailedTrials = 1000;
 const maxUrgencies = 10;
+const maxHeldParts = 64;
 const maxPools = 256;
 const maxVersionsPerPool = 64;
 
@@ -62,6 +63,11 @@
 			startedWallMs: z.number().optional(),
 			/** Tokens by urgency, for engines that schedule by urgency. */
 			byUrgency: z.array(z.number()).max(maxUrgencies).optional(),
+			/** Memory that the requests hold, in tokens: by urgency what no other request shares, and shared parts by the hashes of their keys. */
+			held: z.object({
+				byUrgency: z.array(z.number().min(0)).max(maxUrgencies).readonly(),
+				parts: z.array(z.tuple([z.number(), z.number().min(0)]).readonly()).max(maxHeldParts).readonly(),
+			}).optional(),
 			statement: statementSchema.optional(),
 			/** The statement for programs that know only this field and take it for one of whichever process has the target's name now. It does not say that the target leaves, as they would then never use it again. */
 			limit: statementSchema.optional(),
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -48,6 +48,8 @@
 	tokens: number;
 	/** The same tokens by urgency. Only the relay states and reads them, whose engines process prompts in order of urgency. */
 	byUrgency?: readonly number[];
+	/** Memory that the requests hold: tokens that no other request shares by urgency, and hashes of shared parts with their tokens. Only the relay states and reads it. */
+	held?: Readonly<{byUrgency: readonly number[]; parts: ReadonlyArray<readonly [key: number, tokens: number]>}> | undefined;
 	/** Start of the process that this concerns, in Unix milliseconds; absent if it is unknown. Only the relay states and reads it. */
 	startedWallMs?: number | undefined;
 	/** What the process states about itself. Only the relay states and reads it. */
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -48,6 +48,8 @@
 	choice: TargetChoice;
 	/** Urgency sent to the engine; 0 is the most urgent. */
 	urgency: number;
+	/** Factor by which the prompt waits longer because of more urgent ones that arrive later. Default: 1. */
+	overtakingFactor?: number;
 	caller: RelayCaller;
 	/** Delivers the answers of all attempts of the request. */
 	delivery: AnswerDelivery;
@@ -83,6 +85,9 @@
 /** Causes of failures whose duration says nothing about the time that the target takes. */
 const untimedCauses: ReadonlySet<AttemptCause | undefined> = new Set(['refused', 'not_sent', 'crossed']);
 
+/** Factor of overtaking from which on the wait of a prompt is not measured. */
+const maxOvertakingFactor = 2;
+
 /** Maximum size of the body of a refusal or an error answer, in bytes; the exchange is aborted if the body is longer. */
 const maxErrorBodyBytes = 65_536;
 
@@ -201,7 +206,8 @@
 type AttemptWork = Readonly<{startedMs: number; handleAnswerStart: () => void; finish: () => void}>;
 
 /** Counts a request as in progress on its target, and its prompt tokens as pending until the answer starts. */
-function startWork({clock, cachedParts}: AttemptDependencies, {choice: {state, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
+export function startWork({clock, cachedParts}: Pick<AttemptDependencies, 'clock' | 'cachedParts'>, attempt: Pick<Attempt, 'request' | 'choice' | 'urgency' | 'overtakingFactor'>): AttemptWork {
+	const {request: {prompt}, choice: {state, unreadTokens, partKeys}, urgency, overtakingFactor = 1} = attempt;
 	const startedMs = clock.now();
 	const aheadTokens = state.sumWork(startedMs, urgency).tokens;
 	let pendingTokens = unreadTokens;
@@ -213,6 +219,7 @@
 	state.statements.recordSent();
 	state.inFlight++;
 	state.pendingTokens.add(urgency, pendingTokens);
+	const removeHeld = prompt && state.held.add(prompt, partKeys, urgency);
 	for (const key of partKeys) {
 		cachedParts.recordSent(key, state.target.incarnation, startedMs);
 	}
@@ -220,14 +227,16 @@
 	return {
 		startedMs,
 		handleAnswerStart() {
-			if (pendingTokens > 0) {
-				state.recordAnswerStart(aheadTokens + unreadTokens, clock.now() - startedMs);
+			// The wait of a prompt that others overtake says little about the speed of the target.
+			if (pendingTokens > 0 && overtakingFactor < maxOvertakingFactor) {
+				state.recordAnswerStart(aheadTokens + unreadTokens, (clock.now() - startedMs) / overtakingFactor);
 			}
 
 			removePendingTokens();
 		},
 		finish() {
 			removePendingTokens();
+			removeHeld?.(clock.now() - startedMs);
 			state.inFlight--;
 		},
 	};
--- a/packages/relay/_part-layout.ts
+++ b/packages/relay/_part-layout.ts
@@ -31,14 +31,17 @@
 	/** Keys under which the parts are recorded, the outermost first. */
 	keys: readonly string[];
 	parts: readonly PromptPart[];
-	/** Id of the target on which the part with the most tokens is read by default, as caching that part saves the most. */
-	preferredHomeId: string | undefined;
+	/** Ids of the targets on which the part with the most tokens is read by default, as caching that part saves the most; the first one unless it is full. */
+	preferredHomeIds: readonly string[];
 	/** Store for these parts, by rendezvous hashing of the same part. */
 	store: KvCacheStore | undefined;
 	/** Sources by the number of leading parts, from all parts down. */
 	sources: readonly PartSources[];
 }>;
 
+/** Number of homes of a part: the second one takes what the first has no room for. */
+const homeCount = 2;
+
 export type PartLayoutQuery = Readonly<{
 	prompt: Prompt;
 	targets: readonly TargetState[];
@@ -62,11 +65,12 @@
 	const parts = query.prompt.parts.slice(0, -1);
 	const keys = parts.map(({key}) => `${query.cacheScope ?? ''}/${key}`);
 	const largestPart = findLargestPart(parts);
-	const preferredHomeId = largestPart && chooseHomes(query.targetIds, largestPart.key)[0];
+	const homeIds = listHomeIds(query);
+	const preferredHomeIds = largestPart ? chooseHomes(homeIds, largestPart.key, {count: homeCount}) : [];
 	const store = largestPart && chooseStore(query.kvCacheStores, largestPart.key);
 	return {
-		keys, parts, preferredHomeId, store, sources: listPartSources(query, {
-			keys, parts, preferredHomeId, store,
+		keys, parts, preferredHomeIds, store, sources: listPartSources(query, homeIds, {
+			keys, parts, preferredHomeIds, store,
 		}),
 	};
 }
@@ -104,31 +108,41 @@
  * then their home. With a store, only holders of all parts count, and the store
  * stands for the others: it has a part of what engines have lately read.
  */
-function listPartSources(query: PartLayoutQuery, {keys, parts, preferredHomeId, store}: Omit<PartLayout, 'sources'>): readonly PartSources[] {
-	const {prompt, cachedParts, nowMs, targets, targetIds, weights} = query;
-	const isUsable = (state: TargetState | undefined): state is TargetState => state !== undefined && !state.isLeaving
-		&& state.loadingUntilMs <= nowMs && state.suspectUntilMs <= nowMs && state.weights.get(prompt.model) === weights;
+function listPartSources(query: PartLayoutQuery, homeIds: readonly string[], {keys, parts, preferredHomeIds, store}: Omit<PartLayout, 'sources'>): readonly PartSources[] {
+	const {cachedParts, nowMs, targets} = query;
+	const listUsable = (state: TargetState | undefined) => state && isUsable(query, state) ? [state.target] : [];
 	const listHolders = (partCount: number) => cachedParts.listHolders(keys[partCount - 1]!, nowMs)
-		.map(incarnation => targets.find(({target}) => target.incarnation === incarnation))
-		.filter(state => isUsable(state))
-		.map(({target}) => target);
-	const listHome = (homeId: string | undefined) => {
-		const home = targets.find(({target}) => target.id === homeId);
-		return isUsable(home) ? [home.target] : [];
-	};
+		.flatMap(incarnation => listUsable(targets.find(({target}) => target.incarnation === incarnation)));
+	const listHome = (homeId: string | undefined) => listUsable(targets.find(({target}) => target.id === homeId));
 
 	if (store) {
 		const holders = listHolders(parts.length);
-		return [{partCount: parts.length, knownCount: holders.length, sources: [...holders, ...listHome(preferredHomeId), {id: store.address, ...store}]}];
+		return [{partCount: parts.length, knownCount: holders.length, sources: [...holders, ...listHome(preferredHomeIds[0]), {id: store.address, ...store}]}];
 	}
 
 	return parts.map((_part, index) => {
 		const partCount = parts.length - index;
 		const holders = listHolders(partCount);
-		return {partCount, knownCount: holders.length, sources: [...holders, ...listHome(chooseHomes(targetIds, parts[partCount - 1]!.key)[0])]};
+		return {partCount, knownCount: holders.length, sources: [...holders, ...listHome(chooseHomes(homeIds, parts[partCount - 1]!.key)[0])]};
 	});
 }
 
+/**
+ * Lists the targets that may be homes: those that can read the part now. A home
+ * that is down or serves other weights is replaced by the next one in the order of
+ * the hash, which is the same for all instances, and takes its place again when it
+ * is back.
+ */
+function listHomeIds(query: PartLayoutQuery): readonly string[] {
+	const usableIds = query.targets.filter(state => isUsable(query, state)).map(({target}) => target.id);
+	return usableIds.length > 0 ? usableIds : query.targetIds;
+}
+
+/** Whether a target answers, as far as known, and serves these weights. */
+function isUsable({prompt, nowMs, weights}: PartLayoutQuery, state: TargetState): boolean {
+	return !state.isLeaving && state.loadingUntilMs <= nowMs && state.suspectUntilMs <= nowMs && state.weights.get(prompt.model) === weights;
+}
+
 function findLargestPart(parts: readonly PromptPart[]): PromptPart | undefined {
 	let [largest] = parts;
 	for (const part of parts) {
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -2,22 +2,26 @@
  * Chooses the next target of a request, and its urgency there, from what this
  * instance knows; if there is none, records why and when the caller should retry.
  */
+import {admitRequest, measureEngineUse} from './admit-request.ts';
 import type {CachedParts} from './cached-parts.ts';
 import {
 	chooseRelayTarget, computeSendDelayMs, type NoTarget, type TargetChoice, type TargetQuery,
 } from './choose-target.ts';
 import {KeepBudget} from './keep-budget.ts';
+import {Overtaking} from './overtaking.ts';
 import type {RelayProgress} from './_progress.ts';
 import type {PublishedWeights} from './published-weights.ts';
 import type {TargetSet} from './target-set.ts';
 import type {TargetState} from './target-state.ts';
-import {lowestUrgency, UrgencyScale} from './urgency.ts';
+import {UrgencyScale} from './urgency.ts';
 import type {Clock} from '#clock';
 import type {Random, RelayConfiguration, RelayRequest} from '#core';
+import type {Telemetry} from '#telemetry';
 
 export type TargetChooserDependencies = Readonly<{
 	clock: Clock;
 	random: Random;
+	telemetry: Pick<Telemetry, 'count'>;
 	targets: TargetSet;
 	cachedParts: CachedParts;
 	/** Lists the stores that keep what engines read, as far as they answer. */
@@ -34,10 +38,7 @@
 	getConfiguration: () => Pick<RelayConfiguration, 'customers' | 'routes'> | undefined;
 }>;
 
-/** Time for which a caller is expected to wait for the first event, as a multiple of the promised time. */
-const callerWaitFactor = 4;
-
-/** Maximum time after which the caller of an overloaded pool is asked to retry, in milliseconds, before it is multiplied by a random factor. */
+/** Maximum time after which the caller of a pool whose limits are reached is asked to retry, in milliseconds, before it is multiplied by a random factor. */
 const maxRetryAfterMs = 3000;
 
 /** Cause and retry time of a refusal if no target can be chosen, by reason. Entries of targets arrive about a second late; connections become free as answers finish. */
@@ -53,12 +54,13 @@
 /** The ids of the targets that an attempt may have reached, and the version of the last one's software if it is known. */
 export type ReachedTargets = Readonly<{targets: readonly string[]; softwareVersion: string | undefined}>;
 
-/** The target chosen for a request, and the urgency of the request there. */
-export type ChoiceWithUrgency = Readonly<{choice: TargetChoice; urgency: number}>;
+/** The target chosen for a request, the urgency of the request there, and the factor by which it waits longer because of more urgent requests that arrive later. */
+export type ChoiceWithUrgency = Readonly<{choice: TargetChoice; urgency: number; overtakingFactor: number}>;
 
 export class TargetChooser {
 	readonly #dependencies: TargetChooserDependencies;
 	readonly #keepBudget: KeepBudget;
+	readonly #overtaking = new Overtaking();
 	#scaleConfiguration: ReturnType<TargetChooserDependencies['getConfiguration']>;
 	#scale = new UrgencyScale(undefined);
 
@@ -68,45 +70,46 @@
 	}
 
 	/**
-	 * Chooses the next target of a request and its urgency there. A request that
-	 * will miss its promised time gets the lowest urgency, so that it does not
-	 * delay those that can still meet theirs. A request that has not reached a
-	 * target yet is refused at once if its caller would not wait for it.
+	 * Chooses the next target of a request and its urgency there. A prompt that has
+	 * not reached a target yet is refused at once if it would wait there for too
+	 * long; if slots are spare, it goes behind those that will be in time.
 	 *
 	 * @returns `undefined` if no further target should be tried; the reason is recorded in `progress`
 	 */
 	choose(progress: RelayProgress): ChoiceWithUrgency | undefined {
-		const {request} = progress;
-		const urgency = this.#getUrgency(request);
-		const choice = this.#chooseAt(progress, urgency);
-		if (typeof choice === 'string') {
-			return undefined;
-		}
-
-		const {promisedMs} = request.route;
-		if (!request.prompt || choice.queueMs <= promisedMs) {
-			return {choice: this.#limitKeeping(choice, request), urgency};
+		const {clock, random, targets, telemetry} = this.#dependencies;
+		const {request, pool: {name, engine}, sentAttempts} = progress;
+		const {customer, route, prompt} = request;
+		const nowMs = clock.now();
+		const scale = this.#getScale();
+		const regular = this.#chooseWithUrgency(progress, scale.get(customer, route));
+		if (!regular || !prompt || !engine || sentAttempts > 0) {
+			return regular && this.#record(regular, request);
 		}
 
-		const lowestChoice = this.#chooseAt(progress, lowestUrgency);
-		if (typeof lowestChoice === 'string') {
-			return undefined;
-		}
-
-		const callerWaitMs = Math.min(promisedMs * callerWaitFactor, request.deadlineMs - this.#dependencies.clock.now());
-		if (progress.sentAttempts === 0 && lowestChoice.queueMs > callerWaitMs) {
+		let late: ChoiceWithUrgency | undefined;
+		const remainingMs = request.deadlineMs - nowMs;
+		const decision = admitRequest({
+			queueMs: regular.choice.queueMs, overtakingFactor: regular.overtakingFactor, promisedMs: route.promisedMs, elapsedMs: Math.max(0, route.timeoutMs - remainingMs), remainingMs, random,
+			estimateLateQueueMs: () => {
+				late = this.#chooseWithUrgency(progress, scale.getLate(customer, route));
+				return late ? getQueueMs(late) : Infinity;
+			},
+			measureUse: () => measureEngineUse(targets.listPool(name), engine, nowMs),
+		});
+		telemetry.count('prompt_admissions_total', {route: route.name, decision: decision.kind});
+		if (decision.kind === 'refused') {
 			progress.cause = 'overloaded';
-			// A random factor from 0.75 to 1.25 spreads the retries of several callers.
-			progress.retryAfterMs = Math.min(maxRetryAfterMs, lowestChoice.queueMs - promisedMs) * (0.75 + (this.#dependencies.random.next() / 2));
+			progress.retryAfterMs = decision.retryAfterMs;
 			return undefined;
 		}
 
-		return {choice: this.#limitKeeping(lowestChoice, request), urgency: lowestUrgency};
+		return this.#record(decision.isLate ? late ?? regular : regular, request);
 	}
 
 	/** Whether a request that is in progress on some targets could move to another one, which is not known to be silent, to load weights or to refuse. */
 	canMove(progress: RelayProgress, {targets, softwareVersion}: ReachedTargets): boolean {
-		const query = this.#createQuery(progress, this.#getUrgency(progress.request));
+		const query = this.#createQuery(progress, this.#getScale().get(progress.request.customer, progress.request.route));
 		const choice = chooseRelayTarget({
 			...query, excluded: new Set([...query.excluded, ...targets]), softwareVersion: query.softwareVersion ?? softwareVersion,
 		});
@@ -118,15 +121,37 @@
 		return Math.max(suspectUntilMs, loadingUntilMs) <= query.nowMs && statements.computeAvoidanceMs(query.nowMs) === 0;
 	}
 
-	/** Returns the urgency of a request by the priorities of the configuration in force. */
-	#getUrgency({customer, route}: RelayRequest): number {
+	/** Chooses the next target at an urgency, if there is one. */
+	#chooseWithUrgency(progress: RelayProgress, urgency: number): ChoiceWithUrgency | undefined {
+		const {targets, countInstances, clock} = this.#dependencies;
+		const choice = this.#chooseAt(progress, urgency);
+		if (typeof choice === 'string') {
+			return undefined;
+		}
+
+		let tokensPerMs = 0;
+		for (const {msPerToken} of targets.listPool(progress.pool.name)) {
+			tokensPerMs += 1 / msPerToken;
+		}
+
+		return {choice, urgency, overtakingFactor: this.#overtaking.getFactor(urgency, tokensPerMs / countInstances(), clock.now())};
+	}
+
+	/** Records a choice that is carried out, and limits what a store is given. */
+	#record(chosen: ChoiceWithUrgency, request: RelayRequest): ChoiceWithUrgency {
+		this.#overtaking.record(chosen.urgency, chosen.choice.unreadTokens, this.#dependencies.clock.now());
+		return {...chosen, choice: this.#limitKeeping(chosen.choice, request)};
+	}
+
+	/** Returns the urgency levels by the priorities of the configuration in force. */
+	#getScale(): UrgencyScale {
 		const configuration = this.#dependencies.getConfiguration();
 		if (configuration !== this.#scaleConfiguration) {
 			this.#scaleConfiguration = configuration;
 			this.#scale = new UrgencyScale(configuration);
 		}
 
-		return this.#scale.get(customer, route);
+		return this.#scale;
 	}
 
 	/** Lets the store keep the prompt only if the budget allows it. */
@@ -169,3 +194,8 @@
 		return Math.min(maxRetryAfterMs, firstMs) * (1 + (random.next() / 4));
 	}
 }
+
+/** Returns the expected wait of a request at its target, in milliseconds. */
+function getQueueMs({choice, overtakingFactor}: ChoiceWithUrgency): number {
+	return choice.queueMs * overtakingFactor;
+}
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -6,6 +6,9 @@
  * sending requests.
  */
 import type {CachedParts} from './cached-parts.ts';
+import {
+	computeRoomWaitMs, estimateOccupancy, hasRoom, type EngineOccupancy,
+} from './engine-room.ts';
 import {
 	createPartLayout, findCachedSource, sumTokens, type CacheSource, type PartLayout,
 } from './_part-layout.ts';
@@ -65,6 +68,8 @@
 	waitMs: number;
 	/** Cost of the target: `waitMs` plus cost terms, in milliseconds. */
 	costMs: number;
+	/** Time that the target is expected to take for shared parts of the prompt that it does not have, in milliseconds. */
+	rereadMs: number;
 	/** Prompt tokens that the target is expected to read, as they are not cached. */
 	unreadTokens: number;
 	/** Version of the weights that the target must serve: the one that it is believed to serve, else the newest published one; absent if neither is known. */
@@ -99,12 +104,16 @@
 /** Delay of a request by each other request in progress on the engine, in milliseconds. */
 const concurrentRequestMs = 3;
 
-/** Delay of a request by each request ahead of it while no slot of the engine is free, in milliseconds. */
-const slotWaitMs = 50;
-
 /** Cost of a target that does not have all of the prompt's parts cached and is not their preferred home, in milliseconds: a further copy takes up cache memory there. */
 const duplicateCacheMs = 50;
 
+/** Cost of the second home of the parts, in milliseconds, so that the requests for which the first has no room meet on one engine. */
+const secondHomeMs = 25;
+
+/** Mean wait at the targets for which reading a shared part again costs once more its time, in milliseconds, and the maximum of that cost, in multiples of the time: the longer the queues, the more requests wait for it. */
+const rereadPriceStepMs = 50;
+const maxRereadPrice = 5;
+
 /** Factor by which a fetch from another availability zone takes longer. */
 const crossZoneFetchFactor = 2;
 
@@ -161,12 +170,21 @@
 	const welcoming = preferIf(permitted, ({statements}) => statements.computeAvoidanceMs(query.nowMs) === 0);
 	const ready = preferIf(welcoming, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
-	const createChoice = query.prompt && query.engine ? prepareEngineChoices(query, query.prompt, query.engine) : (state: TargetState) => createServiceChoice(query, state);
+	const {prompt, engine} = query;
+	const roomy = prompt && engine ? preferIf(responsive, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : responsive;
+	const createChoice = prompt && engine ? prepareEngineChoices(query, prompt, engine) : (state: TargetState) => createServiceChoice(query, state);
+	const choices = roomy.map(state => createChoice(state));
+	let sumQueueMs = 0;
+	for (const {queueMs} of choices) {
+		sumQueueMs += queueMs;
+	}
+
+	const rereadPrice = Math.min(maxRereadPrice, sumQueueMs / choices.length / rereadPriceStepMs);
 	let best: TargetChoice | undefined;
-	for (const state of responsive) {
-		const choice = createChoice(state);
-		if (!best || choice.costMs < best.costMs) {
-			best = choice;
+	for (const choice of choices) {
+		const costMs = choice.costMs + (choice.rereadMs * rereadPrice);
+		if (!best || costMs < best.costMs) {
+			best = {...choice, costMs};
 		}
 	}
 
@@ -200,13 +218,18 @@
 		return false;
 	}
 
-	const queueMs = computeQueueMs(state, state.sumWork(query.nowMs, query.urgency), query.engine);
+	const queueMs = computeQueueMs(query, state, state.sumWork(query.nowMs, query.urgency));
 	return stalenessMs + queueMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
 }
 
 /** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
-function computeQueueMs({msPerToken}: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, engine: EngineTraits | undefined): number {
-	return (tokens * msPerToken) + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs);
+function computeQueueMs({engine, nowMs, urgency}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>): number {
+	const roomMs = engine ? computeRoomWaitMs(estimateOccupancy(state, requests, engine, {urgency, nowMs}), state, engine) : 0;
+	return Math.max(tokens * state.msPerToken, roomMs);
+}
+
+function getOccupancy({nowMs, urgency}: TargetQuery, state: TargetState, engine: EngineTraits): EngineOccupancy {
+	return estimateOccupancy(state, state.sumWork(nowMs, urgency).requests, engine, {urgency, nowMs});
 }
 
 /** Creates the choice of a plain service; its queue, its service time and its availability zone determine the cost. */
@@ -219,7 +242,7 @@
 	const waitMs = queueMs + state.serviceMs;
 	return {
 		state, queueMs, waitMs, costMs: waitMs + (state.serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + (random.next() * jitterMs),
-		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, keeper: undefined, partKeys: [],
+		rereadMs: 0, unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, keeper: undefined, partKeys: [],
 	};
 }
 
@@ -251,27 +274,34 @@
 		const cachedCount = countCachedParts(query, layout, state);
 		const found = cachedCount < layout.parts.length ? findCachedSource(layout, state, cachedCount) : undefined;
 		const cachedTokens = sumTokens(layout.parts, 0, cachedCount);
-		const isHome = layout.preferredHomeId === state.target.id;
+		const isHome = layout.preferredHomeIds[0] === state.target.id;
 		const fetchedTokens = found ? sumTokens(layout.parts, cachedCount, found.partCount) * (found.isKnown ? 1 : likelyCachedRatio) : 0;
+		const ownTokens = prompt.parts.at(-1)?.tokens ?? 0;
 		const unreadTokens = Math.max(0, prompt.inputTokens - cachedTokens - fetchedTokens);
 		// A home that others may fetch parts from is as likely to have them for its own requests.
 		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
 		const work = state.sumWork(query.nowMs, query.urgency);
-		const queueMs = computeQueueMs(state, work, engine);
+		const queueMs = computeQueueMs(query, state, work);
 		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
 		const waitMs = queueMs + ((unreadTokens - likelyTokens) * state.msPerToken) + fetchMs;
 		const costMs = waitMs
 			+ (work.requests * concurrentRequestMs)
-			+ (cachedCount === layout.parts.length || isHome ? 0 : duplicateCacheMs)
+			+ (cachedCount === layout.parts.length || isHome ? 0 : getDuplicateCostMs(layout, state))
 			+ computeZoneCostMs(query.zone, state)
 			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
 		return {
-			state, queueMs, waitMs, costMs, unreadTokens, weights, stalenessMs, cacheScope: formatCacheScope(query, weights), source: found?.source,
+			state, queueMs, waitMs, costMs, rereadMs: Math.max(0, unreadTokens - ownTokens) * state.msPerToken, unreadTokens,
+			weights, stalenessMs, cacheScope: formatCacheScope(query, weights), source: found?.source,
 			keeper: found && found.source.id === layout.store?.address ? layout.store : undefined, partKeys: layout.keys,
 		};
 	};
 }
 
+/** Returns the cost of a further copy of the prompt's parts on a target, in milliseconds. */
+function getDuplicateCostMs({preferredHomeIds}: PartLayout, {target}: TargetState): number {
+	return preferredHomeIds.includes(target.id) ? secondHomeMs : duplicateCacheMs;
+}
+
 /** Appends the version of the weights to the scope, as parts cached under one version cannot be used under another. */
 function formatCacheScope({cacheScope}: TargetQuery, weights: number | undefined): string | undefined {
 	return cacheScope === undefined || weights === undefined ? cacheScope : `${cacheScope} ${weights}`;
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -130,13 +130,13 @@
 			return this.#choosePeer(progress) ? undefined : this.#finishUnanswered(progress, delivery, caller);
 		}
 
-		const {choice, urgency} = chosen;
+		const {choice} = chosen;
 		const {target} = choice.state;
 		const startMs = clock.now();
 		caller.recordAttempt?.(target, 'started');
 		progress.isSending = true;
 		const result = await runAttempt(this.#dependencies, {
-			request, pool: progress.pool, choice, urgency, caller, delivery,
+			request, pool: progress.pool, ...chosen, caller, delivery,
 			canMove: () => this.#canMove(progress, delivery, {targets: [target.id], softwareVersion: target.softwareVersion}),
 		});
 		const {failure} = result;
--- a/packages/relay/target-set.test.ts
+++ b/packages/relay/target-set.test.ts
@@ -1,7 +1,8 @@
 import t from 'tap';
 import {TargetSet} from './target-set.ts';
 import {ManualClock} from '#clock';
-import type {RelayTarget} from '#core';
+import {prepareHash, type RelayTarget} from '#core';
+import {peerMessageSchema} from '#peer-protocol';
 
 /** Creates a target. Ids of different lengths get different addresses. */
 function createTarget(id: string, options: Partial<RelayTarget> = {}): RelayTarget {
@@ -69,3 +70,33 @@
 	await clock.advance(3000);
 	t.equal(state.countRequests(clock.now()), 1);
 });
+
+// Guards against instances that fill an engine's memory together, and against what an instance has held that counts after it is gone.
+t.test('long prompts through two instances: what a peer\'s requests hold on a target counts until its report expires', async t => {
+	await prepareHash();
+	const {clock, targets} = start();
+	const other = start().targets;
+	for (const instance of [targets, other]) {
+		instance.update([createTarget('a')]);
+	}
+
+	const prompt = {
+		model: 'm', inputTokens: 12_000, maxOutputTokens: 48, parts: [{key: 'dossier', tokens: 5392}, {key: 'own', tokens: 6608}],
+	};
+	other.get('a')!.inFlight++;
+	other.get('a')!.held.add(prompt, ['s/dossier'], 2);
+	const message = peerMessageSchema.parse({kind: 'sent', targets: other.listWork()});
+	const state = targets.get('a')!;
+	if (message.kind === 'sent') {
+		targets.applyPeerWork('one', message.targets, clock.now());
+		targets.applyPeerWork('two', message.targets, clock.now());
+	}
+
+	t.equal(state.held.total, 5392 + (2 * 6656));
+	t.equal(state.held.sumAhead(1), 5392);
+	targets.applyPeerWork('two', [], clock.now());
+	t.equal(state.held.total, 5392 + 6656);
+	await clock.advance(3000);
+	t.equal(state.countRequests(clock.now()), 0);
+	t.equal(state.held.total, 0);
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -135,10 +135,11 @@
 			const {target, inFlight, pendingTokens} = state;
 			const statement = state.statements.announce(nowMs);
 			const limit = getUnnamedStatement(state, statement, nowMs);
+			const held = state.held.report();
 			return inFlight > 0 || limit
 				? [{
 					target: target.id, ...(target.startedWallMs > 0 && {startedWallMs: target.startedWallMs}),
-					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(limit && {limit}), ...(statement && {statement}),
+					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(held && {held}), ...(limit && {limit}), ...(statement && {statement}),
 				}]
 				: [];
 		});
@@ -152,13 +153,13 @@
 
 		this.#targetIdsByPeer.set(peer, work.map(({target}) => target));
 		// Without counts by urgency, all tokens count as the most urgent.
-		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], statement, limit} of work) {
+		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], held, statement, limit} of work) {
 			const state = this.#states.get(target);
 			if (!state || (startedWallMs !== undefined && startedWallMs !== state.target.startedWallMs)) {
 				continue;
 			}
 
-			state.setPeerWork(peer, {requests, byUrgency}, nowMs);
+			state.setPeerWork(peer, {requests, byUrgency, held}, nowMs);
 			const stated = statement ?? limit;
 			if (startedWallMs !== undefined && statement) {
 				state.statements.merge(statement, nowMs);
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -4,6 +4,7 @@
  * measured speed.
  */
 import type {TargetConnections} from './connections.ts';
+import {HeldMemory, type HeldReport} from './held-memory.ts';
 import {TargetStatements} from './target-statements.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
 import type {Clock} from '#clock';
@@ -21,9 +22,11 @@
 	requests: number;
 	/** Prompt tokens that the target still has to read, of requests whose answer has not started, by urgency. */
 	byUrgency: readonly number[];
+	/** Memory that its requests hold; absent from instances that do not state it. */
+	held?: HeldReport | undefined;
 }>;
 
-type PeerWork = InstanceWork & Readonly<{receivedMs: number}>;
+type PeerWork = InstanceWork & Readonly<{receivedMs: number; removeHeld?: (() => void) | undefined}>;
 
 /** Time for which a peer's report of its work is valid, in milliseconds; peers report each second. */
 const peerWorkValidityMs = 2000;
@@ -58,6 +61,8 @@
 	inFlight = 0;
 	/** Prompt tokens that the target still has to read, of this instance's requests whose answer has not started. */
 	readonly pendingTokens = new TokenQueue();
+	/** Memory that requests in progress hold on the target. */
+	readonly held = new HeldMemory();
 	readonly statements: TargetStatements;
 	/** Load that the target reported last. */
 	load: TargetLoad | undefined;
@@ -183,10 +188,12 @@
 
 	/** Sets the work that a peer has in progress on the target. */
 	setPeerWork(peer: string, work: InstanceWork, nowMs: number): void {
-		this.#peers.set(peer, {...work, receivedMs: nowMs});
+		this.removePeerWork(peer);
+		this.#peers.set(peer, {...work, receivedMs: nowMs, removeHeld: work.held && this.held.addReport(work.held)});
 	}
 
 	removePeerWork(peer: string): void {
+		this.#peers.get(peer)?.removeHeld?.();
 		this.#peers.delete(peer);
 	}
 
@@ -203,10 +210,12 @@
 	sumWork(nowMs: number, urgency: number): Readonly<{requests: number; tokens: number}> {
 		let requests = this.inFlight;
 		let tokens = this.pendingTokens.sumAhead(urgency);
-		for (const work of this.#peers.values()) {
+		for (const [peer, work] of this.#peers) {
 			if (nowMs - work.receivedMs <= peerWorkValidityMs) {
 				requests += work.requests;
 				tokens += sumAhead(work.byUrgency, urgency);
+			} else {
+				this.removePeerWork(peer);
 			}
 		}
 
--- a/packages/relay/urgency.ts
+++ b/packages/relay/urgency.ts
@@ -2,14 +2,13 @@
  * Maps priorities to the urgency levels 0 to 9 that engines accept: the customer's
  * priority decides first, and the route's between requests of equal customer
  * priority. The levels follow from the priorities that the configuration in force
- * holds, so all instances with the same configuration use the same ones.
+ * holds, so all instances with the same configuration use the same ones. Requests
+ * that will be late have levels of their own if there are enough.
  */
 import type {RelayConfiguration, RelayCustomer, RelayRoute} from '#core';
 
-/** The least urgent level that engines accept. */
-export const lowestUrgency = 9;
-
-const levelCount = lowestUrgency + 1;
+/** Number of levels that engines accept. */
+const levelCount = 10;
 
 /** Priority of a customer that has none, and of requests without a customer; routes without one have the same. */
 const defaultPriority = 0;
@@ -29,25 +28,30 @@
 	}
 
 	/**
-	 * Returns the urgency of a request; 0 is the most urgent. If all customers have
-	 * the same priority, it is that of the route. Else each customer priority has an
-	 * equal number of levels, and routes share levels if there are too few.
+	 * Returns the urgency of a request; 0 is the most urgent. Each customer priority
+	 * has an equal number of levels, and routes share levels if there are too few.
 	 */
 	get(customer: Pick<RelayCustomer, 'priority'> | undefined, route: Pick<RelayRoute, 'priority'>): number {
-		const groupCount = this.#customers.length;
-		if (groupCount <= 1) {
-			return Math.min(lowestUrgency, Math.max(0, Math.floor(route.priority)));
-		}
-
+		const groupCount = Math.max(1, this.#customers.length);
+		const routeCount = Math.max(1, this.#routes.length);
 		const group = findRank(this.#customers, customer?.priority ?? defaultPriority);
 		if (groupCount > levelCount) {
 			return Math.floor(group * levelCount / groupCount);
 		}
 
-		const groupLevels = Math.floor(levelCount / groupCount);
-		const routeCount = Math.max(1, this.#routes.length);
+		const groupLevels = Math.min(Math.floor(levelCount / groupCount), routeCount * this.#levelsPerRank);
 		const routeRank = findRank(this.#routes, route.priority);
-		return (group * groupLevels) + Math.floor(routeRank * Math.min(groupLevels, routeCount) / routeCount);
+		return (group * groupLevels) + Math.floor(routeRank * groupLevels / routeCount);
+	}
+
+	/** Returns the urgency of a request that will be late: a level of its own behind requests that are as urgent and in time, if there are enough levels, but before less urgent ones. */
+	getLate(customer: Pick<RelayCustomer, 'priority'> | undefined, route: Pick<RelayRoute, 'priority'>): number {
+		return this.get(customer, route) + this.#levelsPerRank - 1;
+	}
+
+	/** Number of levels of each pair of priorities: a second one for late requests, if there are enough. */
+	get #levelsPerRank(): number {
+		return Math.max(1, this.#customers.length) * Math.max(1, this.#routes.length) * 2 <= levelCount ? 2 : 1;
 	}
 }
 
--- a/packages/telemetry/series.ts
+++ b/packages/telemetry/series.ts
@@ -18,6 +18,7 @@
 	answer_bodies_total: {help: 'Bodies of answers that the relay received, by framing (`connection`: it ends with its connection) and by how they ended.', labels: ['framing', 'end']},
 	resumed_streams_total: {help: 'Streams that callers resumed, by the decision where they may go on; `unknown` and `moved` are refusals.', labels: ['decision']},
 	target_statements_total: {help: 'What targets stated about themselves in answers, by field; `malformed` for values that could not be read.', labels: ['field']},
+	prompt_admissions_total: {help: 'Decisions on prompts before their first attempt, by route (docs/operators/scarce-capacity.md).', labels: ['route', 'decision']},
 	strikes_total: {help: 'Target crashes counted as strikes against requests and prompt parts, by source of the observation.', labels: ['source']},
 	strikes_cleared_total: {help: 'Requests and prompt parts with strikes that were later answered.', labels: []},
 	quarantines_total: {help: 'Requests and prompt parts quarantined because they reached the strike limit.', labels: []},
