Relay: the time since a caller's first try is learned from what callers state

Cause: the decision took a request with less time left than its route's time-out for one whose caller has returned. Where callers state shorter times, all their requests would count as late and go behind others.

--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -11,6 +11,7 @@
 import {Overtaking} from './overtaking.ts';
 import type {RelayProgress} from './_progress.ts';
 import type {PublishedWeights} from './published-weights.ts';
+import {StatedTimes} from './stated-times.ts';
 import type {TargetSet} from './target-set.ts';
 import type {TargetState} from './target-state.ts';
 import {UrgencyScale} from './urgency.ts';
@@ -61,6 +62,7 @@
 	readonly #dependencies: TargetChooserDependencies;
 	readonly #keepBudget: KeepBudget;
 	readonly #overtaking = new Overtaking();
+	readonly #statedTimes = new StatedTimes();
 	#scaleConfiguration: ReturnType<TargetChooserDependencies['getConfiguration']>;
 	#scale = new UrgencyScale(undefined);
 
@@ -90,7 +92,8 @@
 		let late: ChoiceWithUrgency | undefined;
 		const remainingMs = request.deadlineMs - nowMs;
 		const decision = admitRequest({
-			queueMs: regular.choice.queueMs, overtakingFactor: regular.overtakingFactor, promisedMs: route.promisedMs, elapsedMs: Math.max(0, route.timeoutMs - remainingMs), remainingMs, random,
+			queueMs: regular.choice.queueMs, overtakingFactor: regular.overtakingFactor, promisedMs: route.promisedMs,
+			elapsedMs: this.#statedTimes.estimateElapsedMs(route.name, remainingMs, nowMs), remainingMs, random,
 			estimateLateQueueMs: () => {
 				late = this.#chooseWithUrgency(progress, scale.getLate(customer, route));
 				return late ? getQueueMs(late) : Infinity;
