Relay: present speed and pace of targets

Cause: the fourth figure of a target's load was discarded, a moving average with weight 0.2 followed neither lasting differences nor slow spells and took other instances' queues for slowness, and instances with the same data found the same target cheapest. A target that returned was used at once by all or avoided for a fixed time.

`TargetSpeed` keeps the lasting time (shorter measurements count for more) and the factor that holds now, also from peers (optional field `speed` of `sent`, about 16 bytes for targets listed anyway). Where targets state the figure, requests are spread over targets of similar cost, and another availability zone needs a lower cost there. Targets without a figure are judged as before. `TargetPace` bounds the requests of all instances at a target that starts, fails, rests, refuses or answers late; each answer in time doubles the window (optional field `pace` of `sent`). It is a preference and refuses nothing; after late answers alone it is a cost below that of a duplicate in a cache.

--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -7,6 +7,8 @@
 const maxCrashes = 16;
 const maxFailedTrials = 1000;
 const maxUrgencies = 10;
+const maxSpeedFigures = 4;
+const maxPaceFigures = 2;
 const maxPools = 256;
 const maxVersionsPerPool = 64;
 
@@ -65,6 +67,10 @@
 			statement: statementSchema.optional(),
 			/** The statement for programs that know only this field and take it for one of whichever process has the target's name now. It does not say that the target leaves, as they would then never use it again. */
 			limit: statementSchema.optional(),
+			/** Speed of the process: its latest figure in hundredths of the normal time and the age of that in milliseconds; measured nanoseconds per prompt token and microseconds per request, 0 if unknown. */
+			speed: z.array(z.number().min(0)).max(maxSpeedFigures).optional(),
+			/** Pace of the process: requests that all instances together should have in progress, 0 if nothing bounds them any more, and the time since the start, refusal or rest that began this, in milliseconds. */
+			pace: z.array(z.number().min(0)).max(maxPaceFigures).optional(),
 		})).max(maxEntries),
 	}),
 	strikeSchema,
--- a/packages/placement/target-views.ts
+++ b/packages/placement/target-views.ts
@@ -54,6 +54,10 @@
 	statement?: TargetStatementReport | undefined;
 	/** What peers are told whose program knows only this field; see the schema of the message. */
 	limit?: TargetStatementReport | undefined;
+	/** How fast the process works, as `SpeedReport` of the relay describes. Only the relay states and reads it. */
+	speed?: readonly number[] | undefined;
+	/** How many requests the process takes, as `PaceReport` of the relay describes. Only the relay states and reads it. */
+	pace?: readonly number[] | undefined;
 }>;
 
 /** Options of {@link TargetViews}. */
--- a/packages/placement/work-exchange.ts
+++ b/packages/placement/work-exchange.ts
@@ -54,7 +54,11 @@
 			}
 
 			if (!isSameWork(work, lastWork) || (isRepeatDue && work.length > 0)) {
-				bus.sendToSample({kind: 'sent', targets: work.map(({byUrgency, ...rest}) => byUrgency ? {...rest, byUrgency: [...byUrgency]} : rest)});
+				bus.sendToSample({
+					kind: 'sent', targets: work.map(({byUrgency, speed, pace, ...rest}) => ({
+						...rest, ...(byUrgency && {byUrgency: [...byUrgency]}), ...(speed && {speed: [...speed]}), ...(pace && {pace: [...pace]}),
+					})),
+				});
 				lastWork = work;
 			}
 
@@ -66,7 +70,7 @@
 	}
 }
 
-/** Compares two lists of work by target, process, requests, tokens and statements; the tokens by urgency and the age of the statements are not compared. */
+/** Compares two lists of work by target, process, requests, tokens and statements; the tokens by urgency, the speed, the pace and the age of the statements are not compared. */
 function isSameWork(a: readonly TargetWork[], b: readonly TargetWork[]): boolean {
 	return a.length === b.length && a.every(({target, startedWallMs, requests, tokens, statement, limit}, index) => {
 		const other = b[index]!;
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -119,7 +119,7 @@
 		const result = await receiveAnswer(dependencies, attempt, started, work);
 		// A refusal takes no service time, and would make a busy target look fast; so would an answer to another request.
 		if (!request.prompt && !untimedCauses.has(result.failure?.cause)) {
-			state.recordServiceTime(clock.now() - work.startedMs);
+			state.speed.recordServiceTime(clock.now() - work.startedMs, clock.now());
 		}
 
 		return result;
@@ -167,6 +167,7 @@
 
 	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
 	choice.state.statements.recordOutcome(decoded.hasNotRun, choice.state.inFlight, () => getLimitSharing(choice.state.target), clock.now());
+	recordRefusalPace(choice.state, decoded, startedMs, clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
@@ -197,11 +198,20 @@
 	};
 }
 
+/** Records in the target's pace that it has refused a request for want of room or asked for a rest. */
+function recordRefusalPace(state: TargetState, {hasNotRun, isMisdirected, statement}: TargetAnswer, sentMs: number, nowMs: number): void {
+	if (statement.restMs !== undefined) {
+		state.pace.begin(nowMs + statement.restMs, true);
+	} else if (hasNotRun && !isMisdirected) {
+		state.pace.recordRefusal(state.countInProgress(nowMs), state.target.slots, sentMs, nowMs);
+	}
+}
+
 /** Start time of an attempt, in milliseconds, and callbacks that update the target's work in progress. */
 type AttemptWork = Readonly<{startedMs: number; handleAnswerStart: () => void; finish: () => void}>;
 
 /** Counts a request as in progress on its target, and its prompt tokens as pending until the answer starts. */
-function startWork({clock, cachedParts}: AttemptDependencies, {choice: {state, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
+function startWork({clock, cachedParts}: AttemptDependencies, {choice: {state, waitMs, unreadTokens, partKeys}, urgency}: Attempt): AttemptWork {
 	const startedMs = clock.now();
 	const aheadTokens = state.sumWork(startedMs, urgency).tokens;
 	let pendingTokens = unreadTokens;
@@ -211,6 +221,7 @@
 	};
 
 	state.statements.recordSent();
+	state.pace.recordSent(waitMs, startedMs);
 	state.inFlight++;
 	state.pendingTokens.add(urgency, pendingTokens);
 	for (const key of partKeys) {
@@ -221,10 +232,13 @@
 		startedMs,
 		handleAnswerStart() {
 			if (pendingTokens > 0) {
-				state.recordAnswerStart(aheadTokens + unreadTokens, clock.now() - startedMs);
+				state.speed.recordAnswerStart(aheadTokens + unreadTokens, clock.now() - startedMs, clock.now());
 			}
 
 			removePendingTokens();
+			state.pace.recordAnswer({
+				ms: clock.now() - startedMs, expectedMs: waitMs, inProgress: state.countInProgress(clock.now()), slots: state.target.slots,
+			}, clock.now());
 		},
 		finish() {
 			removePendingTokens();
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -256,7 +256,7 @@
 			queue.shift();
 			state.inFlight--;
 			state.pendingTokens.add(first.urgency, -first.tokens);
-			state.recordAnswerStart(first.aheadTokens + first.tokens, nowMs - first.sentMs);
+			state.speed.recordAnswerStart(first.aheadTokens + first.tokens, nowMs - first.sentMs, nowMs);
 			if (first.sentMs >= 10_000) {
 				answerDelays[first.urgency === 0 ? 'short' : 'long'].push(nowMs - first.sentMs);
 			}
@@ -316,9 +316,9 @@
 t.test('plain services: a slow one gets fewer requests', async t => {
 	const targets = [0, 1, 2].map(index => createState(index, {slots: 6, zone: 'a', weights: new Map()}));
 	for (let answer = 0; answer < 30; answer++) {
-		targets[0]!.recordServiceTime(200);
-		targets[1]!.recordServiceTime(20);
-		targets[2]!.recordServiceTime(20);
+		targets[0]!.speed.recordServiceTime(200, 0);
+		targets[1]!.speed.recordServiceTime(20, 0);
+		targets[2]!.speed.recordServiceTime(20, 0);
 	}
 
 	const counts = new Map<string, number>();
@@ -342,3 +342,67 @@
 	targets[1]!.statements.recordAnswer({}, 2, 3);
 	t.equal(choose(createQuery(targets, {nowMs: 4})).state.target.id, 'e1');
 });
+
+// Guards against instances with the same reports that all send their next request to one target.
+t.test('instances with the same data spread their requests over targets that look alike, and leave a slow one and other zones out', async t => {
+	const targets = [0, 1, 2, 3, 4, 5].map(index => createState(index, {zone: index === 5 ? 'b' : 'a'}));
+	for (const [index, {speed}] of targets.entries()) {
+		for (let nowMs = 0; nowMs <= 3000; nowMs += 500) {
+			speed.recordFigure(100, nowMs);
+			speed.recordAnswerStart(1500, 20, nowMs);
+		}
+
+		speed.recordFigure(index === 0 ? 400 : 100, 3050);
+	}
+
+	const counts = new Map<string, number>();
+	for (let instance = 0; instance < 400; instance++) {
+		const {id} = choose(createQuery(targets, {prompt: createPrompt([['own', 1500]]), random: createRandom(instance), nowMs: 3060})).state.target;
+		counts.set(id, (counts.get(id) ?? 0) + 1);
+	}
+
+	const shares = ['e1', 'e2', 'e3', 'e4'].map(id => (counts.get(id) ?? 0) / 400);
+	t.ok(shares.every(share => share > 0.15 && share < 0.35), shares.join(' '));
+	t.ok((counts.get('e0') ?? 0) <= 40, 'a target in a slow spell gets few');
+	t.notOk(counts.has('e5'), 'no request leaves the zone while none waits there');
+	for (const {pendingTokens} of targets.slice(0, 5)) {
+		pendingTokens.add(0, 5000);
+	}
+
+	t.equal(choose(createQuery(targets, {prompt: createPrompt([['own', 1500]]), nowMs: 3060})).state.target.id, 'e5', 'a wait that costs more than the way does');
+});
+
+t.test('targets with room at their pace are preferred; if none has room, the pace is ignored', async t => {
+	const targets = [createState(0), createState(1)];
+	targets[0]!.pace.begin(0, true);
+	targets[0]!.inFlight = 2;
+	targets[1]!.pendingTokens.add(0, 20_000);
+	t.equal(choose(createQuery(targets, {nowMs: 1})).state.target.id, 'e1');
+	targets[0]!.inFlight = 1;
+	t.equal(choose(createQuery(targets, {nowMs: 1, prompt: createPrompt([['own', 100]])})).state.target.id, 'e0');
+	targets[0]!.inFlight = 2;
+	t.equal(choose(createQuery(targets, {nowMs: 1, excluded: new Set(['e1'])})).state.target.id, 'e0');
+});
+
+// Guards against shared parts that are read again, as late answers under overload drive requests from their home.
+t.test('late answers do not drive a prompt from the engine that has its parts cached', async t => {
+	const targets = [createState(0), createState(1)];
+	const cachedParts = new CachedParts();
+	const prompt = createPrompt([['dossier', 5000], ['own', 500]]);
+	const first = choose(createQuery(targets, {prompt, cachedParts}));
+	for (const key of first.partKeys) {
+		cachedParts.record(key, first.state.target.incarnation, 0);
+	}
+
+	const {pace} = first.state;
+	for (let late = 0; late < 4; late++) {
+		pace.recordAnswer({
+			ms: 900, expectedMs: 20, inProgress: 4, slots: 64,
+		}, 1000);
+	}
+
+	first.state.inFlight = 3;
+	t.ok(pace.isMild);
+	t.equal(choose(createQuery(targets, {prompt, cachedParts, nowMs: 1001})).state, first.state);
+	t.not(choose(createQuery(targets, {prompt: createPrompt([['own', 500]]), cachedParts, nowMs: 1001})).state, first.state);
+});
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -9,6 +9,7 @@
 import {
 	createPartLayout, findCachedSource, sumTokens, type CacheSource, type PartLayout,
 } from './_part-layout.ts';
+import {chooseCheapest} from './_spread-choice.ts';
 import type {LimitSharing} from './_limit-share.ts';
 import type {TargetState} from './target-state.ts';
 import type {
@@ -126,6 +127,12 @@
 /** Range of the random cost added to plain services, in milliseconds, so that instances with the same data do not all choose the same service. */
 const jitterMs = 2;
 
+/** Cost of a target without room at its pace whose answers were late, in milliseconds; less than that of a duplicate in a cache. */
+const lateCostMs = 30;
+
+/** Time in which a load that a target stated counts for a third, in milliseconds. */
+const statedLoadMs = 1000;
+
 const bitsPerByte = 8;
 /** Bits that a link of 1 Mbit/s transfers in a millisecond. */
 const bitsPerMbpsMs = 1000;
@@ -161,16 +168,9 @@
 	const welcoming = preferIf(permitted, ({statements}) => statements.computeAvoidanceMs(query.nowMs) === 0);
 	const ready = preferIf(welcoming, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
-	const createChoice = query.prompt && query.engine ? prepareEngineChoices(query, query.prompt, query.engine) : (state: TargetState) => createServiceChoice(query, state);
-	let best: TargetChoice | undefined;
-	for (const state of responsive) {
-		const choice = createChoice(state);
-		if (!best || choice.costMs < best.costMs) {
-			best = choice;
-		}
-	}
-
-	return best!;
+	const createChoice = query.prompt && query.engine ? prepareEngineChoices(query, query.prompt, query.engine) : prepareServiceChoices(query);
+	const roomy = preferIf(responsive, state => state.pace.isMild || hasRoomAtPace(query, state));
+	return chooseCheapest(query, roomy.map(state => createChoice(state)));
 }
 
 /** Computes the time until this instance may send a request to a target by what the target states, in milliseconds. */
@@ -178,6 +178,16 @@
 	return statements.computeDelayMs(() => getLimitSharing(target), {inFlight, slots: target.slots}, nowMs);
 }
 
+/** Whether this instance may have one more request in progress on a target that is finding its pace. */
+function hasRoomAtPace({getLimitSharing, nowMs}: TargetQuery, {pace, target, inFlight}: TargetState): boolean {
+	return pace.window === Infinity || inFlight < pace.computeLimit(getLimitSharing(target).instances, target.slots, nowMs);
+}
+
+/** Computes the cost of a target whose answers were late, in milliseconds. */
+function computeLateCostMs(query: TargetQuery, state: TargetState): number {
+	return state.pace.isMild && !hasRoomAtPace(query, state) ? lateCostMs : 0;
+}
+
 /** Returns the targets that pass, or all if none does. */
 function preferIf(states: readonly TargetState[], passes: (state: TargetState) => boolean): readonly TargetState[] {
 	const passing = states.filter(state => passes(state));
@@ -200,25 +210,48 @@
 		return false;
 	}
 
-	const queueMs = computeQueueMs(state, state.sumWork(query.nowMs, query.urgency), query.engine);
+	const queueMs = state.speed.computeMs(computeLastingQueueMs(state.speed.getMsPerToken(query.nowMs), state.sumWork(query.nowMs, query.urgency), query.engine), query.nowMs);
 	return stalenessMs + queueMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
 }
 
-/** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
-function computeQueueMs({msPerToken}: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, engine: EngineTraits | undefined): number {
+/** Computes the expected time until an engine starts to process a prompt, in milliseconds, if it works at its lasting speed until then. */
+function computeLastingQueueMs(msPerToken: number, {requests, tokens}: ReturnType<TargetState['sumWork']>, engine: EngineTraits | undefined): number {
 	return (tokens * msPerToken) + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs);
 }
 
+/** Returns a function that creates the choice of one plain service. */
+function prepareServiceChoices(query: TargetQuery): (state: TargetState) => TargetChoice {
+	const typicalMs = computeTypicalMs(query, 'service');
+	return state => createServiceChoice(query, state, typicalMs);
+}
+
+/** Computes the mean lasting time of the targets that state how fast they work: the expectation for those that are not measured yet, which would otherwise be left out. */
+function computeTypicalMs({targets, nowMs}: TargetQuery, kind: 'token' | 'service'): number | undefined {
+	let sumMs = 0;
+	let count = 0;
+	for (const {speed} of targets) {
+		if (speed.isStated && speed.isMeasured(kind)) {
+			sumMs += kind === 'token' ? speed.getMsPerToken(nowMs) : speed.getServiceMs(nowMs);
+			count++;
+		}
+	}
+
+	return count > 0 ? sumMs / count : undefined;
+}
+
 /** Creates the choice of a plain service; its queue, its service time and its availability zone determine the cost. */
-function createServiceChoice({zone, nowMs, random}: TargetQuery, state: TargetState): TargetChoice {
+function createServiceChoice(query: TargetQuery, state: TargetState, typicalMs: number | undefined): TargetChoice {
+	const {zone, nowMs, random} = query;
 	const requests = state.countRequests(nowMs);
 	const {slots} = state.target;
-	const queueMs = Math.max(0, requests + 1 - slots) * state.serviceMs / Math.max(1, slots);
+	const serviceMs = state.speed.getServiceMs(nowMs, typicalMs);
+	const lastingQueueMs = Math.max(0, requests + 1 - slots) * serviceMs / Math.max(1, slots);
+	const queueMs = state.speed.computeMs(lastingQueueMs, nowMs);
 	// A service slows down as its last slots fill, and hardly before.
 	const utilization = Math.min(1, requests / Math.max(1, slots)) ** 2;
-	const waitMs = queueMs + state.serviceMs;
+	const waitMs = state.speed.computeMs(lastingQueueMs + serviceMs, nowMs);
 	return {
-		state, queueMs, waitMs, costMs: waitMs + (state.serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + (random.next() * jitterMs),
+		state, queueMs, waitMs, costMs: waitMs + (serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + computeLateCostMs(query, state) + (random.next() * jitterMs),
 		unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, keeper: undefined, partKeys: [],
 	};
 }
@@ -230,6 +263,7 @@
 /** Returns a function that creates the choice of one engine for a prompt. The layout of the prompt's parts is created once per version of the weights. */
 function prepareEngineChoices(query: TargetQuery, prompt: Prompt, engine: EngineTraits): (state: TargetState) => TargetChoice {
 	const layouts = new Map<number | undefined, PartLayout>();
+	const typicalMs = computeTypicalMs(query, 'token');
 	const staying = query.targets.filter(({isLeaving}) => !isLeaving);
 	const targetIds = staying.map(({target}) => target.id);
 	const getPartLayout = (weights: number | undefined): PartLayout => {
@@ -257,13 +291,16 @@
 		// A home that others may fetch parts from is as likely to have them for its own requests.
 		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
 		const work = state.sumWork(query.nowMs, query.urgency);
-		const queueMs = computeQueueMs(state, work, engine);
+		const msPerToken = state.speed.getMsPerToken(query.nowMs, typicalMs);
+		const lastingQueueMs = computeLastingQueueMs(msPerToken, work, engine);
+		const queueMs = state.speed.computeMs(lastingQueueMs, query.nowMs);
 		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
-		const waitMs = queueMs + ((unreadTokens - likelyTokens) * state.msPerToken) + fetchMs;
+		const waitMs = state.speed.computeMs(lastingQueueMs + ((unreadTokens - likelyTokens) * msPerToken), query.nowMs) + fetchMs;
 		const costMs = waitMs
-			+ (work.requests * concurrentRequestMs)
+			+ (Math.max(work.requests, estimateStatedRequests(state, query.nowMs)) * concurrentRequestMs)
 			+ (cachedCount === layout.parts.length || isHome ? 0 : duplicateCacheMs)
 			+ computeZoneCostMs(query.zone, state)
+			+ computeLateCostMs(query, state)
 			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
 		return {
 			state, queueMs, waitMs, costMs, unreadTokens, weights, stalenessMs, cacheScope: formatCacheScope(query, weights), source: found?.source,
@@ -272,6 +309,11 @@
 	};
 }
 
+/** Estimates the requests that a target has in progress by the load that it stated last, which passes with time; 0 unless it also states how fast it works. */
+function estimateStatedRequests({load, loadReceivedMs, speed}: TargetState, nowMs: number): number {
+	return load && speed.isStated ? (load.running + load.waiting) * Math.exp((loadReceivedMs - nowMs) / statedLoadMs) : 0;
+}
+
 /** Appends the version of the weights to the scope, as parts cached under one version cannot be used under another. */
 function formatCacheScope({cacheScope}: TargetQuery, weights: number | undefined): string | undefined {
 	return cacheScope === undefined || weights === undefined ? cacheScope : `${cacheScope} ${weights}`;
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -14,6 +14,8 @@
 export type {ProbeTarget} from './_silence.ts';
 export {TargetListing} from './target-listing.ts';
 export {TargetSet} from './target-set.ts';
+export {TargetPace, type PaceReport} from './target-pace.ts';
+export {TargetSpeed, type PresentSpeed, type SpeedReport} from './target-speed.ts';
 export {TargetState, type TargetLoad, type InstanceWork} from './target-state.ts';
 export type {
 	AttemptParameters, TargetAnswer, TargetDialect, TargetStatement,
--- a/packages/relay/relay.ts
+++ b/packages/relay/relay.ts
@@ -29,6 +29,9 @@
 	budget: RetryBudget;
 }>;
 
+/** Time that work takes on a target, as a multiple of that at its lasting speed, from which an attempt there counts as one on a slow target. */
+const slowFactor = 1.5;
+
 /** Time for which a target is avoided after an exchange with it was lost, in milliseconds: a crashed target is back after a few seconds. */
 const suspectMs = 2000;
 
@@ -135,6 +138,14 @@
 		const startMs = clock.now();
 		caller.recordAttempt?.(target, 'started');
 		progress.isSending = true;
+		if (choice.state.speed.get(startMs).factor > slowFactor) {
+			telemetry.count('slow_attempts_total', {pool: progress.pool.name});
+		}
+
+		if (choice.state.pace.window < Infinity) {
+			telemetry.count('paced_attempts_total', {pool: progress.pool.name});
+		}
+
 		const result = await runAttempt(this.#dependencies, {
 			request, pool: progress.pool, choice, urgency, caller, delivery,
 			canMove: () => this.#canMove(progress, delivery, {targets: [target.id], softwareVersion: target.softwareVersion}),
@@ -271,7 +282,8 @@
 	/** Avoids the target for a while if the request could not be sent or if it is unknown whether the request has run. */
 	#suspect({state}: TargetChoice, cause: AttemptCause): void {
 		if (causeRules[cause].outcome === 'unknown' || causeRules[cause].outcome === 'notSent') {
-			state.suspect(this.#dependencies.clock.now() + suspectMs);
+			// A request that has run out of time says nothing of the process.
+			state.suspect(this.#dependencies.clock.now() + suspectMs, cause !== 'deadline');
 			this.#dependencies.targetReach.recordFailure(state.target.pool);
 		}
 	}
--- a/packages/relay/target-set.test.ts
+++ b/packages/relay/target-set.test.ts
@@ -69,3 +69,23 @@
 	await clock.advance(3000);
 	t.equal(state.countRequests(clock.now()), 1);
 });
+
+t.test('the speed of a target is told to peers while its figures are new, and not that of another process', async t => {
+	const {clock, targets} = start();
+	const peer = start();
+	targets.update([createTarget('a')]);
+	peer.targets.update([createTarget('a')]);
+	targets.get('a')!.recordLoad({
+		running: 1, waiting: 0, slots: 4, percent: 250,
+	}, clock.now());
+	t.strictSame(targets.listWork(), [], 'a target without work adds nothing to the message');
+	targets.get('a')!.inFlight = 1;
+	const work = targets.listWork();
+	t.strictSame(work.map(({target, requests, speed}) => [target, requests, speed?.slice(0, 2)]), [['a', 1, [250, 0]]]);
+	peer.targets.applyPeerWork('one', work.map(entry => ({...entry, startedWallMs: 2})), peer.clock.now());
+	t.notOk(peer.targets.get('a')!.speed.isStated);
+	peer.targets.applyPeerWork('one', work, peer.clock.now());
+	t.ok(peer.targets.get('a')!.speed.isStated);
+	await clock.advance(2000);
+	t.equal(targets.listWork()[0]!.speed, undefined, 'an old figure is not told');
+});
--- a/packages/relay/target-set.ts
+++ b/packages/relay/target-set.ts
@@ -10,6 +10,10 @@
 /** Time for which the end of the statements of an earlier process is told, in milliseconds. */
 const announceEndMs = 3000;
 
+/** Time for which targets must have been listed, in milliseconds, and maximum age of a process, by clocks that may differ, for a target to count as one that has just started. */
+const minObservedMs = 5000;
+const maxStartAgeMs = 60_000;
+
 /** Maximum number of processes that are kept after they are no longer listed. */
 const maxUnlisted = 256;
 
@@ -135,10 +139,12 @@
 			const {target, inFlight, pendingTokens} = state;
 			const statement = state.statements.announce(nowMs);
 			const limit = getUnnamedStatement(state, statement, nowMs);
-			return inFlight > 0 || limit
+			const speed = target.startedWallMs > 0 ? state.speed.announce(nowMs) : undefined;
+			const pace = target.startedWallMs > 0 ? state.pace.announce(nowMs) : undefined;
+			return inFlight > 0 || (limit ?? pace)
 				? [{
 					target: target.id, ...(target.startedWallMs > 0 && {startedWallMs: target.startedWallMs}),
-					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(limit && {limit}), ...(statement && {statement}),
+					requests: inFlight, tokens: pendingTokens.total, byUrgency: pendingTokens.list(), ...(limit && {limit}), ...(statement && {statement}), ...(speed && {speed}), ...(pace && {pace}),
 				}]
 				: [];
 		});
@@ -152,13 +158,21 @@
 
 		this.#targetIdsByPeer.set(peer, work.map(({target}) => target));
 		// Without counts by urgency, all tokens count as the most urgent.
-		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], statement, limit} of work) {
+		for (const {target, startedWallMs, requests, tokens, byUrgency = [tokens], statement, limit, speed, pace} of work) {
 			const state = this.#states.get(target);
 			if (!state || (startedWallMs !== undefined && startedWallMs !== state.target.startedWallMs)) {
 				continue;
 			}
 
 			state.setPeerWork(peer, {requests, byUrgency}, nowMs);
+			if (startedWallMs !== undefined && speed) {
+				state.speed.merge(speed, nowMs);
+			}
+
+			if (startedWallMs !== undefined && pace) {
+				state.pace.merge(pace, state.target.slots, nowMs);
+			}
+
 			const stated = statement ?? limit;
 			if (startedWallMs !== undefined && statement) {
 				state.statements.merge(statement, nowMs);
@@ -226,6 +240,10 @@
 			state.lastReceivedMs = this.#clock.now();
 			return state.lastReceivedMs;
 		}, this.#options), this.#clock);
+		if (this.hasObserved(minObservedMs) && (target.startedWallMs === 0 || this.#clock.getWallTimeMs() - target.startedWallMs < maxStartAgeMs)) {
+			state.pace.begin(this.#clock.now(), true);
+		}
+
 		const hasPredecessor = [...this.#unlisted.values()].some(earlier => earlier.target.id === target.id && earlier.statements.isStating);
 		state.succeededMs = hasPredecessor ? this.#clock.now() : Number.NEGATIVE_INFINITY;
 		return state;
--- a/packages/relay/target-state.ts
+++ b/packages/relay/target-state.ts
@@ -4,6 +4,8 @@
  * measured speed.
  */
 import type {TargetConnections} from './connections.ts';
+import {TargetPace} from './target-pace.ts';
+import {TargetSpeed} from './target-speed.ts';
 import {TargetStatements} from './target-statements.ts';
 import {sumAhead, TokenQueue} from './token-queue.ts';
 import type {Clock} from '#clock';
@@ -14,6 +16,8 @@
 	running: number;
 	waiting: number;
 	slots: number;
+	/** Time that work takes on the target at this moment, in hundredths of the normal time; absent if the target does not state it. */
+	percent?: number | undefined;
 }>;
 
 /** Work that an instance has in progress on a target. */
@@ -34,22 +38,6 @@
 /** Time for which a target whose start is unknown is excluded because its process ends or has ended, in milliseconds: a later process cannot be told from it. */
 const maxUnknownExclusionMs = 30_000;
 
-/** Weight of the newest measurement in a moving average. */
-const smoothingFactor = 0.2;
-
-/** Time per prompt token of an engine that has not been measured yet, in milliseconds: that of a small engine. */
-const initialMsPerToken = 0.02;
-
-/** Bounds of the measured time per prompt token, in milliseconds. */
-const minMsPerToken = 0.002;
-const maxMsPerToken = 0.5;
-
-/** Fixed cost of a request, expressed in prompt tokens; a measurement adds them to the tokens of the prompt. */
-const overheadTokens = 500;
-
-/** Service time of a plain service that has not been measured yet, in milliseconds. */
-const initialServiceMs = 50;
-
 /** State of one incarnation of a target. */
 export class TargetState {
 	target: RelayTarget;
@@ -75,10 +63,8 @@
 	succeededMs = Number.NEGATIVE_INFINITY;
 	/** Called when the target is suspected; one per exchange in progress whose request may be sent again. */
 	readonly suspicionHandlers = new Set<() => void>();
-	/** Average time in which the target reads a prompt token, in milliseconds. */
-	msPerToken = initialMsPerToken;
-	/** Average time from sending a request to a plain service until its attempt finishes, in milliseconds. */
-	serviceMs = initialServiceMs;
+	readonly speed = new TargetSpeed();
+	readonly pace = new TargetPace();
 	#suspectUntilMs = Number.NEGATIVE_INFINITY;
 	readonly #peers = new Map<string, PeerWork>();
 	readonly #clock: Pick<Clock, 'now'>;
@@ -113,8 +99,16 @@
 		return this.#suspectUntilMs;
 	}
 
-	/** Suspects the target of not answering: other targets are preferred until `untilMs`. Closes its idle connections, which may no longer reach it. */
-	suspect(untilMs: number): void {
+	/**
+	 * Suspects the target of not answering: other targets are preferred until `untilMs`. Closes its idle connections, which may no longer reach it.
+	 *
+	 * @param mayHaveEnded whether its process may have ended, so that it has to find its pace again
+	 */
+	suspect(untilMs: number, mayHaveEnded = true): void {
+		if (mayHaveEnded) {
+			this.pace.begin(this.#clock.now(), false);
+		}
+
 		this.#suspectUntilMs = Math.max(this.#suspectUntilMs, untilMs);
 		this.connections.closeIdle();
 		for (const handler of this.suspicionHandlers) {
@@ -168,17 +162,14 @@
 	recordLoad(load: TargetLoad, nowMs: number): void {
 		this.load = load;
 		this.loadReceivedMs = nowMs;
+		if (load.percent !== undefined) {
+			this.speed.recordFigure(load.percent, nowMs);
+		}
 	}
 
-	/** Records the time until the answer to a prompt started, with the number of tokens that had to be read before that. */
-	recordAnswerStart(tokens: number, ms: number): void {
-		const measured = Math.min(maxMsPerToken, Math.max(minMsPerToken, ms / (tokens + overheadTokens)));
-		this.msPerToken += (measured - this.msPerToken) * smoothingFactor;
-	}
-
-	/** Records the time that an attempt on a plain service took, unless its request was not run. */
-	recordServiceTime(ms: number): void {
-		this.serviceMs += (ms - this.serviceMs) * smoothingFactor;
+	/** Counts the requests in progress on the target by what it stated last, and by what this instance and its peers have sent. */
+	countInProgress(nowMs: number): number {
+		return Math.max(this.countRequests(nowMs), this.load ? this.load.running + this.load.waiting : 0);
 	}
 
 	/** Sets the work that a peer has in progress on the target. */
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -200,7 +200,9 @@
 	const startRequest = (route: RelayRoute, first = 0, id = 'a', {prompt, method = 'POST', lastEventId}: Readonly<{prompt?: Prompt; method?: 'GET' | 'POST' | 'HEAD'; lastEventId?: string}> = {}) => {
 		const caller = new RecordingCaller();
 		for (const [index, state] of targets.list().entries()) {
-			state.serviceMs = index === first ? 1 : 30;
+			for (let measurement = 0; measurement < 40; measurement++) {
+				state.speed.recordServiceTime(index === first ? 1 : 30, clock.now());
+			}
 		}
 
 		const request: RelayRequest = {
