Merge the speed and the pace of targets

Cause: the fourth figure of the load header was dropped; targets that start or return were excluded for a fixed time or whole. Change: speed at this moment from figures, own measurements and those of peers; a pace found from answers.

--- a/packages/peer-protocol/_quick-check.ts
+++ b/packages/peer-protocol/_quick-check.ts
@@ -11,6 +11,9 @@
 const maxNameLength = 200;
 const maxEntries = 4096;
 const maxUrgencies = 10;
+const maxHeldParts = 64;
+const maxSpeedFigures = 4;
+const maxPaceFigures = 2;
 const maxPools = 256;
 
 const isName: Check = value => typeof value === 'string' && value.length <= maxNameLength;
@@ -75,6 +78,12 @@
 	['perSecond', isPositive, 'optional'], ['isLeaving', isBoolean, 'optional'], ['maxRefusals', isPositive, 'optional'], ['ageMs', isPositive],
 ]);
 
+const isHeldPart: Check = value => Array.isArray(value) && value.length === 2 && isNumber(value[0]) && isPositive(value[1]);
+
+const isHeld = createObjectCheck([
+	['byUrgency', createArrayCheck(isPositive, maxUrgencies)], ['parts', createArrayCheck(isHeldPart, maxHeldParts)],
+]);
+
 const messageChecks: Readonly<Record<string, Check>> = {
 	sent: createObjectCheck([
 		['kind', isName],
@@ -84,6 +93,9 @@
 			['tokens', isNumber],
 			['startedWallMs', isNumber, 'optional'],
 			['byUrgency', createArrayCheck(isNumber, maxUrgencies), 'optional'],
+			['held', isHeld, 'optional'],
+			['speed', createArrayCheck(isPositive, maxSpeedFigures), 'optional'],
+			['pace', createArrayCheck(isPositive, maxPaceFigures), 'optional'],
 			['statement', isStatement, 'optional'],
 			['limit', isStatement, 'optional'],
 		]), maxEntries)],
--- a/packages/peer-protocol/quick-check.test.ts
+++ b/packages/peer-protocol/quick-check.test.ts
@@ -16,6 +16,7 @@
 	type: 'message', message: {
 		kind: 'sent', targets: [{
 			target: 't', requests: 1, tokens: 2, startedWallMs: 1_700_000_000_000, byUrgency: [1, 2], statement, limit: {ageMs: 4},
+			held: {byUrgency: [16, 32], parts: [[4_000_000_000, 512]]}, speed: [250, 10, 20, 30], pace: [2, 100],
 		}, {target: 'u', requests: 1, tokens: 0}],
 	},
 };
--- a/packages/relay/_attempt.ts
+++ b/packages/relay/_attempt.ts
@@ -124,7 +124,7 @@
 		const result = await receiveAnswer(dependencies, attempt, started, work);
 		// A refusal takes no service time, and would make a busy target look fast; so would an answer to another request.
 		if (!request.prompt && !untimedCauses.has(result.failure?.cause)) {
-			state.recordServiceTime(clock.now() - work.startedMs);
+			state.speed.recordServiceTime(clock.now() - work.startedMs, clock.now());
 		}
 
 		return result;
@@ -172,6 +172,7 @@
 
 	choice.state.statements.recordAnswer(decoded.statement, startedMs, clock.now());
 	choice.state.statements.recordOutcome(decoded.hasNotRun, choice.state.inFlight, () => getLimitSharing(choice.state.target), clock.now());
+	recordRefusalPace(choice.state, decoded, startedMs, clock.now());
 	if (decoded.load) {
 		choice.state.recordLoad(decoded.load, clock.now());
 	}
@@ -202,12 +203,21 @@
 	};
 }
 
+/** Records in the target's pace that it has refused a request for want of room or asked for a rest. */
+function recordRefusalPace(state: TargetState, {hasNotRun, isMisdirected, statement}: TargetAnswer, sentMs: number, nowMs: number): void {
+	if (statement.restMs !== undefined) {
+		state.pace.begin(nowMs + statement.restMs, true);
+	} else if (hasNotRun && !isMisdirected) {
+		state.pace.recordRefusal(state.countInProgress(nowMs), state.target.slots, sentMs, nowMs);
+	}
+}
+
 /** Start time of an attempt, in milliseconds, and callbacks that update the target's work in progress. */
 type AttemptWork = Readonly<{startedMs: number; handleAnswerStart: () => void; finish: () => void}>;
 
 /** Counts a request as in progress on its target, and its prompt tokens as pending until the answer starts. */
 export function startWork({clock, cachedParts}: Pick<AttemptDependencies, 'clock' | 'cachedParts'>, attempt: Pick<Attempt, 'request' | 'choice' | 'urgency' | 'overtakingFactor'>): AttemptWork {
-	const {request: {prompt}, choice: {state, unreadTokens, partKeys}, urgency, overtakingFactor = 1} = attempt;
+	const {request: {prompt}, choice: {state, waitMs, unreadTokens, partKeys}, urgency, overtakingFactor = 1} = attempt;
 	const startedMs = clock.now();
 	const aheadTokens = state.sumWork(startedMs, urgency).tokens;
 	let pendingTokens = unreadTokens;
@@ -217,6 +227,7 @@
 	};
 
 	state.statements.recordSent();
+	state.pace.recordSent(waitMs, startedMs);
 	state.inFlight++;
 	state.pendingTokens.add(urgency, pendingTokens);
 	const removeHeld = prompt && state.held.add(prompt, partKeys, urgency);
@@ -229,10 +240,13 @@
 		handleAnswerStart() {
 			// The wait of a prompt that others overtake says little about the speed of the target.
 			if (pendingTokens > 0 && overtakingFactor < maxOvertakingFactor) {
-				state.recordAnswerStart(aheadTokens + unreadTokens, (clock.now() - startedMs) / overtakingFactor);
+				state.speed.recordAnswerStart(aheadTokens + unreadTokens, (clock.now() - startedMs) / overtakingFactor, clock.now());
 			}
 
 			removePendingTokens();
+			state.pace.recordAnswer({
+				ms: clock.now() - startedMs, expectedMs: waitMs, inProgress: state.countInProgress(clock.now()), slots: state.target.slots,
+			}, clock.now());
 		},
 		finish() {
 			removePendingTokens();
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -133,8 +133,8 @@
 		}
 
 		let tokensPerMs = 0;
-		for (const {msPerToken} of targets.listPool(progress.pool.name)) {
-			tokensPerMs += 1 / msPerToken;
+		for (const {speed} of targets.listPool(progress.pool.name)) {
+			tokensPerMs += 1 / speed.getMsPerToken(clock.now());
 		}
 
 		return {choice, urgency, overtakingFactor: this.#overtaking.getFactor(urgency, tokensPerMs / countInstances(), clock.now())};
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -12,6 +12,7 @@
 import {
 	createPartLayout, findCachedSource, sumTokens, type CacheSource, type PartLayout,
 } from './_part-layout.ts';
+import {chooseCheapest} from './_spread-choice.ts';
 import type {LimitSharing} from './_limit-share.ts';
 import type {TargetState} from './target-state.ts';
 import type {
@@ -135,6 +136,12 @@
 /** Range of the random cost added to plain services, in milliseconds, so that instances with the same data do not all choose the same service. */
 const jitterMs = 2;
 
+/** Cost of a target without room at its pace whose answers were late, in milliseconds; less than that of the second home of a prompt's parts, so that it does not cause a further copy. */
+const lateCostMs = 15;
+
+/** Time in which a load that a target stated counts for a third, in milliseconds. */
+const statedLoadMs = 1000;
+
 const bitsPerByte = 8;
 /** Bits that a link of 1 Mbit/s transfers in a millisecond. */
 const bitsPerMbpsMs = 1000;
@@ -171,24 +178,21 @@
 	const ready = preferIf(welcoming, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const {prompt, engine} = query;
-	const roomy = prompt && engine ? preferIf(responsive, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : responsive;
-	const createChoice = prompt && engine ? prepareEngineChoices(query, prompt, engine) : (state: TargetState) => createServiceChoice(query, state);
-	const choices = roomy.map(state => createChoice(state));
+	const paced = preferIf(responsive, state => state.pace.isMild || hasRoomAtPace(query, state));
+	const roomy = prompt && engine ? preferIf(paced, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : paced;
+	const createChoice = prompt && engine ? prepareEngineChoices(query, prompt, engine) : prepareServiceChoices(query);
+	return chooseCheapest(query, addRereadCosts(roomy.map(state => createChoice(state))));
+}
+
+/** Adds to each cost that of reading shared parts again, which is the higher the longer the queues are: more requests wait for it. */
+function addRereadCosts(choices: readonly TargetChoice[]): readonly TargetChoice[] {
 	let sumQueueMs = 0;
 	for (const {queueMs} of choices) {
 		sumQueueMs += queueMs;
 	}
 
-	const rereadPrice = Math.min(maxRereadPrice, sumQueueMs / choices.length / rereadPriceStepMs);
-	let best: TargetChoice | undefined;
-	for (const choice of choices) {
-		const costMs = choice.costMs + (choice.rereadMs * rereadPrice);
-		if (!best || costMs < best.costMs) {
-			best = {...choice, costMs};
-		}
-	}
-
-	return best!;
+	const price = Math.min(maxRereadPrice, sumQueueMs / choices.length / rereadPriceStepMs);
+	return price === 0 ? choices : choices.map(choice => ({...choice, costMs: choice.costMs + (choice.rereadMs * price)}));
 }
 
 /** Computes the time until this instance may send a request to a target by what the target states, in milliseconds. */
@@ -196,6 +200,16 @@
 	return statements.computeDelayMs(() => getLimitSharing(target), {inFlight, slots: target.slots}, nowMs);
 }
 
+/** Whether this instance may have one more request in progress on a target that is finding its pace. */
+function hasRoomAtPace({getLimitSharing, nowMs}: TargetQuery, {pace, target, inFlight}: TargetState): boolean {
+	return pace.window === Infinity || inFlight < pace.computeLimit(getLimitSharing(target).instances, target.slots, nowMs);
+}
+
+/** Computes the cost of a target whose answers were late, in milliseconds. */
+function computeLateCostMs(query: TargetQuery, state: TargetState): number {
+	return state.pace.isMild && !hasRoomAtPace(query, state) ? lateCostMs : 0;
+}
+
 /** Returns the targets that pass, or all if none does. */
 function preferIf(states: readonly TargetState[], passes: (state: TargetState) => boolean): readonly TargetState[] {
 	const passing = states.filter(state => passes(state));
@@ -218,30 +232,53 @@
 		return false;
 	}
 
-	const queueMs = computeQueueMs(query, state, state.sumWork(query.nowMs, query.urgency));
+	const queueMs = computeQueueMs(query, state, state.sumWork(query.nowMs, query.urgency), state.speed.getMsPerToken(query.nowMs));
 	return stalenessMs + queueMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
 }
 
 /** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
-function computeQueueMs({engine, nowMs, urgency}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>): number {
+function computeQueueMs({engine, nowMs, urgency}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): number {
 	const roomMs = engine ? computeRoomWaitMs(estimateOccupancy(state, requests, engine, {urgency, nowMs}), state, engine) : 0;
-	return Math.max(tokens * state.msPerToken, roomMs);
+	return Math.max(state.speed.computeMs(tokens * msPerToken, nowMs), roomMs);
 }
 
 function getOccupancy({nowMs, urgency}: TargetQuery, state: TargetState, engine: EngineTraits): EngineOccupancy {
 	return estimateOccupancy(state, state.sumWork(nowMs, urgency).requests, engine, {urgency, nowMs});
 }
 
+/** Returns a function that creates the choice of one plain service. */
+function prepareServiceChoices(query: TargetQuery): (state: TargetState) => TargetChoice {
+	const typicalMs = computeTypicalMs(query, 'service');
+	return state => createServiceChoice(query, state, typicalMs);
+}
+
+/** Computes the mean lasting time of the targets that state how fast they work: the expectation for those that are not measured yet, which would otherwise be left out. */
+function computeTypicalMs({targets, nowMs}: TargetQuery, kind: 'token' | 'service'): number | undefined {
+	let sumMs = 0;
+	let count = 0;
+	for (const {speed} of targets) {
+		if (speed.isStated && speed.isMeasured(kind)) {
+			sumMs += kind === 'token' ? speed.getMsPerToken(nowMs) : speed.getServiceMs(nowMs);
+			count++;
+		}
+	}
+
+	return count > 0 ? sumMs / count : undefined;
+}
+
 /** Creates the choice of a plain service; its queue, its service time and its availability zone determine the cost. */
-function createServiceChoice({zone, nowMs, random}: TargetQuery, state: TargetState): TargetChoice {
+function createServiceChoice(query: TargetQuery, state: TargetState, typicalMs: number | undefined): TargetChoice {
+	const {zone, nowMs, random} = query;
 	const requests = state.countRequests(nowMs);
 	const {slots} = state.target;
-	const queueMs = Math.max(0, requests + 1 - slots) * state.serviceMs / Math.max(1, slots);
+	const serviceMs = state.speed.getServiceMs(nowMs, typicalMs);
+	const lastingQueueMs = Math.max(0, requests + 1 - slots) * serviceMs / Math.max(1, slots);
+	const queueMs = state.speed.computeMs(lastingQueueMs, nowMs);
 	// A service slows down as its last slots fill, and hardly before.
 	const utilization = Math.min(1, requests / Math.max(1, slots)) ** 2;
-	const waitMs = queueMs + state.serviceMs;
+	const waitMs = state.speed.computeMs(lastingQueueMs + serviceMs, nowMs);
 	return {
-		state, queueMs, waitMs, costMs: waitMs + (state.serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + (random.next() * jitterMs),
+		state, queueMs, waitMs, costMs: waitMs + (serviceMs * utilization / 2) + computeZoneCostMs(zone, state) + computeLateCostMs(query, state) + (random.next() * jitterMs),
 		rereadMs: 0, unreadTokens: 0, weights: undefined, cacheScope: undefined, source: undefined, keeper: undefined, partKeys: [],
 	};
 }
@@ -253,6 +290,7 @@
 /** Returns a function that creates the choice of one engine for a prompt. The layout of the prompt's parts is created once per version of the weights. */
 function prepareEngineChoices(query: TargetQuery, prompt: Prompt, engine: EngineTraits): (state: TargetState) => TargetChoice {
 	const layouts = new Map<number | undefined, PartLayout>();
+	const typicalMs = computeTypicalMs(query, 'token');
 	const staying = query.targets.filter(({isLeaving}) => !isLeaving);
 	const targetIds = staying.map(({target}) => target.id);
 	const getPartLayout = (weights: number | undefined): PartLayout => {
@@ -281,16 +319,18 @@
 		// A home that others may fetch parts from is as likely to have them for its own requests.
 		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
 		const work = state.sumWork(query.nowMs, query.urgency);
-		const queueMs = computeQueueMs(query, state, work);
+		const msPerToken = state.speed.getMsPerToken(query.nowMs, typicalMs);
+		const queueMs = computeQueueMs(query, state, work, msPerToken);
 		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
-		const waitMs = queueMs + ((unreadTokens - likelyTokens) * state.msPerToken) + fetchMs;
+		const waitMs = queueMs + state.speed.computeMs((unreadTokens - likelyTokens) * msPerToken, query.nowMs) + fetchMs;
 		const costMs = waitMs
-			+ (work.requests * concurrentRequestMs)
+			+ (Math.max(work.requests, estimateStatedRequests(state, query.nowMs)) * concurrentRequestMs)
 			+ (cachedCount === layout.parts.length || isHome ? 0 : getDuplicateCostMs(layout, state))
 			+ computeZoneCostMs(query.zone, state)
+			+ computeLateCostMs(query, state)
 			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
 		return {
-			state, queueMs, waitMs, costMs, rereadMs: Math.max(0, unreadTokens - ownTokens) * state.msPerToken, unreadTokens,
+			state, queueMs, waitMs, costMs, rereadMs: Math.max(0, unreadTokens - ownTokens) * msPerToken, unreadTokens,
 			weights, stalenessMs, cacheScope: formatCacheScope(query, weights), source: found?.source,
 			keeper: found && found.source.id === layout.store?.address ? layout.store : undefined, partKeys: layout.keys,
 		};
@@ -302,6 +342,11 @@
 	return preferredHomeIds.includes(target.id) ? secondHomeMs : duplicateCacheMs;
 }
 
+/** Estimates the requests that a target has in progress by the load that it stated last, which passes with time; 0 unless it also states how fast it works. */
+function estimateStatedRequests({load, loadReceivedMs, speed}: TargetState, nowMs: number): number {
+	return load && speed.isStated ? (load.running + load.waiting) * Math.exp((loadReceivedMs - nowMs) / statedLoadMs) : 0;
+}
+
 /** Appends the version of the weights to the scope, as parts cached under one version cannot be used under another. */
 function formatCacheScope({cacheScope}: TargetQuery, weights: number | undefined): string | undefined {
 	return cacheScope === undefined || weights === undefined ? cacheScope : `${cacheScope} ${weights}`;
