--- a/packages/peer-protocol/link.ts
+++ b/packages/peer-protocol/link.ts
@@ -9,6 +9,7 @@
 import type {Duplex} from 'node:stream';
 import {decodeValue, encodeValue} from './codec.ts';
 import {isUsualEnvelope} from './_quick-check.ts';
+import {encodeEnvelope, encodeHeartbeat, type EncodedEnvelope} from './encode-envelope.ts';
 import {envelopeSchema, type Envelope, type PeerStatus} from './envelope.ts';
 import {encodeFrame, FrameReader} from './framing.ts';
 import {
@@ -61,25 +62,6 @@
 	limits?: LinkLimits;
 }>;
 
-/** An envelope as the body of a frame. */
-export type EncodedEnvelope = Uint8Array;
-
-/** Encodes an envelope once for several links. */
-export function encodeEnvelope(envelope: Envelope): EncodedEnvelope {
-	return encodeValue(envelope);
-}
-
-/** The heartbeat that was encoded last. The links of an instance send theirs together, mostly with one status. */
-let lastHeartbeat: Readonly<{status: PeerStatus; body: EncodedEnvelope}> | undefined;
-
-function encodeHeartbeat(status: PeerStatus): EncodedEnvelope {
-	if (lastHeartbeat?.status !== status) {
-		lastHeartbeat = {status, body: encodeEnvelope({type: 'heartbeat', status})};
-	}
-
-	return lastHeartbeat.body;
-}
-
 /** Maximum size of the payload of a hello or a proof. */
 const maxHandshakeFrameBytes = 2048;
 const finishTimeoutMs = 500;
--- a/packages/peer-protocol/mod.ts
+++ b/packages/peer-protocol/mod.ts
@@ -17,8 +17,9 @@
 } from './channel.ts';
 export type {Envelope, PeerStatus} from './envelope.ts';
 export type {PeerIdentity} from './identity.ts';
+export {encodeEnvelope} from './encode-envelope.ts';
 export {
-	encodeEnvelope, PeerLink, type LinkDependencies, type LinkEndReason, type LinkLimits,
+	PeerLink, type LinkDependencies, type LinkEndReason, type LinkLimits,
 } from './link.ts';
 export type {LinkRole} from './handshake.ts';
 export type {PeerListener, PeerTransport} from './transport.ts';
