--- a/packages/relay/_spread-choice.ts
+++ b/packages/relay/_spread-choice.ts
@@ -1,5 +1,5 @@
 /** Chooses among targets of similar cost, so that instances with the same data do not all choose the same one. */
-import type {TargetChoice, TargetQuery} from './choose-target.ts';
+import type {TargetChoice, TargetQuery} from './target-choice.ts';
 
 /** Cost by which the probability of a target falls to a third, as a multiple of the time that the cheapest one takes for the request itself, and the minimum of that time in milliseconds. */
 const spreadFactor = 1.5;
