Relay: early refusals and memory of engines count only where customers' work is limited

Change: they apply where the configuration in force limits the work of a customer; else the earlier urgency, refusal, queue estimate and homes hold.

--- a/packages/relay/_part-layout.ts
+++ b/packages/relay/_part-layout.ts
@@ -43,6 +43,8 @@
 const homeCount = 2;
 
 export type PartLayoutQuery = Readonly<{
+	/** Whether homes that cannot read a part now are replaced. Default: `true`. */
+	isRationed?: boolean | undefined;
 	prompt: Prompt;
 	targets: readonly TargetState[];
 	/** Ids of the targets that may be homes. */
@@ -134,6 +136,10 @@
  * is back.
  */
 function listHomeIds(query: PartLayoutQuery): readonly string[] {
+	if (query.isRationed === false) {
+		return query.targetIds;
+	}
+
 	const usableIds = query.targets.filter(state => isUsable(query, state)).map(({target}) => target.id);
 	return usableIds.length > 0 ? usableIds : query.targetIds;
 }
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -39,6 +39,12 @@
 	getConfiguration: () => Pick<RelayConfiguration, 'customers' | 'routes'> | undefined;
 }>;
 
+/** Time for which a caller is expected to wait for the first event, as a multiple of the promised time. */
+const callerWaitFactor = 4;
+
+/** The least urgent level that engines accept. */
+const lowestUrgency = 9;
+
 /** Maximum time after which the caller of a pool whose limits are reached is asked to retry, in milliseconds, before it is multiplied by a random factor. */
 const maxRetryAfterMs = 3000;
 
@@ -65,6 +71,8 @@
 	readonly #statedTimes = new StatedTimes();
 	#scaleConfiguration: ReturnType<TargetChooserDependencies['getConfiguration']>;
 	#scale = new UrgencyScale(undefined);
+	/** Whether the configuration in force limits the work of any customer. Without one, as in tests, it counts as limited. */
+	#isRationed = true;
 
 	constructor(dependencies: TargetChooserDependencies) {
 		this.#dependencies = dependencies;
@@ -84,6 +92,10 @@
 		const {customer, route, prompt} = request;
 		const nowMs = clock.now();
 		const scale = this.#getScale();
+		if (!this.#isRationed) {
+			return this.#chooseUnrationed(progress);
+		}
+
 		const regular = this.#chooseWithUrgency(progress, scale.get(customer, route));
 		if (!regular || !prompt || !engine || sentAttempts > 0) {
 			return regular && this.#record(regular, request);
@@ -112,7 +124,9 @@
 
 	/** Whether a request that is in progress on some targets could move to another one, which is not known to be silent, to load weights or to refuse. */
 	canMove(progress: RelayProgress, {targets, softwareVersion}: ReachedTargets): boolean {
-		const query = this.#createQuery(progress, this.#getScale().get(progress.request.customer, progress.request.route));
+		const scale = this.#getScale();
+		const {customer, route} = progress.request;
+		const query = this.#createQuery(progress, this.#isRationed ? scale.get(customer, route) : getPlainUrgency(progress.request));
 		const choice = chooseRelayTarget({
 			...query, excluded: new Set([...query.excluded, ...targets]), softwareVersion: query.softwareVersion ?? softwareVersion,
 		});
@@ -124,6 +138,41 @@
 		return Math.max(suspectUntilMs, loadingUntilMs) <= query.nowMs && statements.computeAvoidanceMs(query.nowMs) === 0;
 	}
 
+	/**
+	 * Chooses the next target of a request where no customer's work is limited. A
+	 * request that will miss its promised time gets the lowest urgency, so that it
+	 * does not delay those that can still meet theirs. A request that has not reached
+	 * a target yet is refused at once if its caller would not wait for it.
+	 */
+	#chooseUnrationed(progress: RelayProgress): ChoiceWithUrgency | undefined {
+		const {request} = progress;
+		const urgency = getPlainUrgency(request);
+		const choice = this.#chooseAt(progress, urgency);
+		if (typeof choice === 'string') {
+			return undefined;
+		}
+
+		const {promisedMs} = request.route;
+		if (!request.prompt || choice.queueMs <= promisedMs) {
+			return {choice: this.#limitKeeping(choice, request), urgency, overtakingFactor: 1};
+		}
+
+		const lowestChoice = this.#chooseAt(progress, lowestUrgency);
+		if (typeof lowestChoice === 'string') {
+			return undefined;
+		}
+
+		const callerWaitMs = Math.min(promisedMs * callerWaitFactor, request.deadlineMs - this.#dependencies.clock.now());
+		if (progress.sentAttempts === 0 && lowestChoice.queueMs > callerWaitMs) {
+			progress.cause = 'overloaded';
+			// A random factor from 0.75 to 1.25 spreads the retries of several callers.
+			progress.retryAfterMs = Math.min(maxRetryAfterMs, lowestChoice.queueMs - promisedMs) * (0.75 + (this.#dependencies.random.next() / 2));
+			return undefined;
+		}
+
+		return {choice: this.#limitKeeping(lowestChoice, request), urgency: lowestUrgency, overtakingFactor: 1};
+	}
+
 	/** Chooses the next target at an urgency, if there is one. */
 	#chooseWithUrgency(progress: RelayProgress, urgency: number): ChoiceWithUrgency | undefined {
 		const {targets, countInstances, clock} = this.#dependencies;
@@ -152,6 +201,7 @@
 		if (configuration !== this.#scaleConfiguration) {
 			this.#scaleConfiguration = configuration;
 			this.#scale = new UrgencyScale(configuration);
+			this.#isRationed = !configuration || [...configuration.customers?.values() ?? []].some(({limit}) => limit !== undefined);
 		}
 
 		return this.#scale;
@@ -169,7 +219,8 @@
 		} = this.#dependencies;
 		return {
 			targets: targets.listPool(pool.name), getLimitSharing, excluded, softwareVersion, engine: pool.engine, prompt: request.prompt, cacheScope: request.cacheScope,
-			urgency, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model), maxStaleWeightsMs, cachedParts, kvCacheStores: listKvCacheStores(), zone,
+			urgency, isRationed: this.#isRationed, publishedVersions: request.prompt && publishedWeights.get(request.prompt.model),
+			maxStaleWeightsMs, cachedParts, kvCacheStores: listKvCacheStores(), zone,
 			nowMs: clock.now(), random, maxConnections: Math.max(1, Math.floor(pool.maxConnections / countInstances())),
 		};
 	}
@@ -202,3 +253,8 @@
 function getQueueMs({choice, overtakingFactor}: ChoiceWithUrgency): number {
 	return choice.queueMs * overtakingFactor;
 }
+
+/** Returns the customer's priority, or else the route's, within the range that engines accept. */
+function getPlainUrgency({customer, route}: RelayRequest): number {
+	return Math.min(lowestUrgency, Math.max(0, Math.floor(customer?.priority ?? route.priority)));
+}
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -6,7 +6,7 @@
  * sending requests.
  */
 import {
-	computeRoomWaitMs, estimateOccupancy, hasRoom, type EngineOccupancy,
+	computeRoomWaitMs, estimateOccupancy, hasRoom, slotWaitMs, type EngineOccupancy,
 } from './engine-room.ts';
 import {
 	createPartLayout, findCachedSource, sumTokens, type PartLayout,
@@ -100,9 +100,11 @@
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
 	const {prompt, engine} = query;
 	const paced = preferIf(responsive, state => state.pace.isMild || hasRoomAtPace(query, state));
-	const roomy = prompt && engine ? preferIf(paced, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : paced;
+	const {isRationed = true} = query;
+	const roomy = prompt && engine && isRationed ? preferIf(paced, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : paced;
 	const createChoice = prompt && engine ? prepareEngineChoices(query, prompt, engine) : prepareServiceChoices(query);
-	return chooseCheapest(query, addRereadCosts(roomy.map(state => createChoice(state))));
+	const choices = roomy.map(state => createChoice(state));
+	return chooseCheapest(query, isRationed ? addRereadCosts(choices) : choices);
 }
 
 /** Adds to each cost that of reading shared parts again, which is the higher the longer the queues are: more requests wait for it. */
@@ -158,7 +160,11 @@
 }
 
 /** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
-function computeQueueMs({engine, nowMs, urgency}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): number {
+function computeQueueMs({engine, nowMs, urgency, isRationed = true}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): number {
+	if (!isRationed) {
+		return state.speed.computeMs((tokens * msPerToken) + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs), nowMs);
+	}
+
 	const roomMs = engine ? computeRoomWaitMs(estimateOccupancy(state, requests, engine, {urgency, nowMs}), state, engine) : 0;
 	return Math.max(state.speed.computeMs(tokens * msPerToken, nowMs), roomMs);
 }
@@ -246,7 +252,7 @@
 		const waitMs = queueMs + state.speed.computeMs((unreadTokens - likelyTokens) * msPerToken, query.nowMs) + fetchMs;
 		const costMs = waitMs
 			+ (Math.max(work.requests, estimateStatedRequests(state, query.nowMs)) * concurrentRequestMs)
-			+ (cachedCount === layout.parts.length || isHome ? 0 : getDuplicateCostMs(layout, state))
+			+ (cachedCount === layout.parts.length || isHome ? 0 : getDuplicateCostMs(query, layout, state))
 			+ computeZoneCostMs(query.zone, state)
 			+ computeLateCostMs(query, state)
 			+ ((stalenessMs ?? 0) > staleWeightsGraceMs ? staleWeightsCostMs : 0);
@@ -259,8 +265,8 @@
 }
 
 /** Returns the cost of a further copy of the prompt's parts on a target, in milliseconds. */
-function getDuplicateCostMs({preferredHomeIds}: PartLayout, {target}: TargetState): number {
-	return preferredHomeIds.includes(target.id) ? secondHomeMs : duplicateCacheMs;
+function getDuplicateCostMs({isRationed = true}: TargetQuery, {preferredHomeIds}: PartLayout, {target}: TargetState): number {
+	return isRationed && preferredHomeIds.includes(target.id) ? secondHomeMs : duplicateCacheMs;
 }
 
 /** Estimates the requests that a target has in progress by the load that it stated last, which passes with time; 0 unless it also states how fast it works. */
--- a/packages/relay/relay.test.ts
+++ b/packages/relay/relay.test.ts
@@ -231,6 +231,30 @@
 	t.strictSame(urgencies, ['0', '1', '1', 'undefined']);
 });
 
+// Guards against a change for deployments that limit no customer.
+t.test('without limits of customers, a prompt that will be late gets the lowest urgency; one that its caller would not wait for is refused', async t => {
+	const completeStream = sendText(`${streamHead}${formatEvent(1)}0\r\n\r\n`);
+	const urgencies: Array<string | undefined> = [];
+	// At 0.02 ms per token, these queues take 2 ms, 0.8 s and 3.2 s. The route promises 0.5 s, and a caller waits for four times that.
+	for (const queued of [100, 40_000, 160_000]) {
+		const setup = await startRelay(t, completeStream);
+		setup.setConfiguration({routes: []});
+		const state = setup.targets.get('t0')!;
+		state.pendingTokens.add(0, queued);
+		const {caller, isDone} = setup.startRequest(streamRoute, 0, 'a', {prompt});
+		await setup.waitUntil(isDone);
+		urgencies.push(String(setup.raw[0]!.requests[0]?.headers['x-urgency']));
+		if (queued === 160_000) {
+			t.strictSame(caller.records, ['refused 503 promise_unreachable not_run']);
+			t.ok(caller.refusal!.retryAfterMs! > 0);
+		} else {
+			t.strictSame(caller.records, ['200 s3', 'end']);
+		}
+	}
+
+	t.strictSame(urgencies, ['2', '9', 'undefined']);
+});
+
 t.test('a request is refused at once as not run if its pool has no target', async t => {
 	const {caller, clock} = await runRequest(t, onceRoute);
 	t.strictSame(caller.records, ['refused 503 no_target not_run']);
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -16,7 +16,7 @@
 import {HeldBodies} from '#admission';
 import {ManualClock, SuspensionMonitor, type Clock} from '#clock';
 import {
-	createRandom, prepareHash, type Prompt, type Refusal, type RelayPool, type RelayRequest, type RelayRoute,
+	createRandom, prepareHash, type Prompt, type Refusal, type RelayConfiguration, type RelayPool, type RelayRequest, type RelayRoute,
 } from '#core';
 import {RetryBudget} from '#dispatch';
 import {createNoopBus} from '#peer-protocol';
@@ -136,6 +136,7 @@
 export async function startRelay(t: Pick<Test, 'teardown' | 'ok'>, ...scripts: readonly RawScript[]) {
 	await prepareHash();
 	const clock = new ManualClock();
+	let configuration: Pick<RelayConfiguration, 'customers' | 'routes'> | undefined;
 	const raw: RawTarget[] = [];
 	for (const script of scripts) {
 		raw.push(await startRawTarget(script));
@@ -181,7 +182,7 @@
 			},
 		}, budget, quarantine, partQuarantine, cachedParts: new CachedParts(), listKvCacheStores: () => [],
 		streamOrigins: new StreamOrigins(clock), publishedWeights: new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)}),
-		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getConfiguration: () => undefined, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
+		maxStaleWeightsMs: 8000, zone: 'z', countInstances: () => 2, getConfiguration: () => configuration, getLimitSharing: () => ({instances: 2, rank: 0}), async probe({id}) {
 			await onProbe();
 			return alive.has(id);
 		},
@@ -234,6 +235,9 @@
 
 	return {
 		clock, relay, raw, targets, telemetry, openRequests, quarantine, budget, alive, unreachable, startRequest, waitUntil, mismatches,
+		setConfiguration(next: typeof configuration) {
+			configuration = next;
+		},
 		handleHead(handler: () => void) {
 			onHead = handler;
 		},
--- a/packages/relay/testing/scarce-load.ts
+++ b/packages/relay/testing/scarce-load.ts
@@ -97,6 +97,13 @@
 	};
 }
 
+/** Customers of a configuration that limits work, as the decision under test asks. */
+const limitedCustomers = new Map([['key', {
+	name: 'c', isIsolated: false, limit: {
+		unit: 'tokens', perSecond: 1e9, burst: 1e9, plainTokens: 0,
+	},
+} as const]]);
+
 /** Runs one load. */
 // eslint-disable-next-line complexity -- the steps of the simulation share its state
 export function simulateScarceLoad({factor, seed, downEngines = 0, outputTokens = 48, samplePeers}: ScarceLoad): ScarceOutcomes {
@@ -127,7 +134,7 @@
 		const chooser = new TargetChooser({
 			clock, random, targets, cachedParts, listKvCacheStores: () => [], publishedWeights: new PublishedWeights({clock, suspensions: new SuspensionMonitor(clock)}),
 			maxStaleWeightsMs: 8000, zone: zones[index % 3]!, countInstances: () => instanceCount, getLimitSharing: () => ({instances: 1, rank: 0}),
-			getConfiguration: () => ({routes: Object.values(routes)}), telemetry: {count: () => undefined},
+			getConfiguration: () => ({routes: Object.values(routes), customers: limitedCustomers}), telemetry: {count: () => undefined},
 		});
 		return {
 			index, targets, cachedParts, chooser,
