Relay: a slow spell counts once over the queue and the prompt behind it

Cause: the merge of target speed with the memory of engines computed the wait as that of the queue plus that of the prompt, each from now on, so that a spell that ends meanwhile lengthened both in full. Change: one function computes the time for the queue and the reading behind it. Result: the new test fails before (2 of 4 assertions) and passes after; the other tests of the choice pass unchanged.

--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -384,6 +384,22 @@
 	t.equal(choose(createQuery(targets, {nowMs: 1, excluded: new Set(['e1'])})).state.target.id, 'e0');
 });
 
+// Guards against a slow spell that counts in full for both the queue and the prompt, although it ends meanwhile.
+t.test('a slow spell lengthens the queue and the prompt behind it once', async t => {
+	for (const isRationed of [true, false]) {
+		const state = createState(0);
+		state.speed.recordFigure(100, -5000);
+		state.speed.recordFigure(100, -4000);
+		state.speed.recordFigure(100, -3000);
+		state.speed.recordFigure(250, 0);
+		state.pendingTokens.add(0, 20_000);
+		const {queueMs, waitMs} = choose(createQuery([state], {prompt: createPrompt([['own', 10_000]]), isRationed}));
+		const msPerToken = state.speed.getMsPerToken(0);
+		t.equal(queueMs, state.speed.computeMs(20_000 * msPerToken, 0));
+		t.equal(waitMs, state.speed.computeMs(30_000 * msPerToken, 0));
+	}
+});
+
 // Guards against shared parts that are read again, as late answers under overload drive requests from their home.
 t.test('late answers do not drive a prompt from the engine that has its parts cached', async t => {
 	const targets = [createState(0), createState(1)];
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -155,18 +155,25 @@
 		return false;
 	}
 
-	const queueMs = computeQueueMs(query, state, state.sumWork(query.nowMs, query.urgency), state.speed.getMsPerToken(query.nowMs));
-	return stalenessMs + queueMs > query.maxStaleWeightsMs - staleWeightsMarginMs;
+	const queue = estimateQueue(query, state, state.sumWork(query.nowMs, query.urgency), state.speed.getMsPerToken(query.nowMs));
+	return stalenessMs + computeWaitMs(query, state, queue) > query.maxStaleWeightsMs - staleWeightsMarginMs;
 }
 
-/** Computes the expected time until an engine starts to process a prompt, in milliseconds. */
-function computeQueueMs({engine, nowMs, urgency, isRationed = true}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): number {
+/** What a prompt waits for at an engine: work that takes so long at the lasting speed, and room that is free after some time at any speed; both in milliseconds. */
+type EngineQueue = Readonly<{lastingMs: number; roomMs: number}>;
+
+function estimateQueue({engine, nowMs, urgency, isRationed = true}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): EngineQueue {
+	const lastingMs = tokens * msPerToken;
 	if (!isRationed) {
-		return state.speed.computeMs((tokens * msPerToken) + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs), nowMs);
+		return {lastingMs: lastingMs + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs), roomMs: 0};
 	}
 
-	const roomMs = engine ? computeRoomWaitMs(estimateOccupancy(state, requests, engine, {urgency, nowMs}), state, engine) : 0;
-	return Math.max(state.speed.computeMs(tokens * msPerToken, nowMs), roomMs);
+	return {lastingMs, roomMs: engine ? computeRoomWaitMs(estimateOccupancy(state, requests, engine, {urgency, nowMs}), state, engine) : 0};
+}
+
+/** Computes the time until an engine has finished its queue and then `readMs` of reading at the lasting speed, in milliseconds. A slow spell ends in the meantime. */
+function computeWaitMs({nowMs}: TargetQuery, {speed}: TargetState, {lastingMs, roomMs}: EngineQueue, readMs = 0): number {
+	return Math.max(speed.computeMs(lastingMs + readMs, nowMs), roomMs + speed.computeMs(readMs, nowMs));
 }
 
 function getOccupancy({nowMs, urgency}: TargetQuery, state: TargetState, engine: EngineTraits): EngineOccupancy {
@@ -247,9 +254,10 @@
 		const likelyTokens = isHome && !found ? sumTokens(layout.parts, cachedCount, layout.parts.length) * likelyCachedRatio : 0;
 		const work = state.sumWork(query.nowMs, query.urgency);
 		const msPerToken = state.speed.getMsPerToken(query.nowMs, typicalMs);
-		const queueMs = computeQueueMs(query, state, work, msPerToken);
+		const queue = estimateQueue(query, state, work, msPerToken);
+		const queueMs = computeWaitMs(query, state, queue);
 		const fetchMs = found ? computeFetchMs(engine, fetchedTokens) * (found.source.zone === state.target.zone ? 1 : crossZoneFetchFactor) : 0;
-		const waitMs = queueMs + state.speed.computeMs((unreadTokens - likelyTokens) * msPerToken, query.nowMs) + fetchMs;
+		const waitMs = computeWaitMs(query, state, queue, (unreadTokens - likelyTokens) * msPerToken) + fetchMs;
 		const costMs = waitMs
 			+ (Math.max(work.requests, estimateStatedRequests(state, query.nowMs)) * concurrentRequestMs)
 			+ (cachedCount === layout.parts.length || isHome ? 0 : getDuplicateCostMs(query, layout, state))
