Relay: whether work is rationed is stated with each choice

Cause: the field had a default that only tests used, repeated at four places, and the chooser took a missing configuration for one with limits for their sake. A factor of the memory of engines had no name, and two comments of tests told of a deployment and of how a value came about. Change: the field is required; tests state it, and their relay has a configuration with limits. Behaviour and assertions stay. Result: all tests of packages/relay and customer-limits pass.

--- a/packages/admission/customer-limits.test.ts
+++ b/packages/admission/customer-limits.test.ts
@@ -13,7 +13,7 @@
 import {createNoopBus, peerMessageSchema} from '#peer-protocol';
 import {createTelemetry} from '#telemetry';
 
-/** Time of usual load before each trial, in milliseconds. */
+/** Time of usual load before what a test brings about, in milliseconds. */
 const warmUpMs = 15_000;
 
 /** Time for which the largest bursts last, in milliseconds. */
--- a/packages/relay/_part-layout.ts
+++ b/packages/relay/_part-layout.ts
@@ -43,8 +43,8 @@
 const homeCount = 2;
 
 export type PartLayoutQuery = Readonly<{
-	/** Whether homes that cannot read a part now are replaced. Default: `true`. */
-	isRationed?: boolean | undefined;
+	/** Whether homes that cannot read a part now are replaced. */
+	isRationed: boolean;
 	prompt: Prompt;
 	targets: readonly TargetState[];
 	/** Ids of the targets that may be homes. */
@@ -136,7 +136,7 @@
  * is back.
  */
 function listHomeIds(query: PartLayoutQuery): readonly string[] {
-	if (query.isRationed === false) {
+	if (!query.isRationed) {
 		return query.targetIds;
 	}
 
--- a/packages/relay/_target-chooser.ts
+++ b/packages/relay/_target-chooser.ts
@@ -71,8 +71,8 @@
 	readonly #statedTimes = new StatedTimes();
 	#scaleConfiguration: ReturnType<TargetChooserDependencies['getConfiguration']>;
 	#scale = new UrgencyScale(undefined);
-	/** Whether the configuration in force limits the work of any customer. Without one, as in tests, it counts as limited. */
-	#isRationed = true;
+	/** Whether the configuration in force limits the work of any customer. */
+	#isRationed = false;
 
 	constructor(dependencies: TargetChooserDependencies) {
 		this.#dependencies = dependencies;
@@ -201,7 +201,7 @@
 		if (configuration !== this.#scaleConfiguration) {
 			this.#scaleConfiguration = configuration;
 			this.#scale = new UrgencyScale(configuration);
-			this.#isRationed = !configuration || [...configuration.customers?.values() ?? []].some(({limit}) => limit !== undefined);
+			this.#isRationed = [...configuration?.customers?.values() ?? []].some(({limit}) => limit !== undefined);
 		}
 
 		return this.#scale;
--- a/packages/relay/choose-target.test.ts
+++ b/packages/relay/choose-target.test.ts
@@ -25,7 +25,7 @@
 
 function createQuery(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetQuery {
 	return {
-		targets, excluded: new Set(), engine, prompt: undefined, cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
+		targets, excluded: new Set(), engine, prompt: undefined, cacheScope: 's', urgency: 0, isRationed: true, publishedVersions: undefined, maxStaleWeightsMs: 8000,
 		cachedParts: new CachedParts(), kvCacheStores: [], zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), getLimitSharing: () => ({instances: 1, rank: 0}), ...options,
 	};
 }
--- a/packages/relay/choose-target.ts
+++ b/packages/relay/choose-target.ts
@@ -98,9 +98,8 @@
 	const welcoming = preferIf(permitted, ({statements}) => statements.computeAvoidanceMs(query.nowMs) === 0);
 	const ready = preferIf(welcoming, ({loadingUntilMs}) => loadingUntilMs <= query.nowMs);
 	const responsive = preferIf(ready, ({suspectUntilMs}) => suspectUntilMs <= query.nowMs);
-	const {prompt, engine} = query;
+	const {prompt, engine, isRationed} = query;
 	const paced = preferIf(responsive, state => state.pace.isMild || hasRoomAtPace(query, state));
-	const {isRationed = true} = query;
 	const roomy = prompt && engine && isRationed ? preferIf(paced, state => hasRoom(getOccupancy(query, state, engine), engine, prompt)) : paced;
 	const createChoice = prompt && engine ? prepareEngineChoices(query, prompt, engine) : prepareServiceChoices(query);
 	const choices = roomy.map(state => createChoice(state));
@@ -162,7 +161,7 @@
 /** What a prompt waits for at an engine: work that takes so long at the lasting speed, and room that is free after some time at any speed; both in milliseconds. */
 type EngineQueue = Readonly<{lastingMs: number; roomMs: number}>;
 
-function estimateQueue({engine, nowMs, urgency, isRationed = true}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): EngineQueue {
+function estimateQueue({engine, nowMs, urgency, isRationed}: TargetQuery, state: TargetState, {requests, tokens}: ReturnType<TargetState['sumWork']>, msPerToken: number): EngineQueue {
 	const lastingMs = tokens * msPerToken;
 	if (!isRationed) {
 		return {lastingMs: lastingMs + (Math.max(0, requests + 1 - (engine?.slots ?? Infinity)) * slotWaitMs), roomMs: 0};
@@ -273,7 +272,7 @@
 }
 
 /** Returns the cost of a further copy of the prompt's parts on a target, in milliseconds. */
-function getDuplicateCostMs({isRationed = true}: TargetQuery, {preferredHomeIds}: PartLayout, {target}: TargetState): number {
+function getDuplicateCostMs({isRationed}: TargetQuery, {preferredHomeIds}: PartLayout, {target}: TargetState): number {
 	return isRationed && preferredHomeIds.includes(target.id) ? secondHomeMs : duplicateCacheMs;
 }
 
--- a/packages/relay/engine-room.test.ts
+++ b/packages/relay/engine-room.test.ts
@@ -29,7 +29,7 @@
 
 function choose(targets: readonly TargetState[], options: Partial<TargetQuery> = {}): TargetChoice {
 	const choice = chooseRelayTarget({
-		targets, excluded: new Set(), engine, prompt: createPrompt('a'), cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
+		targets, excluded: new Set(), engine, prompt: createPrompt('a'), cacheScope: 's', urgency: 0, isRationed: true, publishedVersions: undefined, maxStaleWeightsMs: 8000,
 		cachedParts: new CachedParts(), kvCacheStores: [], zone: 'a', maxConnections: 46, nowMs: 0, random: createRandom(5), getLimitSharing: () => ({instances: 1, rank: 0}), ...options,
 	});
 	if (typeof choice === 'string') {
--- a/packages/relay/engine-room.ts
+++ b/packages/relay/engine-room.ts
@@ -29,6 +29,9 @@
 /** Part of an engine's memory up to which it counts as having room. The rest covers outputs that are longer than expected and requests that this instance has not heard of. */
 const usableMemory = 0.95;
 
+/** Part of an engine's memory beyond which requests count as waiting for it; what is held is an estimate. */
+const overfullMemory = 1.05;
+
 /** Delay of a request by each request ahead of it while no slot of the engine is free, in milliseconds. */
 export const slotWaitMs = 50;
 
@@ -43,7 +46,7 @@
 	const heldTokens = held.total * scale;
 	const hasStatedWait = load !== undefined && load.waiting > 0 && ageMs <= waitingValidityMs;
 	return {
-		requests, heldTokens, aheadTokens: held.sumAhead(urgency) * scale, isWaiting: hasStatedWait || requests > engine.slots || heldTokens > engine.cacheTokens * 1.05,
+		requests, heldTokens, aheadTokens: held.sumAhead(urgency) * scale, isWaiting: hasStatedWait || requests > engine.slots || heldTokens > engine.cacheTokens * overfullMemory,
 	};
 }
 
--- a/packages/relay/kv-cache-store.test.ts
+++ b/packages/relay/kv-cache-store.test.ts
@@ -103,7 +103,7 @@
 		const {states, cachedParts, keepBudget} = instances[random.integerBelow(instanceCount)]!;
 		const prompt = createPrompt(random.integerBelow(subjectCount), request++);
 		const {state, source, keeper, partKeys, unreadTokens} = choose({
-			targets: states, excluded: new Set(), engine, prompt, cacheScope: 's', urgency: 0, publishedVersions: undefined,
+			targets: states, excluded: new Set(), engine, prompt, cacheScope: 's', urgency: 0, isRationed: true, publishedVersions: undefined,
 			maxStaleWeightsMs: 8000, cachedParts, kvCacheStores, zone: zones[random.integerBelow(zones.length)]!, maxConnections: 46, getLimitSharing: () => ({instances: 1, rank: 0}), nowMs, random,
 		});
 		const isKept = keeper !== undefined && keepBudget.acquire(keeper, prompt.inputTokens);
@@ -166,7 +166,7 @@
 	const [state] = [createState(0)];
 	const cachedParts = new CachedParts();
 	const chooseEngine = () => choose({
-		targets: [state], excluded: new Set(), engine, prompt: createPrompt(1, 1), cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
+		targets: [state], excluded: new Set(), engine, prompt: createPrompt(1, 1), cacheScope: 's', urgency: 0, isRationed: true, publishedVersions: undefined, maxStaleWeightsMs: 8000,
 		cachedParts, kvCacheStores: [store], zone: 'a', maxConnections: 46, getLimitSharing: () => ({instances: 1, rank: 0}), nowMs: 0, random: createRandom(1),
 	});
 	const first = chooseEngine();
@@ -184,7 +184,8 @@
 	const counts = new Map<string, number>();
 	for (let subject = 0; subject < 300; subject++) {
 		const chooseFor = (kvCacheStores: readonly KvCacheStore[], zone: string) => choose({
-			targets: [createState(0)], excluded: new Set(), engine, prompt: createPrompt(subject, 1), cacheScope: 's', urgency: 0, publishedVersions: undefined, maxStaleWeightsMs: 8000,
+			targets: [createState(0)], excluded: new Set(), engine, prompt: createPrompt(subject, 1), cacheScope: 's', urgency: 0, isRationed: true,
+			publishedVersions: undefined, maxStaleWeightsMs: 8000,
 			cachedParts: new CachedParts(), kvCacheStores, zone, maxConnections: 46, getLimitSharing: () => ({instances: 1, rank: 0}), nowMs: 0, random: createRandom(1),
 		}).keeper;
 		const keeper = chooseFor(stores, 'a')!;
--- a/packages/relay/target-choice.ts
+++ b/packages/relay/target-choice.ts
@@ -31,8 +31,8 @@
 	cacheScope: string | undefined;
 	/** Urgency sent to the engine; 0 is the most urgent. */
 	urgency: number;
-	/** Whether the configuration limits the work of customers, so that the memory of engines and the time to read shared parts again count in the choice. Default: `true`. */
-	isRationed?: boolean | undefined;
+	/** Whether the configuration limits the work of customers, so that the memory of engines and the time to read shared parts again count in the choice. */
+	isRationed: boolean;
 	/** Absent if none is known for the prompt's model. */
 	publishedVersions: PublishedVersions | undefined;
 	/** Time for which requests may still start on stale weights, in milliseconds. */
--- a/packages/relay/target-speed.test.ts
+++ b/packages/relay/target-speed.test.ts
@@ -99,7 +99,7 @@
 const engine = {
 	slots: 64, cacheTokens: 215_352, bytesPerToken: 35_136, linkMbps: 1_000_000, models: ['m'],
 };
-/** A part of the fortisi deployment: engines at 70% of their capacity, and plain services. */
+/** Targets of uneven speed: engines at 70% of their capacity, and plain services. */
 const engineLoad: UnevenLoad = {
 	seed: 7, instances: 20, targets: 15, perSecond: 460, engine, slots: 64, durationMs: 9000,
 };
--- a/packages/relay/testing/relay.ts
+++ b/packages/relay/testing/relay.ts
@@ -13,6 +13,7 @@
 import {TargetReach} from '../target-reach.ts';
 import {TargetSet} from '../target-set.ts';
 import {PublishedWeights} from '../published-weights.ts';
+import {limitedCustomers} from './limited-customers.ts';
 import {HeldBodies} from '#admission';
 import {ManualClock, SuspensionMonitor, type Clock} from '#clock';
 import {
@@ -136,7 +137,7 @@
 export async function startRelay(t: Pick<Test, 'teardown' | 'ok'>, ...scripts: readonly RawScript[]) {
 	await prepareHash();
 	const clock = new ManualClock();
-	let configuration: Pick<RelayConfiguration, 'customers' | 'routes'> | undefined;
+	let configuration: Pick<RelayConfiguration, 'customers' | 'routes'> = {customers: limitedCustomers, routes: []};
 	const raw: RawTarget[] = [];
 	for (const script of scripts) {
 		raw.push(await startRawTarget(script));
--- a/packages/relay/testing/scarce-load.ts
+++ b/packages/relay/testing/scarce-load.ts
@@ -5,6 +5,7 @@
 import {RelayProgress} from '../_progress.ts';
 import {TargetChooser} from '../_target-chooser.ts';
 import {TargetSet} from '../target-set.ts';
+import {limitedCustomers} from './limited-customers.ts';
 import {SimulatedEngine} from './simulated-engine.ts';
 import {ManualClock, SuspensionMonitor} from '#clock';
 import {
@@ -97,13 +98,6 @@
 	};
 }
 
-/** Customers of a configuration that limits work, as the decision under test asks. */
-const limitedCustomers = new Map([['key', {
-	name: 'c', isIsolated: false, limit: {
-		unit: 'tokens', perSecond: 1e9, burst: 1e9, plainTokens: 0,
-	},
-} as const]]);
-
 /** Runs one load. */
 // eslint-disable-next-line complexity -- the steps of the simulation share its state
 export function simulateScarceLoad({factor, seed, downEngines = 0, outputTokens = 48, samplePeers}: ScarceLoad): ScarceOutcomes {
--- a/packages/relay/testing/uneven-load.ts
+++ b/packages/relay/testing/uneven-load.ts
@@ -337,7 +337,7 @@
 	const choice = chooseRelayTarget({
 		targets: states, excluded, engine, prompt: engine && {
 			model: 'm', inputTokens: tokens, maxOutputTokens: 50, parts: [{key: 'own', tokens}],
-		}, cacheScope: 's', urgency,
+		}, cacheScope: 's', urgency, isRationed: true,
 		publishedVersions: undefined, maxStaleWeightsMs: 8000, cachedParts, kvCacheStores: [], zone, maxConnections: 46, nowMs, random, getLimitSharing: () => ({instances, rank: 0}),
 	});
 	if (typeof choice === 'string') {
