--- a/packages/http/byte-blocks.test.ts
+++ b/packages/http/byte-blocks.test.ts
@@ -44,6 +44,8 @@
 	setFlagsFromString('--expose-gc');
 	const collectGarbage = runInNewContext('gc') as () => void; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the flag exposes this function
 	const measure = () => {
+		collectGarbage();
+		// Array buffers are freed on another thread; the second collection waits for those of the first.
 		collectGarbage();
 		const {heapUsed, arrayBuffers} = process.memoryUsage();
 		return heapUsed + arrayBuffers;
