--- a/review/standins-2/runner.mjs
+++ b/review/standins-2/runner.mjs
@@ -2,7 +2,8 @@
  * A stand-in of a runner, as PROTOCOL.md tells it: a plain service that works for
  * some milliseconds on each request, or an engine that answers with a stream. It
  * registers itself in the store. A crash resets all its connections; the runner is
- * back after a time, as a new boot with a new id at the same address.
+ * back after a time, as a new boot with a new id at the same address, or after a
+ * restart with the id that it had.
  */
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
@@ -62,9 +63,10 @@
 		return this.#running;
 	}
 
-	async start() {
+	/** Starts, as a new process with a new id, or with the one that it had; its entry is written `entryMs` after it has begun to serve. */
+	async start({keepsId = false, entryMs = 0} = {}) {
 		this.#epoch++;
-		this.#id = `i-${(++started).toString(16).padStart(4, '0')}-${this.#options.service}`;
+		this.#id = keepsId ? this.#id : `i-${(++started).toString(16).padStart(4, '0')}-${this.#options.service}`;
 		this.#server = createServer({keepAliveTimeout: 30_000}, (req, res) => {
 			this.#handle(req, res);
 		});
@@ -83,8 +85,15 @@
 		this.#seq = 0;
 		this.#isBusy = false;
 		this.#bornMs = Date.now();
+		this.#reports = [];
 		this.#noteReport();
-		this.#register();
+		if (entryMs === 0) {
+			this.#register();
+		} else {
+			this.#setTimer(() => {
+				this.#register();
+			}, entryMs);
+		}
 	}
 
 	#register() {
@@ -102,7 +111,7 @@
 
 	#noteReport() {
 		const report = {
-			Stage: 'both', Models: this.#listModels(), Busy: this.#isBusy, Seq: this.#seq, Waiting: 0, Running: this.#running, KvUsed: 0, KvTotal: 262_053, Handles: 0,
+			born: this.#bornMs, Stage: 'both', Models: this.#listModels(), Busy: this.#isBusy, Seq: this.#seq, Waiting: 0, Running: this.#running, KvUsed: 0, KvTotal: 262_053, Handles: 0,
 		};
 		this.#reports.push({atMs: performance.now(), report});
 	}
@@ -148,14 +157,8 @@
 		}
 
 		const id = this.#id;
-		this.#isUp = false;
-		this.#running = 0;
 		this.crashes.push(performance.now());
-		this.#server.close();
-		for (const socket of this.#sockets) {
-			socket.resetAndDestroy();
-		}
-
+		this.#end();
 		this.#setTimer(() => {
 			this.#store.remove('servers', id);
 		}, lapseMs);
@@ -164,6 +167,29 @@
 		}, downMs);
 	}
 
+	/** Ends, and starts again at its address after `downMs` with other software; under the id that it had, or a new one. */
+	restart({downMs, version, entryMs, keepsId}) {
+		this.#end();
+		if (!keepsId) {
+			this.#store.remove('servers', this.#id);
+		}
+
+		this.#setTimer(() => {
+			this.#options = {...this.#options, version};
+			this.start({keepsId, entryMs});
+		}, downMs);
+	}
+
+	/** Ends the process: resets all its connections. */
+	#end() {
+		this.#isUp = false;
+		this.#running = 0;
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
 	close() {
 		this.#isClosed = true;
 		for (const timer of this.#timers) {
@@ -259,7 +285,7 @@
 		this.#running++;
 		const isAlive = () => this.#isUp && epoch === this.#epoch && !res.destroyed;
 		await this.#options.handle({
-			...run, res, isAlive, crash: downMs => this.crash(downMs),
+			...run, res, isAlive, software: this.#options.version, crash: downMs => this.crash(downMs),
 			sleep: async ms => new Promise(resolve => {
 				setTimeout(resolve, ms);
 			}),
