--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,19 +1,25 @@
-/** Another writer has put an entry into the list of runners that lacks fields which each runner's entry has. */
-import {createServer} from 'node:http';
+/** All processes are killed at the same moment while runners of two software versions serve; requesters take their streams up again. */
 import {runCase, Fleet, sleep} from '../standins-2/fleet.mjs';
 import {createDesiredState, createHeaders, keys} from '../standins-2/desired-state.mjs';
 import {Runner} from '../standins-2/runner.mjs';
 import {Store} from '../standins-2/store.mjs';
 
-const instanceCount = 3;
+const instanceCount = 4;
 const zones = ['esbjerg', 'kolding', 'aarhus'];
 
-/** Time for which requesters send, in milliseconds. */
-const durationMs = 20_000;
+/** Time for which the runners of both versions serve before the kill, and from the kill to the start of the processes, in milliseconds. */
+const calmMs = 8000;
+const downMs = 1000;
 
-/** Events of a stream, and the time between them, in milliseconds. */
-const events = 5;
-const gapMs = 15;
+/** Bounds of the rules: machines are in touch this long after their start; streams that must be taken up for the rule to count. */
+const contactMs = 3000;
+const minStreams = 12;
+
+/** Streams that requesters take up, their events, the time between these, and the requesters' time limit, in milliseconds. */
+const streams = 36;
+const events = 40;
+const gapMs = 200;
+const limitMs = 15_000;
 
 await runCase('review/9/record.txt', async ({record, isTroubled, addCleanup}) => {
 	const store = new Store();
@@ -21,94 +27,96 @@
 	addCleanup(() => {
 		store.close();
 	});
-	store.put('config', 'main', createDesiredState());
-	const handle = async run => {
-		record.write(`run    ${run.id} ${run.path} at ${run.runner}`);
-		run.res.writeHead(200, {...run.listHeaders(), 'content-type': 'text/event-stream', 'x-apricotdoor-weight-versions': '1'});
-		for (let event = 1; event <= events && run.isAlive(); event++) {
-			await run.sleep(gapMs);
-			run.res.write(`id: ${event}\ndata: t${event}\n\n`);
-		}
-
-		run.res.end();
-	};
-
-	for (const zone of zones) {
+	const state = createDesiredState();
+	store.put('config', 'main', {
+		...state, Routes: [...state.Routes, {
+			...state.Routes.find(({Name}) => Name === 'seal-query'), Name: 'batch-audit', PathPrefix: '/audit/', TimeoutMs: limitMs, TargetLatencyMs: 800,
+		}],
+	});
+	const startRunner = async (service, zone, model, version) => {
 		const runner = new Runner(store, {
-			service: 'sprogtjeneste', zone, slots: 64, model: 'daka510000', handle,
+			service, zone, slots: 64, model, version,
+			async handle(run) {
+				record.write(`run    ${run.id} from event ${Number(run.headers['last-event-id'] ?? 0) + 1} at ${run.runner} (${version})`);
+				run.res.writeHead(200, {...run.listHeaders(), 'content-type': 'text/event-stream', 'x-apricotdoor-weight-versions': '1'});
+				for (let event = Number(run.headers['last-event-id'] ?? 0) + 1; event <= events && run.isAlive(); event++) {
+					await run.sleep(gapMs);
+					run.res.write(`id: ${event}\ndata: ${version}\n\n`);
+				}
+
+				run.res.end();
+			},
 		});
 		addCleanup(() => {
 			runner.close();
 		});
 		await runner.start();
-	}
-
-	// A web server that is no runner: it knows none of the paths.
-	let foreignRequests = 0;
-	const foreign = createServer((req, res) => {
-		const id = req.headers['x-apricotdoor-request-id'];
-		if (id !== undefined) {
-			foreignRequests++;
-			record.write(`foreign server gets ${id} ${req.method} ${req.url}`);
-		}
-
-		req.resume();
-		req.on('end', () => {
-			res.writeHead(404, {'content-type': 'text/plain', 'content-length': 9, connection: 'close'});
-			res.end('not found');
-		});
-	});
-	await new Promise(resolve => {
-		foreign.listen(0, '127.0.0.1', resolve);
-	});
-	addCleanup(() => {
-		foreign.close();
-		foreign.closeAllConnections();
-	});
+	};
 
-	if (isTroubled) {
-		// Without ColdLeftMs, Seq and `born`.
-		const entry = {
-			Service: 'sprogtjeneste', Address: `127.0.0.1:${foreign.address().port}`, Zone: 'esbjerg', Version: 'v1', Slots: 64, State: 'ready',
-		};
-		store.put('servers', 'old-model', entry);
-		record.write(`another writer puts servers/old-model ${JSON.stringify(entry)}`);
+	for (const zone of zones) {
+		await startRunner('sprogtjeneste', zone, 'daka510000', 'v1');
 	}
 
 	const fleet = new Fleet();
 	addCleanup(async () => fleet.stop());
 	await fleet.start(instanceCount, store.address);
+	for (const zone of zones) {
+		await startRunner('sprogtjeneste', zone, 'daka510000', 'v2');
+	}
 
-	let count = 0;
-	let denied = 0;
-	const send = async instance => {
-		const parts = `5c1e${(count % 20) + 16}a2:341,cc0${count % 10}:227,${(count + 4096).toString(16)}:300`;
+	record.write('runners of v1 and v2 serve side by side');
+	await sleep(calmMs);
+
+	/** Sends a request for a stream; `after` is the last event that the requester has. Returns what came. */
+	const send = async (index, instance, {after, resumes, timeoutMs = limitMs} = {}) => {
 		const headers = createHeaders({
-			'api-key': count % 2 === 0 ? keys.dune : keys.reef, 'x-apricotdoor-model': 'daka510000', 'x-apricotdoor-token-usage': '868,5', 'x-apricotdoor-prompt-prefix': parts,
+			'api-key': keys.dune, 'x-apricotdoor-model': 'daka510000', 'x-apricotdoor-token-usage': '868,40',
+			'x-apricotdoor-prompt-prefix': `5c1e${index % 10}0a2:341,${(index + 4096).toString(16)}:300`,
+			...(after !== undefined && {'last-event-id': String(after), resumes}),
 		});
 		const id = headers['x-apricotdoor-request-id'];
-		record.write(`send   ${id} to ${instance.name}`);
+		record.write(`send   ${id} to ${instance.name}${after === undefined ? '' : `, resumes ${resumes} after event ${after}`}`);
 		const answer = await fleet.send(instance, {
-			method: 'POST', path: '/seal/query', headers, body: `prompt ${id}`, timeoutMs: 3000,
+			method: 'POST', path: '/audit/1', headers, body: `prompt ${index}`, timeoutMs,
 		});
-		const stamp = answer.headers['x-apricotdoor-response-stamp'];
-		record.write(`answer ${id} ${answer.status || answer.end}, ${stamp === undefined ? 'no stamp of a runner' : `stamp ${stamp}`}`);
-		if (answer.status >= 300 && answer.status < 500 && ![408, 421, 429].includes(answer.status) && stamp === undefined) {
-			denied++;
-		}
+		const ids = [...answer.text.matchAll(/id: (?<id>\d+)\ndata: \S+\n\n/gv)].map(match => Number(match.groups.id));
+		const versions = [...new Set([...answer.text.matchAll(/data: (?<version>\S+)/gv)].map(match => match.groups.version))];
+		const came = ids.length === 0 ? 'no event' : `events ${ids[0]} to ${ids.at(-1)} of ${versions.join(' and ')}`;
+		record.write(`answer ${id} ${answer.status || 'none'} ${answer.end}, ${came} ${answer.status === 503 ? answer.text.slice(0, 80) : ''}`);
+		return {
+			id, last: ids.at(-1), versions, status: answer.status,
+		};
 	};
 
-	const startMs = record.nowMs;
-	const sends = [];
-	for (; record.nowMs < startMs + durationMs; count++) {
-		sends.push(send(fleet.instances[count % instanceCount]));
-		await sleep(40);
+	const begunMs = record.nowMs;
+	const begun = Array.from({length: streams}, async (_item, index) => send(index, fleet.instances[index % instanceCount]));
+	await sleep(2500);
+	if (isTroubled) {
+		record.write('all processes are killed');
+		await fleet.killAll();
+		await sleep(downMs);
+		await fleet.restartAll();
+		record.write('all instances are ready again');
+	} else {
+		record.write('all requesters lose their connections');
+		fleet.dropConnections();
 	}
 
-	await Promise.all(sends);
-	const allowed = 5 + (count / 500);
+	const received = await Promise.all(begun);
+	await sleep(contactMs + 300);
+	const taken = received.filter(({last}) => last !== undefined && last < events);
+	const leftMs = Math.floor(begunMs + limitMs - record.nowMs);
+	const [resumed, fresh] = await Promise.all([
+		Promise.all(taken.map(async ({id, last}, index) => send(index, fleet.instances[index % instanceCount], {after: last, resumes: id, timeoutMs: leftMs}))),
+		Promise.all(Array.from({length: streams}, async (_item, index) => send(1000 + index, fleet.instances[index % instanceCount]))),
+	]);
+	const goneOn = resumed.filter(({last}) => last !== undefined).length;
+	const newBegun = fresh.filter(({last}) => last !== undefined).length;
+	const mixed = taken.filter(({versions}) => versions.length > 1).length;
+	const shareOn = goneOn / taken.length;
+	const shareNew = newBegun / streams;
 	return {
-		isBroken: denied > allowed,
-		text: `${denied} of ${count} proper requests were ended with a 3xx or 4xx without a runner's stamp (${allowed.toFixed(1)} allowed); a server that is no runner got ${foreignRequests} requests`,
+		isBroken: taken.length >= minStreams && shareOn < shareNew / 2,
+		text: `${goneOn} of ${taken.length} streams that requesters took up went on, ${newBegun} of ${streams} new ones began; ${mixed} streams with events of two versions`,
 	};
 });
