--- a/packages/membership/links.ts
+++ b/packages/membership/links.ts
@@ -10,6 +10,7 @@
 import {
 	encodeEnvelope, type ChannelHandler, type ChannelReceiver, type Envelope, type Peer, type PeerChannel, type PeerRequestHandler, type PeerBus, type PeerMessageHandler,
 	type PeerIdentity, type PeerLink, type PeerMessage, type PeerMessageKind, type PeerRequest, type PeerRequestFailure, type PeerRequestKind, type PeerResponse,
+	type ProtocolExtension,
 } from '#peer-protocol';
 import type {Telemetry} from '#telemetry';
 
@@ -146,9 +147,9 @@
 		return link ? this.#pendingRequests.send(link, request) : fail('no_link');
 	}
 
-	/** Lists the neighbours to which a channel can be opened. */
-	listChannelPeers(): readonly Peer[] {
-		return this.list().filter(link => link.hasExtension('channels')).map(link => link.peer!);
+	/** Lists the neighbours whose programs understand an extension of the protocol. */
+	listPeersWith(extension: ProtocolExtension): readonly Peer[] {
+		return this.list().filter(link => link.hasExtension(extension)).map(link => link.peer!);
 	}
 
 	/** Opens a channel to a neighbour; see {@link PeerBus.openChannel}. */
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -160,7 +160,8 @@
 			setRequestHandler(kind, handler) {
 				links.setRequestHandler(kind, handler);
 			},
-			listChannelPeers: () => links.listChannelPeers(),
+			listChannelPeers: () => links.listPeersWith('channels'),
+			listArchivingPeers: () => links.listPeersWith('origin_archive'),
 			openChannel: (to, receiver) => links.openChannel(to, receiver),
 			setChannelHandler(handler) {
 				links.setChannelHandler(handler);
--- a/packages/node/relay-instance.ts
+++ b/packages/node/relay-instance.ts
@@ -30,7 +30,8 @@
 	PartQuarantine, partStrikeOptions, Quarantine, runQuarantineArchive, runStrikeSync,
 } from '#quarantine';
 import {
-	CachedParts, KvCacheStores, OpenRequests, OriginExchange, originRetentionMs, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet,
+	CachedParts, KvCacheStores, OpenRequests, OriginArchive, OriginExchange,
+	originRetentionMs, PeerPaths, Relay, resolveOrigin, runPartExchange, serveRelayedRequests, StreamOrigins, TargetReach, TargetSet,
 	watchEngines, PublishedWeights, VersionRecord, VersionRefresh, type CheckKvCacheStore, type CheckReach, type ConnectionOptions,
 	type ProbeTarget, type ReadPartCacheEvents, type RelayedWork, type TargetDialect, type WeightsStatement,
 } from '#relay';
@@ -40,7 +41,7 @@
 /** Decodes and encodes the objects in a platform's store. */
 export type StoredFormats = Readonly<{
 	/** Names of the kinds of objects in the store. */
-	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string; software: string}>;
+	kinds: Readonly<{configuration: string; targets: string; weights: string; instances: string; leases: string; quarantine: string; software: string; origins: string}>;
 	decodeConfiguration(stored: StoredObject): Result<RelayConfiguration, string>;
 	/** @returns the target, or why the entry describes none that can be used */
 	decodeTarget(stored: StoredObject): Result<RelayTarget, string>;
@@ -189,8 +190,13 @@
 	});
 	const versionRefresh = new VersionRefresh({clock, refreshTargets, refreshRecord: async () => versionRecord.refresh()});
 	const refresh = async () => versionRefresh.refresh();
+	const hasSeveralVersions = (withinMs: number) => targets.hasSeveralVersions(withinMs);
+	const originArchive = new OriginArchive({
+		clock, telemetry, store: store.status, urgentStore: store.configuration, kind: formats.kinds.origins, incarnation: peers.incarnation, origins, bus, hasSeveralVersions,
+		countInstances: countSharingInstances, writesPerSecond: dependencies.storeRates.writesPerSecond, getRank: duty => peers.getRank(duty),
+	});
 	const originExchange = new OriginExchange({
-		origins, bus, clock, random, refresh, hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
+		origins, bus, clock, random, refresh, hasSeveralVersions, archive: originArchive,
 		listVersions: pool => targets.listVersions(pool, originRetentionMs), isStoreAnswering: () => started.storeMirrors?.isStoreAnswering ?? true,
 	});
 	const quarantine = new Quarantine({
@@ -234,7 +240,7 @@
 	});
 	const gateway = new Gateway({
 		clock, random, telemetry, relay, customerLimits, resolveOrigin: async stream => resolveOrigin({
-			origins, exchange: originExchange, refresh, targets, versionRecord, telemetry,
+			origins, exchange: originExchange, archive: originArchive, refresh, targets, versionRecord, telemetry,
 		}, stream),
 	});
 	// An open request counts also while its body or its answer is on the way; requests of peers are in the relay, or wait for it.
@@ -284,6 +290,7 @@
 		work: async () => runWorkExchange({views: targets, bus, clock}, signal),
 		parts: async () => runPartExchange({cachedParts, bus, clock}, signal),
 		origins: async () => originExchange.run(signal),
+		originArchive: async () => originArchive.run(signal),
 		versions: async () => versionRecord.run(signal),
 		reach: async () => targetReach.run(signal),
 		kvCacheStores: async () => kvCacheStores.run(signal),
--- a/packages/node/store-mirrors.test.ts
+++ b/packages/node/store-mirrors.test.ts
@@ -20,7 +20,7 @@
 function createFormats(decoded: string[]): StoredFormats {
 	return {
 		kinds: {
-			configuration: 'c', targets: 't', weights: 'w', instances: 'i', leases: 'l', quarantine: 'q', software: 's',
+			configuration: 'c', targets: 't', weights: 'w', instances: 'i', leases: 'l', quarantine: 'q', software: 's', origins: 'o',
 		},
 		decodeConfiguration({value}: StoredObject) {
 			const version = Number(value);
--- a/packages/peer-protocol/bus.ts
+++ b/packages/peer-protocol/bus.ts
@@ -66,6 +66,8 @@
 	setRequestHandler<Kind extends PeerRequestKind>(kind: Kind, handler: PeerRequestHandler<Kind>): void;
 	/** Lists the neighbours to which {@link PeerBus.openChannel} can open a channel. */
 	listChannelPeers(): readonly Peer[];
+	/** Lists the neighbours that keep origins of streams for others; see {@link OriginArchive} of `#relay`. */
+	listArchivingPeers(): readonly Peer[];
 	/** Opens a channel to a neighbour; returns `undefined` if no link to it is open, or if its program knows no channels. */
 	openChannel(to: Peer, receiver: ChannelReceiver): PeerChannel | undefined;
 	/** Registers the only handler of channels that peers open. */
--- a/packages/peer-protocol/handshake.ts
+++ b/packages/peer-protocol/handshake.ts
@@ -28,7 +28,7 @@
 const maxExtensions = 32;
 
 /** Extensions that this program understands. */
-export const protocolExtensions = ['channels'] as const;
+export const protocolExtensions = ['channels', 'origin_archive'] as const;
 
 export type ProtocolExtension = (typeof protocolExtensions)[number];
 
--- a/packages/peer-protocol/messages.ts
+++ b/packages/peer-protocol/messages.ts
@@ -111,6 +111,8 @@
 	/** Where resumable streams began, by their keys. */
 	z.object({
 		kind: z.literal('origins'), origins: z.array(z.object({key: nameSchema, pool: nameSchema, softwareVersion: nameSchema})).max(maxEntries),
+		/** Whether the receiver is to keep these origins in the object store. Sent only to peers with the extension `origin_archive`. */
+		shouldArchive: z.boolean().optional(),
 		/** The answer to the receiver's question with this number; present also if the sender does not know the origin. */
 		answer: z.object({
 			number: z.number().int().min(0),
--- a/packages/peer-protocol/mod.ts
+++ b/packages/peer-protocol/mod.ts
@@ -21,7 +21,7 @@
 export {
 	PeerLink, type LinkDependencies, type LinkEndReason, type LinkLimits,
 } from './link.ts';
-export type {LinkRole} from './handshake.ts';
+export type {LinkRole, ProtocolExtension} from './handshake.ts';
 export type {PeerListener, PeerTransport} from './transport.ts';
 export {createTcpTransport} from './tcp-transport.ts';
 export {createNoopBus} from './noop-bus.ts';
--- a/packages/peer-protocol/noop-bus.ts
+++ b/packages/peer-protocol/noop-bus.ts
@@ -24,6 +24,7 @@
 			// There are no peers that send requests.
 		},
 		listChannelPeers: () => [],
+		listArchivingPeers: () => [],
 		openChannel: () => undefined,
 		setChannelHandler() {
 			// There are no peers that open channels.
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -32,6 +32,8 @@
 } from './stream-origins.ts';
 export {KvCacheStores, type CheckKvCacheStore} from './kv-cache-stores.ts';
 export {OpenRequests} from './open-requests.ts';
+export {OriginArchive, type OriginArchiveDependencies} from './origin-archive.ts';
+export type {ArchivedOrigin} from './_archive-reader.ts';
 export {
 	OriginExchange, type OriginAnswer, type OriginExchangeDependencies, type OriginQuestion,
 } from './origin-exchange.ts';
--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -30,6 +30,9 @@
 	}));
 }
 
+/** An archive that keeps nothing. */
+const archive = {listArchivists: () => [], listOwn: () => [], fetch: async () => ({kind: 'absent' as const})};
+
 /** Starts instances before targets of these versions. */
 function start(t: Test, names: readonly string[], versions: readonly string[]) {
 	const clock = new ManualClock();
@@ -47,11 +50,11 @@
 
 		const exchange = new OriginExchange({
 			origins, clock, random: createRandom(index + 1), bus: network.join({name, zone: 'z', incarnation: name}), hasSeveralVersions: withinMs => targets.hasSeveralVersions(withinMs),
-			listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh, isStoreAnswering: () => store.isAnswering,
+			listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh, isStoreAnswering: () => store.isAnswering, archive,
 		});
 		void exchange.run(stopping.signal);
 		return {
-			origins, targets, exchange, store, telemetry: createTelemetry({level: 'silent'}), versionRecord: {getKnowledge: () => 'complete' as const}, refresh: async () => new Map(),
+			origins, targets, exchange, archive, store, telemetry: createTelemetry({level: 'silent'}), versionRecord: {getKnowledge: () => 'complete' as const}, refresh: async () => new Map(),
 		};
 	});
 	t.teardown(() => {
@@ -163,7 +166,7 @@
 	const targets = new TargetSet(clock, {connectTimeoutMs: 1, idleTimeoutMs: 1});
 	const exchange = new OriginExchange({
 		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus: network.join({name: 'a', zone: 'z', incarnation: 'a'}), hasSeveralVersions: () => false,
-		listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh: async () => undefined, isStoreAnswering: () => true,
+		listVersions: pool => targets.listVersions(pool, originRetentionMs), refresh: async () => undefined, isStoreAnswering: () => true, archive,
 	});
 	const peer = network.join({name: 'b', zone: 'z', incarnation: 'b'});
 	const numbers: number[] = [];
@@ -199,7 +202,7 @@
 		},
 	};
 	const exchange = new OriginExchange({
-		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined, isStoreAnswering: () => true,
+		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined, isStoreAnswering: () => true, archive,
 	});
 	void exchange.request({
 		key: getKey(), pools: ['p'], shouldRefresh: false, isForAll: false,
@@ -261,3 +264,35 @@
 	t.strictSame(await resolveOrigin(a, {...resumed, lastEventId: undefined}), {kind: 'any'});
 	t.strictSame(await resolveOrigin(a, {...resumed, route: {...route, retryPolicy: 'once'}}), {kind: 'any'});
 });
+
+t.test('origins go to the archivists to be archived, and again to those that are new', async t => {
+	const clock = new ManualClock();
+	const network = new PeerNetworkStandin(clock);
+	const stopping = new AbortController();
+	t.teardown(() => {
+		stopping.abort();
+	});
+	const received = new Map<string, unknown[]>();
+	for (const name of ['b', 'c']) {
+		received.set(name, []);
+		network.join({name, zone: 'z', incarnation: name}).subscribe('origins', ({origins: announced, shouldArchive}) => {
+			received.get(name)!.push(...announced.map(({key}) => [key, shouldArchive]));
+		});
+	}
+
+	const origins = new StreamOrigins(clock);
+	const state = {archivists: ['a', 'b']};
+	const exchange = new OriginExchange({
+		origins, clock, random: createRandom(1), bus: network.join({name: 'a', zone: 'z', incarnation: 'a'}), hasSeveralVersions: () => true,
+		listVersions: () => [],
+		refresh: async () => undefined, isStoreAnswering: () => true, archive: {listArchivists: () => state.archivists, listOwn: () => [{key: 'first', origin}]},
+	});
+	void exchange.run(stopping.signal);
+	origins.recordOwn('first', origin);
+	await clock.advance(200);
+	t.strictSame([...received.values()], [[['first', true]], [['first', undefined]]]);
+	state.archivists = ['a', 'c'];
+	origins.recordOwn('second', origin);
+	await clock.advance(200);
+	t.strictSame(received.get('c')!.slice(1), [['second', true], ['first', true]]);
+});
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -2,11 +2,13 @@
  * Exchanges the origins of streams with the peers. Only while targets of several
  * software versions serve, and for the retention time of origins after that, or
  * while the object store cannot say how many there are, an instance announces the
- * streams that began at it, so that the origins outlive the instance. An instance that does not know an origin asks its peers for it. Its
+ * streams that began at it, so that the origins outlive the instance, and hands them
+ * to its archivists, which keep them in the store ({@link OriginArchive}). An instance that does not know an origin asks its peers for it. Its
  * neighbours answer in any case, also with the software versions that they know of,
  * as the one that asks may be out of step; others answer all instances if they know
  * the origin, unless another peer was faster.
  */
+import type {OriginArchive} from './origin-archive.ts';
 import {originRetentionMs, type StreamOrigin, type StreamOrigins} from './stream-origins.ts';
 import type {VersionsByPool} from './version-record.ts';
 import {maxRefreshWaitMs} from './version-refresh.ts';
@@ -26,6 +28,7 @@
 	hasSeveralVersions: (withinMs: number) => boolean;
 	/** Whether the object store has answered the last call of this instance, as far as known. */
 	isStoreAnswering: () => boolean;
+	archive: Pick<OriginArchive, 'listArchivists' | 'listOwn'>;
 	/** Lists the software versions that targets of a pool had in the retention time of origins. */
 	listVersions: (pool: string) => readonly string[];
 	/** Reads the versions from the object store; see {@link VersionRefresh.refresh}. */
@@ -92,6 +95,8 @@
 	readonly #cancels: readonly Cancel[];
 	readonly #pending = new Map<number, PendingQuestion>();
 	#questionCount = 0;
+	/** Instances that have been handed the origins of this instance's streams, if several versions serve. */
+	#archivists: readonly string[] = [];
 
 	constructor(dependencies: OriginExchangeDependencies) {
 		const {bus, origins} = dependencies;
@@ -169,13 +174,33 @@
 	#announce(): void {
 		const {origins, bus, hasSeveralVersions, isStoreAnswering} = this.#dependencies;
 		const isForAll = hasSeveralVersions(originRetentionMs);
+		this.#updateArchivists(isForAll);
 		const records = isForAll || !isStoreAnswering() ? origins.takeUnannounced(maxOriginsPerMessage) : [];
-		if (records.length > 0) {
-			const understanding = new Set(bus.listChannelPeers().map(({incarnation}) => incarnation));
-			bus.sendToSample({kind: 'origins', origins: records.map(({key, origin}) => ({key, ...origin}))}, ({incarnation}) => isForAll || understanding.has(incarnation));
+		if (records.length === 0) {
+			return;
+		}
+
+		const announced = records.map(({key, origin}) => ({key, ...origin}));
+		const understanding = new Set(bus.listChannelPeers().map(({incarnation}) => incarnation));
+		const archivists = new Set(this.#archivists);
+		bus.sendToSample({kind: 'origins', origins: announced}, ({incarnation}) => !archivists.has(incarnation) && (isForAll || understanding.has(incarnation)));
+		if (archivists.size > 0) {
+			bus.sendToSample({kind: 'origins', origins: announced, shouldArchive: true}, ({incarnation}) => archivists.has(incarnation));
 		}
 	}
 
+	/** Announces the streams of the retention time again if others archive them from now on. */
+	#updateArchivists(isArchiving: boolean): void {
+		const {origins, archive} = this.#dependencies;
+		const archivists = isArchiving ? archive.listArchivists() : [];
+		const hasNew = archivists.some(incarnation => !this.#archivists.includes(incarnation));
+		if (hasNew && this.#archivists.length > 0) {
+			origins.markUnannounced(archive.listOwn());
+		}
+
+		this.#archivists = archivists;
+	}
+
 	#recordAnswer({number, versions, isRefreshed}: Answer, {incarnation}: Peer): void {
 		const pending = this.#pending.get(number);
 		if (!pending?.missing.delete(incarnation)) {
--- a/packages/relay/resolve-origin.test.ts
+++ b/packages/relay/resolve-origin.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import type {ArchivedOrigin} from './_archive-reader.ts';
 import type {OriginQuestion} from './origin-exchange.ts';
 import {resolveOrigin, type ResumedStream} from './resolve-origin.ts';
 import {originRetentionMs, StreamOrigins, type StreamOrigin} from './stream-origins.ts';
@@ -27,6 +28,7 @@
 		id: `t${index}`, incarnation: `t${index}@1`, startedWallMs: 0, pool: 'p', address: `127.0.0.1:${index + 1}`, zone: 'z', slots: 4,
 		isDraining: false, softwareVersion, weights: new Map(),
 	})));
+	const archive: {answer: ArchivedOrigin; reads: number} = {answer: {kind: 'absent'}, reads: 0};
 	const state = {
 		knowledge: 'unread' as VersionKnowledge,
 		/** Versions in the record; absent if the store does not answer. */
@@ -43,6 +45,12 @@
 			state.handleRefresh();
 			return state.recorded;
 		},
+		archive: {
+			async fetch() {
+				archive.reads++;
+				return archive.answer;
+			},
+		},
 		exchange: {
 			async request(question) {
 				state.questions.push(question);
@@ -56,7 +64,7 @@
 	};
 
 	return {
-		clock, targets, state, resolve, resolveKind,
+		clock, targets, state, archive, resolve, resolveKind,
 	};
 }
 
@@ -150,3 +158,32 @@
 	t.equal(await resolveKind({resumedRequestId: undefined}), 'any');
 	t.equal(state.questions.length, 0);
 });
+
+// Guards against the refusal of streams that neither this instance nor a peer knows after all were killed (LOST).
+t.test('a stream that only the archive knows goes on at its origin', async t => {
+	const {archive, resolve} = start(['v1', 'v2']);
+	archive.answer = {kind: 'found', origin};
+	t.strictSame(await resolve(), {kind: 'origin', origin});
+});
+
+// Guards against streams that go on at a wrong version while the archive cannot be read (ORDER).
+t.test('a stream that is not archived, or that cannot be looked up, stays refused', async t => {
+	const {archive, resolveKind} = start(['v1', 'v2']);
+	for (const kind of ['absent', 'unread'] as const) {
+		archive.answer = {kind};
+		t.equal(await resolveKind(), 'unknown');
+	}
+
+	t.equal(archive.reads, 2);
+	t.equal(await resolveKind({resumedRequestId: undefined}), 'unknown');
+	t.equal(archive.reads, 2, 'a stream without an id cannot be looked up');
+});
+
+t.test('the archive is not read for a stream that a peer knows or that can only have begun at one version', async t => {
+	const known = start(['v1', 'v2'], origin);
+	t.strictSame(await known.resolve(), {kind: 'origin', origin});
+	const single = start(['v1']);
+	single.state.knowledge = 'complete';
+	t.equal(await single.resolveKind(), 'any');
+	t.strictSame([known.archive.reads, single.archive.reads], [0, 0]);
+});
--- a/packages/relay/resolve-origin.ts
+++ b/packages/relay/resolve-origin.ts
@@ -1,4 +1,6 @@
 /** Decides where a stream that its caller resumes may go on. */
+import type {ArchivedOrigin} from './_archive-reader.ts';
+import type {OriginArchive} from './origin-archive.ts';
 import type {OriginAnswer, OriginExchange} from './origin-exchange.ts';
 import {
 	computeStreamKey, originRetentionMs, type StreamOrigin, type StreamOrigins,
@@ -11,6 +13,7 @@
 export type OriginDependencies = Readonly<{
 	origins: StreamOrigins;
 	exchange: Pick<OriginExchange, 'request'>;
+	archive: Pick<OriginArchive, 'fetch'>;
 	/** Reads the versions from the object store; see {@link VersionRefresh.refresh}. */
 	refresh: () => Promise<VersionsByPool | undefined>;
 	targets: TargetSet;
@@ -45,10 +48,12 @@
 /** A decision on a stream that its caller resumes, and what it rests on. */
 type Resolution = Readonly<{
 	decision: OriginDecision;
-	/** What the decision rests on: an origin that this instance kept or that a peer stated, the versions of the route's pools, or nothing. */
-	basis: 'kept' | 'peer' | 'pools' | 'none';
+	/** What the decision rests on: an origin that this instance kept, that a peer stated or that was archived, the versions of the route's pools, or nothing. */
+	basis: 'kept' | 'peer' | 'archive' | 'pools' | 'none';
 	/** Who has confirmed since the request arrived that no other versions are known; `unasked` if that does not matter. */
 	confirmedBy: 'store' | 'peer' | 'none' | 'unasked';
+	/** What the archive has said of the stream. */
+	archive?: ArchivedOrigin['kind'];
 }> & PoolVersions;
 
 /** What is known of the software versions of a route's pools. */
@@ -72,10 +77,10 @@
 	}
 
 	const {telemetry} = dependencies;
-	const {decision, basis, versions, knowledge, confirmedBy} = await resolveResumed(dependencies, stream);
+	const {decision, basis, versions, knowledge, confirmedBy, archive} = await resolveResumed(dependencies, stream);
 	telemetry.count('resumed_streams_total', {decision: decision.kind});
 	telemetry.log('resumed stream resolved', {
-		id: requestId, route: route.name, lastEventId, resumes: resumedRequestId, decision: decision.kind, ...(decision.kind === 'origin' && decision.origin), basis, knowledge, confirmedBy,
+		id: requestId, route: route.name, lastEventId, resumes: resumedRequestId, decision: decision.kind, ...(decision.kind === 'origin' && decision.origin), basis, knowledge, confirmedBy, archive,
 		softwareVersions: [...new Set([...versions.values()].flat())].slice(0, maxLoggedVersions),
 	});
 	return decision;
@@ -112,10 +117,23 @@
 		});
 	}
 
-	return createResolution(route, {origin: getKept() ?? answer?.origin, basis: 'peer', confirmedBy}, known);
+	const resolution = createResolution(route, {origin: getKept() ?? answer?.origin, basis: 'peer', confirmedBy}, known);
+	return key !== undefined && resolution.decision.kind === 'unknown' ? resolveArchived(dependencies, route, key, resolution) : resolution;
 }
 
-type Findings = Readonly<{origin: StreamOrigin | undefined; basis: 'kept' | 'peer'; confirmedBy: Resolution['confirmedBy']}>;
+/** Looks up a stream in the archive that neither this instance nor its peers know. What is not archived stays unknown. */
+async function resolveArchived({origins, archive}: OriginDependencies, route: RelayRoute, key: string, resolution: Resolution): Promise<Resolution> {
+	const archived = await archive.fetch(key);
+	if (archived.kind !== 'found') {
+		return {...resolution, archive: archived.kind};
+	}
+
+	const {origin} = archived;
+	origins.record({key, origin});
+	return {...createResolution(route, {origin, basis: 'archive', confirmedBy: resolution.confirmedBy}, resolution), archive: 'found'};
+}
+
+type Findings = Readonly<{origin: StreamOrigin | undefined; basis: 'kept' | 'peer' | 'archive'; confirmedBy: Resolution['confirmedBy']}>;
 
 function createResolution({pools}: RelayRoute, {origin, basis, confirmedBy}: Findings, known: PoolVersions): Resolution {
 	if (origin) {
--- a/packages/relay/stream-origins.ts
+++ b/packages/relay/stream-origins.ts
@@ -34,6 +34,7 @@
 	#newerSinceMs: number;
 	readonly #unannounced = new Map<string, StreamOrigin>();
 	readonly #unannouncedHandlers = new Set<() => void>();
+	readonly #ownHandlers = new Set<(record: StreamOriginRecord) => void>();
 	readonly #waiting = new Map<string, Set<(origin: StreamOrigin) => void>>();
 
 	constructor(clock: Clock) {
@@ -45,11 +46,30 @@
 	recordOwn(key: string, origin: StreamOrigin): void {
 		this.record({key, origin});
 		addBounded(this.#unannounced, key, origin, maxUnannounced);
+		for (const handler of this.#ownHandlers) {
+			handler({key, origin});
+		}
+
 		for (const handler of this.#unannouncedHandlers) {
 			handler();
 		}
 	}
 
+	/** Calls `handler` for each stream that begins at this instance. */
+	subscribeOwn(handler: (record: StreamOriginRecord) => void): Cancel {
+		this.#ownHandlers.add(handler);
+		return () => {
+			this.#ownHandlers.delete(handler);
+		};
+	}
+
+	/** Marks origins as not announced yet, so that peers which have joined since learn of them. */
+	markUnannounced(records: readonly StreamOriginRecord[]): void {
+		for (const {key, origin} of records) {
+			addBounded(this.#unannounced, key, origin, maxUnannounced);
+		}
+	}
+
 	/** Calls `handler` whenever a stream begins at this instance, and at once if the origins of some were not announced yet. */
 	subscribeUnannounced(handler: () => void): Cancel {
 		this.#unannouncedHandlers.add(handler);
@@ -79,6 +99,13 @@
 
 	/** Removes and returns up to `max` of this instance's origins that were not announced yet, the oldest first. */
 	takeUnannounced(max: number): readonly StreamOriginRecord[] {
+		this.#expire();
+		for (const key of this.#unannounced.keys()) {
+			if (!this.get(key)) {
+				this.#unannounced.delete(key);
+			}
+		}
+
 		const taken = [...this.#unannounced].slice(0, max).map(([key, origin]) => ({key, origin}));
 		for (const {key} of taken) {
 			this.#unannounced.delete(key);
--- a/packages/relay/version-refresh.ts
+++ b/packages/relay/version-refresh.ts
@@ -3,6 +3,7 @@
  * an instance has heard before says nothing about the time since: it may have
  * been cut off or suspended without noticing.
  */
+import {SharedRead} from './_shared-read.ts';
 import type {VersionsByPool} from './version-record.ts';
 import type {Clock} from '#clock';
 
@@ -18,13 +19,13 @@
 export const maxRefreshWaitMs = 250;
 
 export class VersionRefresh {
-	readonly #dependencies: VersionRefreshDependencies;
-	#current: Promise<VersionsByPool | undefined> | undefined;
-	/** Begins when the current one has ended, for callers that came after its begin. */
-	#next: Promise<VersionsByPool | undefined> | undefined;
+	readonly #reads: SharedRead<VersionsByPool>;
 
-	constructor(dependencies: VersionRefreshDependencies) {
-		this.#dependencies = dependencies;
+	constructor({clock, refreshTargets, refreshRecord}: VersionRefreshDependencies) {
+		this.#reads = new SharedRead(clock, async () => {
+			const [areTargetsRefreshed, recorded] = await Promise.all([refreshTargets(), refreshRecord()]);
+			return areTargetsRefreshed ? recorded : undefined;
+		}, {maxWaitMs: maxRefreshWaitMs});
 	}
 
 	/**
@@ -34,36 +35,6 @@
 	 * @returns the versions that the record holds, by pool, or `undefined` if the store has not answered in time
 	 */
 	async refresh(): Promise<VersionsByPool | undefined> {
-		const {clock} = this.#dependencies;
-		return new Promise(resolve => {
-			const cancel = clock.setTimer(maxRefreshWaitMs, () => {
-				resolve(undefined);
-			});
-			void this.#start().then(versions => {
-				cancel();
-				resolve(versions);
-			});
-		});
-	}
-
-	async #start(): Promise<VersionsByPool | undefined> {
-		if (!this.#current) {
-			this.#current = this.#read();
-			return this.#current;
-		}
-
-		this.#next ??= this.#current.then(async () => {
-			this.#next = undefined;
-			this.#current = this.#read();
-			return this.#current;
-		});
-		return this.#next;
-	}
-
-	async #read(): Promise<VersionsByPool | undefined> {
-		const {refreshTargets, refreshRecord} = this.#dependencies;
-		const [areTargetsRefreshed, recorded] = await Promise.all([refreshTargets(), refreshRecord()]);
-		this.#current = undefined;
-		return areTargetsRefreshed ? recorded : undefined;
+		return this.#reads.get();
 	}
 }
--- a/packages/standins/peer-network.ts
+++ b/packages/standins/peer-network.ts
@@ -61,6 +61,7 @@
 				member.requestHandlers.set(kind, handler);
 			},
 			listChannelPeers: () => this.#listReachable(peer.name).map(other => other.peer),
+			listArchivingPeers: () => this.#listReachable(peer.name).map(other => other.peer),
 			openChannel: (to, receiver) => this.#openChannel(to.name, peer, receiver),
 			setChannelHandler(handler) {
 				member.channelHandler = handler;
