Tests: crowds of callers whose bytes are cheap to send and dear to parse

Seen in a trial of the users: eight callers that send bodies in chunks of one byte keep an instance from all its other callers, for longer than they stay.

The tests run a real process with a small limit of bodies. They check that an ordinary request is answered beside and after the crowd, that the process lives, and its memory and descriptors. The crowd and the bounds are fixed here.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -14,7 +14,7 @@
 	? new Set(readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice(6).trim()))
 	: new Set();
 /** Test files that run alone, as their result depends on the memory and the load of the machine. */
-const separateFiles = ['platform/instance-memory.test.ts'];
+const separateFiles = ['platform/instance-memory.test.ts', 'platform/caller-crowds.test.ts'];
 
 /** Runs tap on test files. */
 function runTests(testFiles) {
