--- a/packages/relay/origin-exchange.test.ts
+++ b/packages/relay/origin-exchange.test.ts
@@ -202,7 +202,8 @@
 		},
 	};
 	const exchange = new OriginExchange({
-		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus, hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined, isStoreAnswering: () => true, archive,
+		origins: new StreamOrigins(clock), clock, random: createRandom(1), bus,
+		hasSeveralVersions: () => false, listVersions: () => [], refresh: async () => undefined, isStoreAnswering: () => true, archive,
 	});
 	void exchange.request({
 		key: getKey(), pools: ['p'], shouldRefresh: false, isForAll: false,
