--- a/packages/relay/origin-archive.test.ts
+++ b/packages/relay/origin-archive.test.ts
@@ -207,6 +207,34 @@
 	}
 });
 
+// Guards against the loss of streams of instances whose program hands nothing to archivists, while builds are replaced.
+t.test('the streams of a neighbour with an older program are archived, but not what peers answer', async t => {
+	const clock = new ManualClock();
+	const store = new PlatformStandin(clock);
+	const network = new PeerNetworkStandin(clock);
+	const stopping = new AbortController();
+	t.teardown(() => {
+		stopping.abort();
+	});
+	const archive = new OriginArchive({
+		clock, telemetry, store, urgentStore: store, kind: 'origins', incarnation: 'new', origins: new StreamOrigins(clock), hasSeveralVersions: () => true,
+		bus: {...network.join({name: 'new', zone: 'z', incarnation: 'new'}), listArchivingPeers: () => []}, countInstances: () => 2, writesPerSecond: 400, getRank: () => 0,
+	});
+	void archive.run(stopping.signal);
+	await clock.advance(300);
+	const older = network.join({name: 'old', zone: 'z', incarnation: 'old'});
+	const [announced, answered] = ['announced', 'answered'].map(id => ({key: computeStreamKey('ann', id), ...origin}));
+	older.broadcast({kind: 'origins', origins: [announced!]});
+	older.broadcast({kind: 'origins', origins: [answered!], answer: {number: 0, versions: [], isRefreshed: false}});
+	await clock.advance(500);
+	const found = archive.fetch(announced!.key);
+	await clock.advance(10);
+	t.strictSame(await found, {kind: 'found', origin});
+	const absent = archive.fetch(answered!.key);
+	await clock.advance(1000);
+	t.strictSame(await absent, {kind: 'absent'});
+});
+
 t.test('objects are removed after the retention time by their writer, or by the first instance if that has ended', async t => {
 	const {clock, state, instances, countObjects, startInstance} = start(t, ['a', 'b', 'c']);
 	for (const instance of instances) {
--- a/packages/relay/origin-archive.ts
+++ b/packages/relay/origin-archive.ts
@@ -1,13 +1,13 @@
 /**
  * Keeps the origins of streams in the object store while targets of several
  * software versions serve, so that streams go on after all instances have been
- * killed. Each instance hands the origins of its streams to two of its neighbours
- * or of itself, the archivists, which write those of the last moments together.
- * An archivist writes into one object at a time, a segment, and begins another one
- * after some seconds, so that a write does not repeat all of the retention time.
- * Nobody changes the segments of an instance that has ended; they are read when
- * neither this instance nor a peer knows the origin of a resumed stream, and removed
- * when they have not changed for the retention time.
+ * killed. Each instance hands the origins of its streams to two archivists among
+ * itself and its neighbours, which write them in batches. An archivist writes into
+ * one object at a time, a segment, and begins another one after some seconds, so
+ * that a write does not repeat the whole retention time. Segments outlive their
+ * writer. They are read when neither this instance nor a peer knows the origin of a
+ * resumed stream, and removed when they have not changed for the retention time.
+ * docs/design/streams.md gives the reasons.
  */
 import {ArchiveCleanUp} from './_archive-clean-up.ts';
 import {ArchiveReader, type ArchivedOrigin} from './_archive-reader.ts';
@@ -48,7 +48,7 @@
 /** An origin, and when this instance learned of it. */
 type Entry = Readonly<{origin: StreamOrigin; atMs: number}>;
 
-/** One object of this instance. */
+/** An object that this instance writes. */
 type Segment = {
 	readonly key: string;
 	readonly createdMs: number;
@@ -93,7 +93,7 @@
 	readonly #own = new Map<string, Entry>();
 	/** Origins that this instance has to write. */
 	readonly #unwritten = new Map<string, Entry>();
-	/** The last one may be open. */
+	/** The last one is written into, unless it is closed or too old. */
 	#segments: Segment[] = [];
 	#segmentCount = 0;
 	#nextWriteMs = -Infinity;
@@ -222,7 +222,7 @@
 		}
 	}
 
-	/** Takes the origins of a segment for unwritten. They go into another one, as nothing is known of the object. */
+	/** Closes a segment of whose object nothing is known any more; its origins go into another one. */
 	#requeue(segment: Segment): void {
 		for (const [key, entry] of segment.entries) {
 			this.#unwritten.set(key, entry);
--- a/packages/relay/origin-exchange.ts
+++ b/packages/relay/origin-exchange.ts
@@ -3,7 +3,8 @@
  * software versions serve, and for the retention time of origins after that, or
  * while the object store cannot say how many there are, an instance announces the
  * streams that began at it, so that the origins outlive the instance, and hands them
- * to its archivists, which keep them in the store ({@link OriginArchive}). An instance that does not know an origin asks its peers for it. Its
+ * to its archivists, which keep them in the store ({@link OriginArchive}). An
+ * instance that does not know an origin asks its peers for it. Its
  * neighbours answer in any case, also with the software versions that they know of,
  * as the one that asks may be out of step; others answer all instances if they know
  * the origin, unless another peer was faster.
